Lay out the shared packages: configuration document, blackboard, call states, peer protocol

Cause: the issues are worked on side by side and need one vocabulary first. Conclusion: packages can now grow on disjoint paths.

--- /dev/null
+++ b/internal/fleet/board/board.go
@@ -0,0 +1,123 @@
+package board
+
+import (
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// Board has one section for each kind of state that controllers share.
+type Board struct {
+	// Configuration is written by the configuration controller.
+	Configuration Section[configuration.Document]
+	// Confirmation is written by the configuration controller.
+	Confirmation Section[Confirmation]
+	// Members is written by membership.
+	Members Section[Members]
+	// Servers is written by the roster controller, which joins the
+	// platform's instance list with the engines' load reports.
+	Servers Section[Servers]
+}
+
+// Confirmation says when this instance last knew its configuration to be in
+// force, and whether it may take new work.
+type Confirmation struct {
+	At       time.Time
+	Revision int64
+	Ready    bool
+	Reason   string
+}
+
+// Members is the membership as this instance sees it, sorted by name.
+type Members struct {
+	Self string
+	List []Member
+	// Epoch grows with every change of the list.
+	Epoch uint64
+}
+
+// MemberState is the state of an instance.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberAlive   MemberState = "Alive"
+	MemberSuspect MemberState = "Suspect"
+	MemberLeaving MemberState = "Leaving"
+)
+
+// Member is one instance of the system.
+type Member struct {
+	Name string
+	// PeerAddress is the IP and port of its peer listener.
+	PeerAddress string
+	DataCentre  string
+	Region      string
+	// Generation distinguishes runs under the same name; a restart raises it.
+	Generation uint64
+	State      MemberState
+	LastSeen   time.Time
+}
+
+// ServerState is the state of a backend server in the instance list.
+type ServerState string
+
+// The states of a backend server.
+const (
+	ServerLive    ServerState = "Live"
+	ServerLeaving ServerState = "Leaving"
+)
+
+// Servers is every backend server in the instance list, sorted by name.
+type Servers struct {
+	List []Server
+	At   time.Time
+}
+
+// Server is one backend server with its latest load report.
+type Server struct {
+	Name       string
+	Address    string
+	Service    string
+	DataCentre string
+	Region     string
+	State      ServerState
+	Report     Report
+}
+
+// Report is an engine's own account of its load; it arrives with a lag.
+type Report struct {
+	// At is the server's time of the report; ReceivedAt is this instance's.
+	At         time.Time
+	ReceivedAt time.Time
+	Sequence   uint64
+	// Generation and StartedAt change when the server restarts.
+	Generation uint64
+	StartedAt  time.Time
+	Cold       bool
+	Running    int
+	Waiting    int
+	// Concurrency is how many requests the server can run at once when warm.
+	Concurrency     int
+	ColdConcurrency int
+	// FirstToken is the server's recent median time to first token.
+	FirstToken time.Duration
+	// Loaded lists the versions that the server runs.
+	Loaded []Loaded
+}
+
+// Loaded is one version held by a backend server.
+type Loaded struct {
+	Model   string
+	Version string
+}
+
+// Runs reports whether the server has this version loaded.
+func (s *Server) Runs(model, version string) bool {
+	for _, l := range s.Report.Loaded {
+		if l.Model == model && l.Version == version {
+			return true
+		}
+	}
+	return false
+}
