Choose versions, count evidence, seal sessions, ship presets

Cause: the request path needs a version for each request, a session that keeps it, and counters that a roll-out can be judged by. A halted roll-out now has share 0 (new sessions go back, those in progress stay), and a new state Preparing has share 0 while servers load, so that no request meets a version that nobody runs. Counter gains the trial and two histograms.

--- a/internal/catalogue/configuration/document.go
+++ b/internal/catalogue/configuration/document.go
@@ -106,10 +106,11 @@
 
 // The states of a roll-out.
 const (
-	RolloutRunning   RolloutState = "Running"
-	RolloutHalted    RolloutState = "Halted"
-	RolloutComplete  RolloutState = "Complete"
-	RolloutWithdrawn RolloutState = "Withdrawn"
+	RolloutPreparing RolloutState = "Preparing" // servers load the new version, no traffic
+	RolloutRunning   RolloutState = "Running"   // new sessions get the stage's share
+	RolloutHalted    RolloutState = "Halted"    // no new sessions, those in progress stay
+	RolloutComplete  RolloutState = "Complete"  // all new sessions
+	RolloutWithdrawn RolloutState = "Withdrawn" // ended, the new version is withdrawn
 )
 
 // Rollout moves traffic of a model from one version to another in stages.
@@ -143,7 +144,7 @@
 	switch r.State {
 	case RolloutComplete:
 		return 1
-	case RolloutWithdrawn:
+	case RolloutPreparing, RolloutHalted, RolloutWithdrawn:
 		return 0
 	}
 	if r.Stage < 0 || r.Stage >= len(r.Stages) {
--- /dev/null
+++ b/internal/catalogue/preset/preset.go
@@ -0,0 +1,63 @@
+// Package preset holds the presets that ship as examples and explains what a
+// change of preset does before it is made.
+package preset
+
+import (
+	"fmt"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// The names of the shipped presets.
+const (
+	Ordinary    = "Ordinary"
+	Peak        = "Peak"
+	Maintenance = "Maintenance"
+)
+
+// Defaults returns the shipped presets; Ordinary is meant to be in force first.
+func Defaults() []configuration.Preset {
+	return []configuration.Preset{
+		{Name: Ordinary, QualityTarget: 0.95, Judge: true, DelayPrice: 0.5, ShedAt: 0.9, RampSeconds: 30, RolloutPace: 1, ExploreShare: 0.02},
+		{Name: Peak, QualityTarget: 0.9, Judge: false, DelayPrice: 4, ShedAt: 0.8, RampSeconds: 60, RolloutPace: 0, ExploreShare: 0},
+		{Name: Maintenance, QualityTarget: 0.95, Judge: true, DelayPrice: 0.5, ShedAt: 0.75, RampSeconds: 90, RolloutPace: 0.5, ExploreShare: 0.01},
+	}
+}
+
+// Explain returns one line for each difference between two presets, saying what
+// it changes for the traffic. No line means that nothing changes.
+func Explain(from, to configuration.Preset) []string {
+	var lines []string
+	add := func(changed bool, format string, args ...any) {
+		if changed {
+			lines = append(lines, fmt.Sprintf(format, args...))
+		}
+	}
+	add(from.QualityTarget != to.QualityTarget,
+		"QualityTarget=%v->%v: answers must reach %v of the dearest model's pass rate", from.QualityTarget, to.QualityTarget, to.QualityTarget)
+	add(from.Judge != to.Judge, "Judge=%v->%v: %s", from.Judge, to.Judge, judgeEffect(to))
+	add(from.DelayPrice != to.DelayPrice,
+		"DelayPrice=%v->%v: a second of delay weighs %v price units against the price of a model", from.DelayPrice, to.DelayPrice, to.DelayPrice)
+	add(from.ShedAt != to.ShedAt,
+		"ShedAt=%v->%v: new sessions are refused above %v%% utilisation; sessions in progress go on", from.ShedAt, to.ShedAt, 100*to.ShedAt)
+	add(from.RampSeconds != to.RampSeconds,
+		"RampSeconds=%v->%v: a cold server reaches its full load after %v s at the earliest", from.RampSeconds, to.RampSeconds, to.RampSeconds)
+	add(from.RolloutPace != to.RolloutPace, "RolloutPace=%v->%v: %s", from.RolloutPace, to.RolloutPace, paceEffect(to))
+	add(from.ExploreShare != to.ExploreShare,
+		"ExploreShare=%v->%v: at most %v%% of requests try a plan for what can be learned from it", from.ExploreShare, to.ExploreShare, 100*to.ExploreShare)
+	return lines
+}
+
+func judgeEffect(to configuration.Preset) string {
+	if to.Judge {
+		return "cheap answers may be judged before they are delivered, which delays their first token"
+	}
+	return "no answer waits for a judge; classes that the cheap model fails go to the dear one at once"
+}
+
+func paceEffect(to configuration.Preset) string {
+	if to.RolloutPace == 0 {
+		return "roll-outs hold their stage; halts and withdrawals still happen"
+	}
+	return fmt.Sprintf("a roll-out stage lasts at least %v times its ordinary time", 1/to.RolloutPace)
+}
--- /dev/null
+++ b/internal/catalogue/preset/preset_test.go
@@ -0,0 +1,28 @@
+package preset
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+func TestDefaultsAreValid(t *testing.T) {
+	for _, p := range Defaults() {
+		doc := &configuration.Document{Preset: p.Name, Presets: Defaults()}
+		is.New(t).NoErr(doc.Validate())
+	}
+}
+
+func TestExplainNamesEachDifference(t *testing.T) {
+	is := is.New(t)
+	d := Defaults()
+	lines := Explain(d[0], d[1])
+	for i, field := range []string{"QualityTarget=0.95->0.9", "Judge=true->false", "DelayPrice=0.5->4", "ShedAt=0.9->0.8", "RampSeconds=30->60", "RolloutPace=1->0", "ExploreShare=0.02->0"} {
+		is.True(strings.HasPrefix(lines[i], field+":"))
+	}
+	is.Equal(len(lines), 7)
+	is.Equal(len(Explain(d[0], d[0])), 0)
+}
--- /dev/null
+++ b/internal/release/rollout/choose_test.go
@@ -0,0 +1,95 @@
+package rollout
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+func TestChoose(t *testing.T) {
+	withdrawn := func(d *configuration.Document) {
+		d.Models[0].Versions[1].State = configuration.VersionWithdrawn
+	}
+	halted := func(d *configuration.Document) { d.Rollouts[0].State = configuration.RolloutHalted }
+	keep := func(*configuration.Document) {}
+	for _, c := range []struct {
+		name     string
+		edit     func(*configuration.Document)
+		customer string
+		unit     float64
+		version  string
+		reason   call.Reason
+	}{
+		{"below the share", keep, "all", 0.05, "v2", ""},
+		{"above the share", keep, "all", 0.5, "v1", ""},
+		{"allowed only the old", keep, "old", 0.05, "v1", ""},
+		{"allowed only the new", keep, "new", 0.5, "v2", ""},
+		{"allowed nothing", keep, "none", 0.5, "", call.ReasonNotAllowed},
+		{"halted", halted, "all", 0.05, "v1", ""},
+		{"withdrawn", withdrawn, "all", 0.05, "v1", ""},
+		{"withdrawn and allowed nothing else", withdrawn, "new", 0.05, "", call.ReasonVersionWithdrawn},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			doc := running(0, 0.1, 1)
+			c.edit(doc)
+			version, err := Choose(doc, doc.Customer(c.customer), "m", c.unit)
+			is.Equal(version, c.version)
+			var refusal *call.Refusal
+			is.Equal(errors.As(err, &refusal), c.reason != "")
+			if refusal != nil {
+				is.Equal(refusal.Reason, c.reason)
+				is.Equal(refusal.State, call.NotRun)
+			}
+		})
+	}
+}
+
+// TestMergeCountsOnce merges every report of two instances, one of which
+// restarts, twice and in a wrong order at a third.
+func TestMergeCountsOnce(t *testing.T) {
+	is := is.New(t)
+	doc := running(0, 0.1, 1)
+	current := func() *configuration.Document { return doc }
+	third := NewEvidence("c", 1, current)
+	var reports [][]Counter
+	for generation := uint64(1); generation <= 2; generation++ {
+		for _, name := range []string{"a", "b"} {
+			e := NewEvidence(name, generation, current)
+			for i := range 10 {
+				e.Record(Observation{Customer: "all", Model: "m", Version: "v2", Rated: true, Pass: i > 0})
+				e.Record(Observation{Customer: "all", Model: "m", Version: "v2", FirstToken: 20 * time.Millisecond, Tokens: 1 << i})
+				reports = append(reports, e.Counters())
+			}
+		}
+	}
+	for range 2 {
+		for i := len(reports) - 1; i >= 0; i-- {
+			third.Merge(overTheWire(reports[i]))
+		}
+	}
+	third.Merge([]Counter{{Member: "c", Generation: 1, Trial: Trial(&doc.Rollouts[0]), Model: "m", Version: "v2", Tally: Tally{Rated: 99}}})
+	s := third.Summaries("m", "v2")
+	is.Equal(s.Rated, uint64(40))
+	is.Equal(s.Passed, uint64(36))
+	is.Equal(s.FirstTokens[2], uint64(40))
+	is.Equal(s.Lengths[18], uint64(4))
+
+	doc = doc.Clone()
+	doc.Rollouts[0].StageAt = start.Add(1e9)
+	third.Merge(reports[0])
+	is.Equal(len(third.All()), 0) // a new trial starts from nothing
+}
+
+func overTheWire(counters []Counter) []Counter {
+	var list []Counter
+	for i := range counters {
+		list = append(list, CounterOf(counters[i].Message()))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/release/rollout/wire.go
@@ -0,0 +1,51 @@
+package rollout
+
+import "github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+
+// Message returns the form of the counter in the protocol between instances.
+func (c *Counter) Message() *peer.Counter {
+	return &peer.Counter{
+		Member:      c.Member,
+		Generation:  c.Generation,
+		Trial:       c.Trial,
+		Customer:    c.Customer,
+		Model:       c.Model,
+		Version:     c.Version,
+		Requests:    c.Requests,
+		Rated:       c.Rated,
+		Passed:      c.Passed,
+		Failed:      c.Failed,
+		FirstTokens: c.FirstTokens.trimmed(),
+		Lengths:     c.Lengths.trimmed(),
+	}
+}
+
+// CounterOf returns the counter in a message of another instance.
+func CounterOf(m *peer.Counter) Counter {
+	c := Counter{
+		Member:     m.GetMember(),
+		Generation: m.GetGeneration(),
+		Trial:      m.GetTrial(),
+		Customer:   m.GetCustomer(),
+		Model:      m.GetModel(),
+		Version:    m.GetVersion(),
+		Tally: Tally{
+			Requests: m.GetRequests(),
+			Rated:    m.GetRated(),
+			Passed:   min(m.GetPassed(), m.GetRated()),
+			Failed:   min(m.GetFailed(), m.GetRequests()),
+		},
+	}
+	copy(c.FirstTokens[:], m.GetFirstTokens())
+	copy(c.Lengths[:], m.GetLengths())
+	return c
+}
+
+// trimmed returns the buckets up to the last that is not empty.
+func (h *Histogram) trimmed() []uint64 {
+	end := len(h)
+	for end > 0 && h[end-1] == 0 {
+		end--
+	}
+	return h[:end:end]
+}
--- /dev/null
+++ b/internal/routing/session/resolve.go
@@ -0,0 +1,47 @@
+package session
+
+import (
+	"fmt"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/release/rollout"
+)
+
+// establishedUnit is outside the share of every stage that is not complete.
+const establishedUnit = 1
+
+// Resolve returns the version that the session's next request runs on. It is
+// the pinned one as long as that is active and the customer is allowed it. A
+// withdrawal goes before the session: the request is refused, or, where the
+// customer's rule is Move, gets the established version, never the new version
+// of a roll-out under way. After a move the caller of Resolve seals or pins the
+// returned version. The error is a *call.Refusal.
+func Resolve(doc *configuration.Document, customer *configuration.Customer, pin Pin) (string, error) {
+	m := doc.Model(pin.Model)
+	if m == nil {
+		return "", &call.Refusal{Reason: call.ReasonUnknownModel, Field: "model", Detail: pin.Model}
+	}
+	if pin.Customer != customer.Name {
+		return "", &call.Refusal{Reason: call.ReasonSessionInvalid, Field: "Session-Id", Detail: "the session is another customer's"}
+	}
+	v := m.Version(pin.Version)
+	if v != nil && v.State == configuration.VersionActive {
+		if customer.IsAllowed(m.Name, v.Name) {
+			return v.Name, nil
+		}
+		return "", &call.Refusal{
+			Reason: call.ReasonNotAllowed,
+			Field:  "Session-Id",
+			Detail: fmt.Sprintf("customer %s is no longer allowed %s@%s", customer.Name, m.Name, v.Name),
+		}
+	}
+	if customer.OnWithdrawal == configuration.WithdrawalMove {
+		return rollout.Choose(doc, customer, m.Name, establishedUnit)
+	}
+	return "", &call.Refusal{
+		Reason: call.ReasonSessionVersionWithdrawn,
+		Field:  "Session-Id",
+		Detail: fmt.Sprintf("%s@%s is withdrawn; start a new session", m.Name, pin.Version),
+	}
+}
--- /dev/null
+++ b/internal/routing/session/sealer.go
@@ -0,0 +1,153 @@
+// Package session keeps the version of a session: in a sealed token that the
+// caller echoes, or in a pin under a name that the caller brings.
+package session
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// Prefix begins every sealed token, which tells tokens from names that callers
+// bring. A name that begins with it and does not open is refused.
+const Prefix = "kcy1."
+
+// Pin is what a session keeps.
+type Pin struct {
+	Customer  string
+	Model     string
+	Version   string
+	Session   string
+	StartedAt time.Time
+}
+
+// Fault says what is wrong with a token.
+type Fault string
+
+// The faults of a token.
+const (
+	FaultMalformed       Fault = "Malformed"       // not of the form of a token
+	FaultUnknownKey      Fault = "UnknownKey"      // sealed with a key that is not configured
+	FaultTampered        Fault = "Tampered"        // the seal does not hold
+	FaultForeignCustomer Fault = "ForeignCustomer" // sealed for another customer
+)
+
+// TokenError reports a token that must not be trusted.
+type TokenError struct {
+	Fault Fault
+	KeyID string
+}
+
+func (e *TokenError) Error() string {
+	if e.KeyID != "" {
+		return fmt.Sprintf("session token: %s (key %s)", e.Fault, e.KeyID)
+	}
+	return fmt.Sprintf("session token: %s", e.Fault)
+}
+
+// IsToken reports whether a session identifier claims to be a sealed token.
+func IsToken(session string) bool { return strings.HasPrefix(session, Prefix) }
+
+// Sealer seals and opens session tokens with AES-256-GCM. It is immutable and
+// safe for concurrent use; make a new one when the keys change.
+type Sealer struct {
+	first string
+	aeads map[string]cipher.AEAD
+	rand  io.Reader
+}
+
+// Option changes a Sealer.
+type Option func(*Sealer)
+
+// WithRand sets the source of nonces.
+func WithRand(r io.Reader) Option { return func(s *Sealer) { s.rand = r } }
+
+// NewSealer returns a sealer for the configured keys: the first seals, all open.
+func NewSealer(keys []configuration.SessionKey, options ...Option) (*Sealer, error) {
+	if len(keys) == 0 {
+		return nil, &configuration.FieldError{Field: "SessionKeys", Allowed: "at least one key"}
+	}
+	s := &Sealer{first: keys[0].ID, aeads: map[string]cipher.AEAD{}, rand: rand.Reader}
+	for _, o := range options {
+		o(s)
+	}
+	for _, k := range keys {
+		if k.ID == "" || strings.Contains(k.ID, ".") {
+			return nil, &configuration.FieldError{Field: "SessionKeys.ID", Value: k.ID, Allowed: "a name without dots"}
+		}
+		block, err := aes.NewCipher(k.Secret)
+		if err != nil {
+			return nil, fmt.Errorf("session key %s: %w", k.ID, err)
+		}
+		if s.aeads[k.ID], err = cipher.NewGCM(block); err != nil {
+			return nil, fmt.Errorf("session key %s: %w", k.ID, err)
+		}
+	}
+	return s, nil
+}
+
+// sealed is the content of a token.
+type sealed struct {
+	Customer string
+	Model    string
+	Version  string
+	Session  string
+	Started  int64
+}
+
+// Seal returns the token for a pin.
+func (s *Sealer) Seal(p Pin) (string, error) {
+	plain, err := json.Marshal(sealed{p.Customer, p.Model, p.Version, p.Session, p.StartedAt.UnixMilli()})
+	if err != nil {
+		return "", fmt.Errorf("encode session token: %w", err)
+	}
+	aead := s.aeads[s.first]
+	nonce := make([]byte, aead.NonceSize())
+	if _, err := io.ReadFull(s.rand, nonce); err != nil {
+		return "", fmt.Errorf("nonce of session token: %w", err)
+	}
+	box := aead.Seal(nonce, nonce, plain, bound(s.first))
+	return Prefix + s.first + "." + base64.RawURLEncoding.EncodeToString(box), nil
+}
+
+// Open returns the pin in a token of this customer. The error is a *TokenError.
+func (s *Sealer) Open(customer, token string) (Pin, error) {
+	keyID, encoded, ok := strings.Cut(strings.TrimPrefix(token, Prefix), ".")
+	if !IsToken(token) || !ok {
+		return Pin{}, &TokenError{Fault: FaultMalformed}
+	}
+	box, err := base64.RawURLEncoding.Strict().DecodeString(encoded)
+	if err != nil {
+		return Pin{}, &TokenError{Fault: FaultMalformed}
+	}
+	aead, ok := s.aeads[keyID]
+	if !ok {
+		return Pin{}, &TokenError{Fault: FaultUnknownKey, KeyID: keyID}
+	}
+	if len(box) < aead.NonceSize() {
+		return Pin{}, &TokenError{Fault: FaultMalformed}
+	}
+	plain, err := aead.Open(nil, box[:aead.NonceSize()], box[aead.NonceSize():], bound(keyID))
+	if err != nil {
+		return Pin{}, &TokenError{Fault: FaultTampered, KeyID: keyID}
+	}
+	var c sealed
+	if err := json.Unmarshal(plain, &c); err != nil {
+		return Pin{}, &TokenError{Fault: FaultMalformed, KeyID: keyID}
+	}
+	if c.Customer != customer {
+		return Pin{}, &TokenError{Fault: FaultForeignCustomer, KeyID: keyID}
+	}
+	return Pin{c.Customer, c.Model, c.Version, c.Session, time.UnixMilli(c.Started)}, nil
+}
+
+// bound returns the data that the seal covers beside the content.
+func bound(keyID string) []byte { return []byte(Prefix + keyID) }
