Judge roll-outs by a Bayes factor on merged evidence

Cause: a version that turns bad must be stopped after few requests, and an equal one must not be stopped. Change: Decide compares ratings, failures, time to first token and length of answers, over the whole roll-out, in the present stage and for each customer, by a Bayes factor that may be looked at at any time. Start, Halt, Resume, Withdraw and Apply edit the document.

--- a/internal/release/rollout/choose_test.go
+++ b/internal/release/rollout/choose_test.go
@@ -81,7 +81,9 @@
 	is.Equal(s.Lengths[18], uint64(4))
 
 	doc = doc.Clone()
-	doc.Rollouts[0].StageAt = start.Add(1e9)
+	is.NoErr(Halt(doc, "r1", "test", start.Add(time.Second)))
+	is.NoErr(Resume(doc, "r1", start.Add(2*time.Second)))
+	is.NoErr(Apply(doc, "r1", Decision{Verdict: VerdictAdvance}, start.Add(3*time.Second)))
 	third.Merge(reports[0])
 	is.Equal(len(third.All()), 0) // a new trial starts from nothing
 }
--- /dev/null
+++ b/internal/release/rollout/decide.go
@@ -0,0 +1,111 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// Verdict is what the evidence says about a roll-out.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictHold     Verdict = "Hold"     // go on as it is
+	VerdictAdvance  Verdict = "Advance"  // widen to the next stage, or complete
+	VerdictHalt     Verdict = "Halt"     // no new sessions on the new version
+	VerdictWithdraw Verdict = "Withdraw" // no new work on the new version
+)
+
+const (
+	// StageTime is the least time a stage lasts at pace 1.
+	StageTime = 2 * time.Minute
+	// MinRated is the number of rated answers of the new version that a stage
+	// needs before the next.
+	MinRated = 150
+	// withdrawAlpha is the chance that an equal version is withdrawn.
+	withdrawAlpha = 1e-5
+	// leaning is the part of a metric's limit, on the logarithmic scale, from
+	// which on its evidence holds the stage.
+	leaning = 0.5
+)
+
+// Case is all that a decision on a roll-out depends on.
+type Case struct {
+	Rollout *configuration.Rollout
+	Old     Summary
+	New     Summary
+	// Pace is the preset's; 0 holds the stage.
+	Pace float64
+	Now  time.Time
+}
+
+// Decision is a verdict with the evidence it rests on.
+type Decision struct {
+	Verdict Verdict
+	Reason  string
+}
+
+// Decide weighs the evidence for and against the new version.
+func Decide(c Case) Decision {
+	worst, excess := worstMetric(c)
+	switch {
+	case worst.severe && worst.evidence >= math.Log(1/withdrawAlpha):
+		return Decision{VerdictWithdraw, worst.reason(withdrawAlpha)}
+	case excess >= 0 && c.Rollout.State == configuration.RolloutRunning:
+		return Decision{VerdictHalt, worst.reason(worst.alpha)}
+	case c.Rollout.State != configuration.RolloutRunning:
+		return Decision{VerdictHold, "the roll-out is " + string(c.Rollout.State)}
+	}
+	return decideStage(c, worst, excess)
+}
+
+// maxPrinted bounds the evidence that is printed, on the logarithmic scale.
+const maxPrinted = 30
+
+// weighed is a metric with the evidence against the new version.
+type weighed struct {
+	metric
+	evidence float64
+}
+
+func (w *weighed) reason(alpha float64) string {
+	return fmt.Sprintf("%s; evidence %.0f:1 against the new version, limit %.0f:1", w.String(), math.Exp(min(w.evidence, maxPrinted)), 1/alpha)
+}
+
+// worstMetric returns the metric that exceeds its limit by the most, and by how
+// much; a severe one that suffices for a withdrawal goes first.
+func worstMetric(c Case) (weighed, float64) {
+	var worst weighed
+	excess := math.Inf(-1)
+	for _, m := range metrics(c.Rollout, &c.Old, &c.New) {
+		w := weighed{m, logBayesFactor(m.old, m.new, m.floor)}
+		if m.severe && w.evidence >= math.Log(1/withdrawAlpha) {
+			return w, w.evidence
+		}
+		if e := w.evidence - math.Log(1/m.alpha); e > excess {
+			worst, excess = w, e
+		}
+	}
+	return worst, excess
+}
+
+// decideStage decides on the next stage where nothing speaks for a halt.
+func decideStage(c Case, worst weighed, excess float64) Decision {
+	if c.Pace <= 0 {
+		return Decision{VerdictHold, "the preset in force holds roll-outs"}
+	}
+	least := time.Duration(float64(StageTime) / c.Pace)
+	if age := c.Now.Sub(c.Rollout.StageAt); age < least {
+		return Decision{VerdictHold, fmt.Sprintf("the stage lasts %s of %s", age.Truncate(time.Second), least)}
+	}
+	if c.New.Rated < MinRated {
+		return Decision{VerdictHold, fmt.Sprintf("%d of %d ratings of the new version", c.New.Rated, MinRated)}
+	}
+	if excess > -leaning*math.Log(1/worst.alpha) {
+		return Decision{VerdictHold, "the evidence leans against the new version: " + worst.String()}
+	}
+	return Decision{VerdictAdvance, fmt.Sprintf("%d requests, %d of %d ratings passed", c.New.Requests, c.New.Passed, c.New.Rated)}
+}
--- /dev/null
+++ b/internal/release/rollout/edit.go
@@ -0,0 +1,224 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// keptRollouts is how many ended roll-outs of a model stay in the document;
+// lost session pins are recomputed from them.
+const keptRollouts = 8
+
+// DefaultStages are the shares of a roll-out that names none.
+var DefaultStages = []float64{0.01, 0.05, 0.2, 0.5, 1}
+
+// Plan is what an operator asks for.
+type Plan struct {
+	ID     string
+	Model  string
+	To     string
+	Stages []float64
+}
+
+// Start adds a roll-out of plan.To, which becomes active with no share until
+// its servers are warm. The error is a *configuration.FieldError.
+func Start(doc *configuration.Document, plan Plan, now time.Time) error {
+	m := doc.Model(plan.Model)
+	if m == nil {
+		return &configuration.FieldError{Field: "Model", Value: plan.Model, Allowed: "the name of a model"}
+	}
+	if err := checkVersions(m, plan.To); err != nil {
+		return err
+	}
+	if r := doc.RolloutOf(m.Name); r != nil && isUnderWay(r.State) {
+		return &configuration.FieldError{Field: "Model", Value: m.Name, Allowed: "a model without a roll-out under way; " + r.ID + " is " + string(r.State)}
+	}
+	if plan.ID == "" || byID(doc, plan.ID) != nil {
+		return &configuration.FieldError{Field: "ID", Value: plan.ID, Allowed: "a name that no roll-out has"}
+	}
+	if len(plan.Stages) == 0 {
+		plan.Stages = DefaultStages
+	}
+	m.Version(plan.To).State = configuration.VersionActive
+	dropOld(doc, m.Name)
+	doc.Rollouts = append(doc.Rollouts, configuration.Rollout{
+		ID: plan.ID, Model: m.Name, From: m.Default, To: plan.To,
+		Stages: slices.Clone(plan.Stages), State: configuration.RolloutPreparing,
+		StartedAt: now, StageAt: now,
+		History: []configuration.StageChange{{At: now}},
+	})
+	return doc.Validate()
+}
+
+func checkVersions(m *configuration.Model, to string) error {
+	from := m.Version(m.Default)
+	if from == nil || from.State != configuration.VersionActive {
+		return &configuration.FieldError{Field: "Default", Value: m.Default, Allowed: "an active version to compare with"}
+	}
+	v := m.Version(to)
+	if v == nil || to == m.Default {
+		return &configuration.FieldError{Field: "To", Value: to, Allowed: "another version of " + m.Name}
+	}
+	if v.State == configuration.VersionWithdrawn {
+		return &configuration.FieldError{Field: "To", Value: to, Allowed: "a version that is not withdrawn"}
+	}
+	return nil
+}
+
+// dropOld keeps only the latest ended roll-outs of the model.
+func dropOld(doc *configuration.Document, model string) {
+	excess := 1 - keptRollouts
+	for _, r := range doc.Rollouts {
+		if r.Model == model {
+			excess++
+		}
+	}
+	doc.Rollouts = slices.DeleteFunc(doc.Rollouts, func(r configuration.Rollout) bool {
+		if r.Model != model || excess <= 0 {
+			return false
+		}
+		excess--
+		return true
+	})
+}
+
+// Halt stops new sessions on the new version; those in progress go on.
+func Halt(doc *configuration.Document, id, reason string, now time.Time) error {
+	r, err := underWay(doc, id)
+	if err != nil {
+		return err
+	}
+	r.State, r.Reason = configuration.RolloutHalted, reason
+	record(r, now)
+	return nil
+}
+
+// Resume goes on with a halted roll-out at its stage, on fresh evidence and once
+// its servers are warm.
+func Resume(doc *configuration.Document, id string, now time.Time) error {
+	r, err := underWay(doc, id)
+	if err != nil {
+		return err
+	}
+	if r.State != configuration.RolloutHalted {
+		return &configuration.FieldError{Field: "State", Value: string(r.State), Allowed: "Halted"}
+	}
+	r.State, r.Reason = configuration.RolloutPreparing, ""
+	record(r, now)
+	return nil
+}
+
+// Withdraw ends a roll-out, also a complete one, and withdraws its new version.
+func Withdraw(doc *configuration.Document, id, reason string, now time.Time) error {
+	r := byID(doc, id)
+	if r == nil {
+		return &configuration.FieldError{Field: "ID", Value: id, Allowed: "the ID of a roll-out"}
+	}
+	return WithdrawVersion(doc, r.Model, r.To, reason, now)
+}
+
+// WithdrawVersion withdraws any version of a model. A roll-out to it ends, and
+// the model's default changes to the other version of that roll-out where the
+// withdrawn one was the default.
+func WithdrawVersion(doc *configuration.Document, model, version, reason string, now time.Time) error {
+	m := doc.Model(model)
+	if m == nil {
+		return &configuration.FieldError{Field: "Model", Value: model, Allowed: "the name of a model"}
+	}
+	v := m.Version(version)
+	if v == nil {
+		return &configuration.FieldError{Field: "Version", Value: version, Allowed: "the name of a version of " + model}
+	}
+	if v.State != configuration.VersionWithdrawn {
+		v.State, v.WithdrawnAt, v.Reason = configuration.VersionWithdrawn, now, reason
+	}
+	r := doc.RolloutOf(model)
+	if r == nil {
+		return nil
+	}
+	if r.To == version && (isUnderWay(r.State) || r.State == configuration.RolloutComplete) {
+		r.State, r.Reason = configuration.RolloutWithdrawn, reason
+		record(r, now)
+	}
+	if r.From == version && isUnderWay(r.State) {
+		complete(doc, r, "the old version was withdrawn: "+reason, now)
+	}
+	if m.Default == r.To && r.To == version {
+		m.Default = r.From
+	}
+	return nil
+}
+
+// Apply carries a decision out on the document.
+func Apply(doc *configuration.Document, id string, d Decision, now time.Time) error {
+	switch d.Verdict {
+	case VerdictHalt:
+		return Halt(doc, id, d.Reason, now)
+	case VerdictWithdraw:
+		return Withdraw(doc, id, d.Reason, now)
+	case VerdictAdvance:
+		return advance(doc, id, d.Reason, now)
+	}
+	return nil
+}
+
+func advance(doc *configuration.Document, id, reason string, now time.Time) error {
+	r, err := underWay(doc, id)
+	if err != nil {
+		return err
+	}
+	switch {
+	case r.State == configuration.RolloutPreparing:
+		r.State = configuration.RolloutRunning
+	case r.State != configuration.RolloutRunning:
+		return &configuration.FieldError{Field: "State", Value: string(r.State), Allowed: "Preparing or Running"}
+	case r.Stage == len(r.Stages)-1:
+		complete(doc, r, reason, now)
+		return nil
+	default:
+		r.Stage++
+	}
+	r.Reason = reason
+	r.StageAt = record(r, now)
+	return nil
+}
+
+// complete makes the new version the default.
+func complete(doc *configuration.Document, r *configuration.Rollout, reason string, now time.Time) {
+	r.State, r.Reason = configuration.RolloutComplete, reason
+	record(r, now)
+	doc.Model(r.Model).Default = r.To
+}
+
+// record adds the present share to the history, later than what is there even
+// if the clocks of two drivers differ, and returns the time it used.
+func record(r *configuration.Rollout, now time.Time) time.Time {
+	if n := len(r.History); n > 0 && !now.After(r.History[n-1].At) {
+		now = r.History[n-1].At.Add(time.Millisecond)
+	}
+	r.History = append(r.History, configuration.StageChange{At: now, Share: r.Share()})
+	return now
+}
+
+func byID(doc *configuration.Document, id string) *configuration.Rollout {
+	for i := range doc.Rollouts {
+		if doc.Rollouts[i].ID == id {
+			return &doc.Rollouts[i]
+		}
+	}
+	return nil
+}
+
+func underWay(doc *configuration.Document, id string) (*configuration.Rollout, error) {
+	r := byID(doc, id)
+	if r == nil {
+		return nil, &configuration.FieldError{Field: "ID", Value: id, Allowed: "the ID of a roll-out"}
+	}
+	if !isUnderWay(r.State) {
+		return nil, &configuration.FieldError{Field: "State", Value: string(r.State), Allowed: fmt.Sprintf("a roll-out under way, %s is not", id)}
+	}
+	return r, nil
+}
--- a/internal/release/rollout/evidence.go
+++ b/internal/release/rollout/evidence.go
@@ -1,9 +1,6 @@
 package rollout
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
 	"sync"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
@@ -23,7 +20,10 @@
 	current    func() *configuration.Document
 
 	mu       sync.Mutex
+	index    *index
 	counters map[counterKey]*Tally
+	// changed are own counters that grew since the last call of Changed.
+	changed map[counterKey]struct{}
 }
 
 type counterKey struct {
@@ -43,37 +43,38 @@
 		generation: generation,
 		current:    current,
 		counters:   map[counterKey]*Tally{},
+		changed:    map[counterKey]struct{}{},
 	}
 }
 
-// Trial names the present stretch of a roll-out: it changes with every stage
-// and every resumption, so that each is judged on evidence of its own.
-func Trial(r *configuration.Rollout) string {
-	return fmt.Sprintf("%s/%d", r.ID, r.StageAt.UnixMilli())
-}
-
-// trialOf returns the trial under way for the model, "" if there is none.
-func trialOf(doc *configuration.Document, model string) string {
-	if doc == nil {
-		return ""
-	}
-	r := doc.RolloutOf(model)
-	if r == nil || r.State != configuration.RolloutRunning && r.State != configuration.RolloutHalted {
-		return ""
-	}
-	return Trial(r)
-}
-
 // Record counts one outcome.
 func (e *Evidence) Record(o Observation) {
-	trial := trialOf(e.current(), o.Model)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	trial := e.trials().trial(o.Model, o.Version)
 	if trial == "" {
 		return
 	}
 	key := counterKey{e.member, e.generation, trial, o.Customer, o.Model, o.Version}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.tally(key).record(o)
+	e.changed[key] = struct{}{}
+}
+
+// trials returns the trials of the configuration in force; the caller holds mu.
+// A new configuration drops the counters of trials that are over.
+func (e *Evidence) trials() *index {
+	doc := e.current()
+	if e.index != nil && e.index.doc == doc {
+		return e.index
+	}
+	e.index = newIndex(doc)
+	for k := range e.counters {
+		if !e.index.isKept(k.model, k.trial) {
+			delete(e.counters, k)
+			delete(e.changed, k)
+		}
+	}
+	return e.index
 }
 
 func (e *Evidence) tally(key counterKey) *Tally {
@@ -85,13 +86,26 @@
 	return t
 }
 
-// Counters returns this instance's own counters, sorted.
+// Counters returns this instance's own counters.
 func (e *Evidence) Counters() []Counter {
 	return e.list(func(k counterKey) bool { return k.member == e.member && k.generation == e.generation })
 }
 
-// All returns the counters of every instance, sorted, for a new driver to start
-// from.
+// Changed returns this instance's own counters that grew since the last call.
+// A report may get lost, so all Counters are sent from time to time.
+func (e *Evidence) Changed() []Counter {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.trials()
+	list := make([]Counter, 0, len(e.changed))
+	for k := range e.changed {
+		list = append(list, k.counter(e.counters[k]))
+	}
+	clear(e.changed)
+	return list
+}
+
+// All returns the counters of every instance, for a new driver to start from.
 func (e *Evidence) All() []Counter {
 	return e.list(func(counterKey) bool { return true })
 }
@@ -99,34 +113,30 @@
 func (e *Evidence) list(match func(counterKey) bool) []Counter {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.prune()
+	e.trials()
 	var list []Counter
 	for k, t := range e.counters {
 		if match(k) {
-			list = append(list, Counter{k.member, k.generation, k.trial, k.customer, k.model, k.version, *t})
+			list = append(list, k.counter(t))
 		}
 	}
-	slices.SortFunc(list, compareCounters)
 	return list
 }
 
-func compareCounters(a, b Counter) int {
-	return cmp.Or(
-		cmp.Compare(a.Member, b.Member), cmp.Compare(a.Generation, b.Generation),
-		cmp.Compare(a.Trial, b.Trial), cmp.Compare(a.Customer, b.Customer),
-		cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+func (k counterKey) counter(t *Tally) Counter {
+	return Counter{k.member, k.generation, k.trial, k.customer, k.model, k.version, *t}
 }
 
 // Merge takes in counters that other instances reported, directly or through a
 // third. Of two reports of one counter the greater stays. Reports of this
 // instance's own generation and of trials that are over are ignored.
 func (e *Evidence) Merge(counters []Counter) {
-	doc := e.current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	x := e.trials()
 	for i := range counters {
 		c := &counters[i]
-		if c.Member == e.member && c.Generation == e.generation || c.Trial != trialOf(doc, c.Model) || c.Trial == "" {
+		if c.Member == e.member && c.Generation == e.generation || !x.isKept(c.Model, c.Trial) {
 			continue
 		}
 		key := counterKey{c.Member, c.Generation, c.Trial, c.Customer, c.Model, c.Version}
@@ -146,32 +156,29 @@
 	}
 }
 
-// prune drops the counters of trials that are over.
-func (e *Evidence) prune() {
-	doc := e.current()
-	for k := range e.counters {
-		if k.trial != trialOf(doc, k.model) {
-			delete(e.counters, k)
-		}
-	}
-}
-
 // Summary adds up the outcomes of one version over all instances.
 type Summary struct {
 	Model   string
 	Version string
+	// Tally and Customers are of the present trial.
 	Tally
 	Customers map[string]*Tally
+	// Whole is of all trials since the roll-out started or was resumed.
+	Whole Tally
 }
 
-// Summaries returns the outcomes of a version in the present trial.
+// Summaries returns the outcomes of a version in the roll-out under way.
 func (e *Evidence) Summaries(model, version string) Summary {
 	s := Summary{Model: model, Version: version, Customers: map[string]*Tally{}}
-	trial := trialOf(e.current(), model)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	present := e.trials().trial(model, version)
 	for k, t := range e.counters {
-		if k.model != model || k.version != version || k.trial != trial {
+		if k.model != model || k.version != version {
+			continue
+		}
+		s.Whole.add(t)
+		if k.trial != present {
 			continue
 		}
 		s.add(t)
--- /dev/null
+++ b/internal/release/rollout/exposure_test.go
@@ -0,0 +1,167 @@
+package rollout
+
+import (
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// The seeds of the faults that have a bound of their own, and of the others.
+const (
+	exposureSeeds = 100
+	otherSeeds    = 10
+)
+
+// bounds reads Pascal-case key=value lines.
+func bounds(t testing.TB) map[string]float64 {
+	t.Helper()
+	text, err := os.ReadFile("testdata/bounds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]float64{}
+	for line := range strings.Lines(string(text)) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), "=")
+		if !ok {
+			continue
+		}
+		if values[name], err = strconv.ParseFloat(value, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return values
+}
+
+// exposures simulates one roll-out for each seed.
+func exposures(seeds int, f fault, decide func(Case) Decision) []simResult {
+	results := make([]simResult, seeds)
+	var g errgroup.Group
+	g.SetLimit(3)
+	for i := range results {
+		g.Go(func() error {
+			results[i] = simulate(uint64(i), f, decide)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return results
+}
+
+func count(results []simResult, match func(simResult) bool) int {
+	n := 0
+	for _, r := range results {
+		if match(r) {
+			n++
+		}
+	}
+	return n
+}
+
+// quantile returns the exposure that a share q of the runs stays within.
+func quantile(results []simResult, q float64) int {
+	var list []int
+	for _, r := range results {
+		list = append(list, r.Exposed)
+	}
+	slices.Sort(list)
+	return list[int(q*float64(len(list)-1))]
+}
+
+func with(change func(*quality)) quality {
+	q := good
+	change(&q)
+	return q
+}
+
+var (
+	drifted  = with(func(q *quality) { q.pass = 0.85 })
+	outright = with(func(q *quality) { q.pass, q.fail = 0, 0.9 })
+)
+
+var faults = []struct {
+	name  string
+	seeds int
+	fault
+}{
+	{"Drifted", exposureSeeds, func(int, string) quality { return drifted }},
+	{"Outright", exposureSeeds, func(int, string) quality { return outright }},
+	{"Empty", otherSeeds, func(int, string) quality { return with(func(q *quality) { q.pass = 0 }) }},
+	{"Slow", otherSeeds, func(int, string) quality { return with(func(q *quality) { q.firstToken *= 3 }) }},
+	{"Wordy", otherSeeds, func(int, string) quality { return with(func(q *quality) { q.tokens *= 3 }) }},
+	{"LaterStage", otherSeeds, func(stage int, _ string) quality {
+		if stage >= 2 {
+			return drifted
+		}
+		return good
+	}},
+	{"OneCustomer", otherSeeds, func(_ int, customer string) quality {
+		if customer == "b" {
+			return with(func(q *quality) { q.pass = 0.6 })
+		}
+		return good
+	}},
+}
+
+func TestBadExposure(t *testing.T) {
+	bound := bounds(t)
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			is := is.New(t)
+			results := exposures(f.seeds, f.fault, Decide)
+			stopped := count(results, func(r simResult) bool { return r.Stopped })
+			is.True(20*stopped >= 19*f.seeds) // found in at least 95 of 100 seeds
+			switch f.name {
+			case "Drifted":
+				within := count(results, func(r simResult) bool { return r.Stopped && r.Exposed <= 200 })
+				is.True(within >= int(bound["DriftSeedsWithin200"]))
+				byTimer := simulate(0, f.fault, timer)
+				is.True(float64(quantile(results, 1)) <= bound["DriftExposureOfTimer"]*float64(byTimer.Exposed))
+			case "Outright":
+				is.True(quantile(results, 1) <= int(bound["OutrightExposure"]))
+			}
+		})
+	}
+}
+
+func TestFalseHalts(t *testing.T) {
+	is := is.New(t)
+	results := exposures(exposureSeeds, equal, Decide)
+	is.True(count(results, func(r simResult) bool { return r.Stopped }) <= int(bounds(t)["FalseHalts"]))
+	is.True(count(results, func(r simResult) bool { return r.State == configuration.RolloutComplete }) >= 95)
+}
+
+func BenchmarkBadExposure(b *testing.B) {
+	for _, f := range faults {
+		b.Run(f.name, func(b *testing.B) {
+			for range b.N {
+				report(b, exposures(exposureSeeds, f.fault, Decide))
+				b.ReportMetric(float64(simulate(0, f.fault, timer).Exposed), "timer-exposed")
+			}
+		})
+	}
+	b.Run("Equal", func(b *testing.B) {
+		for range b.N {
+			report(b, exposures(exposureSeeds, equal, Decide))
+		}
+	})
+}
+
+func report(b *testing.B, results []simResult) {
+	b.ReportMetric(float64(quantile(results, 0.5)), "exposed-p50")
+	b.ReportMetric(float64(quantile(results, 0.95)), "exposed-p95")
+	b.ReportMetric(float64(quantile(results, 1)), "exposed-max")
+	b.ReportMetric(float64(count(results, func(r simResult) bool { return r.Stopped })), "stopped")
+	var took time.Duration
+	for _, r := range results {
+		took += r.Took
+	}
+	b.ReportMetric(took.Seconds()/float64(len(results)), "s/rollout")
+}
--- /dev/null
+++ b/internal/release/rollout/metric.go
@@ -0,0 +1,147 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// metric is one comparison of the new version with the old one.
+type metric struct {
+	name     string
+	customer string
+	old      share
+	new      share
+	// floor is the rate of bad outcomes that is always acceptable.
+	floor float64
+	// alpha is the chance of a false halt that the metric may spend over the
+	// whole roll-out.
+	alpha float64
+	// severe metrics lead to a withdrawal if the evidence is strong.
+	severe bool
+}
+
+const (
+	ratingFloor  = 0.01
+	failureFloor = 0.005
+	tailFloor    = 0.1
+
+	ratingAlpha         = 0.02
+	failureAlpha        = 0.003
+	tailAlpha           = 0.002
+	stagesRatingAlpha   = 0.008
+	stagesFailureAlpha  = 0.002
+	stagesTailAlpha     = 0.001
+	stagesCustomerAlpha = 0.008
+
+	// tailShare is the share of the old version's values that count as slow,
+	// long or short; minTail is the number of values needed to know it.
+	tailShare = 0.1
+	minTail   = 50
+)
+
+// String prints the evidence as it goes into the reason of a halt.
+func (m *metric) String() string {
+	where := ""
+	if m.customer != "" {
+		where = " of customer " + m.customer
+	}
+	return fmt.Sprintf("%s%s: new %d of %d (%.1f%%), old %d of %d (%.1f%%)",
+		m.name, where, m.new.bad, m.new.n, 100*m.new.rate(), m.old.bad, m.old.n, 100*m.old.rate())
+}
+
+// metrics lists the comparisons of two versions: over the whole roll-out, for
+// the present stage alone, and for each customer in that stage.
+func metrics(r *configuration.Rollout, old, new *Summary) []metric {
+	list := outcomeMetrics("", &old.Whole, &new.Whole, ratingAlpha, failureAlpha)
+	list = append(list, tailMetrics(&old.Whole, &new.Whole, tailAlpha)...)
+	part := 1 / float64(max(len(r.Stages), 1))
+	if r.Stage > 0 {
+		list = append(list, outcomeMetrics("", &old.Tally, &new.Tally, part*stagesRatingAlpha, part*stagesFailureAlpha)...)
+		list = append(list, tailMetrics(&old.Tally, &new.Tally, part*stagesTailAlpha)...)
+	}
+	alpha := part * stagesCustomerAlpha / float64(2*max(len(new.Customers), 1))
+	for _, name := range slices.Sorted(maps.Keys(new.Customers)) {
+		known := old.Customers[name]
+		if known == nil {
+			known = &Tally{}
+		}
+		for _, m := range outcomeMetrics(name, known, new.Customers[name], alpha, alpha) {
+			m.severe = false
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func outcomeMetrics(customer string, old, new *Tally, rating, failure float64) []metric {
+	return []metric{
+		{
+			name: "answers rated bad", customer: customer,
+			old: share{old.Rated - old.Passed, old.Rated}, new: share{new.Rated - new.Passed, new.Rated},
+			floor: ratingFloor, alpha: rating, severe: true,
+		},
+		{
+			name: "requests failed", customer: customer,
+			old: share{old.Failed, old.Requests}, new: share{new.Failed, new.Requests},
+			floor: failureFloor, alpha: failure, severe: true,
+		},
+	}
+}
+
+// tailMetrics compare how many values lie in the tails of the old version's
+// distribution.
+func tailMetrics(old, new *Tally, alpha float64) []metric {
+	var list []metric
+	add := func(name string, old, new share) {
+		list = append(list, metric{name: name, old: old, new: new, floor: tailFloor, alpha: alpha})
+	}
+	if old.FirstTokens.Total() >= minTail {
+		i := old.FirstTokens.upperTail()
+		add("slow first tokens", old.FirstTokens.above(i), new.FirstTokens.above(i))
+	}
+	if old.Lengths.Total() >= minTail {
+		i := old.Lengths.upperTail()
+		add("long answers", old.Lengths.above(i), new.Lengths.above(i))
+		i = old.Lengths.lowerTail()
+		add("short answers", old.Lengths.below(i), new.Lengths.below(i))
+	}
+	return list
+}
+
+// upperTail returns the first bucket from which on at most tailShare lie.
+func (h *Histogram) upperTail() int {
+	for i := range h {
+		if h.above(i).rate() <= tailShare {
+			return i
+		}
+	}
+	return len(h)
+}
+
+// lowerTail returns the last bucket below which at most tailShare lie.
+func (h *Histogram) lowerTail() int {
+	for i := len(h); i > 0; i-- {
+		if h.below(i).rate() <= tailShare {
+			return i
+		}
+	}
+	return 0
+}
+
+// above returns the share of values in bucket i and later ones.
+func (h *Histogram) above(i int) share {
+	var n uint64
+	for _, c := range h[i:] {
+		n += c
+	}
+	return share{n, h.Total()}
+}
+
+// below returns the share of values in buckets before i.
+func (h *Histogram) below(i int) share {
+	above := h.above(i)
+	return share{above.n - above.bad, above.n}
+}
--- /dev/null
+++ b/internal/release/rollout/simulation_test.go
@@ -0,0 +1,187 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// The simulated fleet: nine instances that exchange evidence each second, a
+// rating service that is two seconds late and a configuration that takes up to
+// a second to be in force.
+const (
+	simInstances   = 9
+	simTick        = 100 * time.Millisecond
+	simRate        = 45.0 // requests a second
+	simControl     = 20   // ticks between two decisions
+	simRatingDelay = 2 * time.Second
+	simLimit       = 40 * time.Minute
+)
+
+var simStages = []float64{0.01, 0.05, 0.2, 0.5, 1}
+
+// quality is how one version fares with one request.
+type quality struct {
+	pass       float64
+	fail       float64
+	firstToken time.Duration
+	tokens     float64
+}
+
+var good = quality{pass: 0.95, fail: 0.002, firstToken: 200 * time.Millisecond, tokens: 200}
+
+// fault gives the quality of the new version.
+type fault func(stage int, customer string) quality
+
+func equal(int, string) quality { return good }
+
+// simResult is the outcome of one simulated roll-out.
+type simResult struct {
+	// Exposed counts the requests that ran on the new version while bad.
+	Exposed int
+	Stopped bool
+	State   configuration.RolloutState
+	Reason  string
+	Took    time.Duration
+}
+
+type pendingRating struct {
+	due      time.Time
+	instance int
+	o        Observation
+}
+
+// simulation is one roll-out under traffic.
+type simulation struct {
+	rnd       *rand.Rand
+	now       time.Time
+	committed *configuration.Document
+	docs      [simInstances]*configuration.Document
+	applyAt   [simInstances]time.Time
+	evidence  [simInstances]*Evidence
+	ratings   []pendingRating
+	fault     fault
+	result    simResult
+}
+
+func customers() []configuration.Customer {
+	var list []configuration.Customer
+	for i := range 10 {
+		list = append(list, configuration.Customer{Name: string(rune('a' + i)), Allowed: []configuration.Allowance{{Model: "m"}}})
+	}
+	return list
+}
+
+// simulate runs a roll-out to its end; decide is the policy under test.
+func simulate(seed uint64, f fault, decide func(Case) Decision) simResult {
+	doc := running(0, simStages...)
+	doc.Customers = customers()
+	s := &simulation{rnd: rand.New(rand.NewPCG(seed, 1)), now: start, committed: doc, fault: f}
+	for i := range simInstances {
+		s.docs[i] = doc
+		s.evidence[i] = NewEvidence(string(rune('A'+i)), 1, func() *configuration.Document { return s.docs[i] })
+	}
+	for tick := 0; s.now.Sub(start) < simLimit; tick++ {
+		s.now = s.now.Add(simTick)
+		s.traffic()
+		if tick%simControl == 0 && s.control(decide) {
+			break
+		}
+	}
+	s.result.Took = s.now.Sub(start)
+	return s.result
+}
+
+// traffic runs the requests and delivers the ratings of one tick.
+func (s *simulation) traffic() {
+	for i := range simInstances {
+		if s.docs[i] != s.committed && s.now.After(s.applyAt[i]) {
+			s.docs[i] = s.committed
+		}
+	}
+	for expected := simRate * simTick.Seconds(); expected > 0; expected-- {
+		if s.rnd.Float64() < expected {
+			s.request()
+		}
+	}
+	for len(s.ratings) > 0 && !s.ratings[0].due.After(s.now) {
+		s.evidence[s.ratings[0].instance].Record(s.ratings[0].o)
+		s.ratings = s.ratings[1:]
+	}
+}
+
+func (s *simulation) request() {
+	i := s.rnd.IntN(simInstances)
+	doc := s.docs[i]
+	customer := &doc.Customers[min(s.rnd.IntN(10), s.rnd.IntN(10))] // a few are large
+	version, err := Choose(doc, customer, "m", s.rnd.Float64())
+	if err != nil {
+		panic(err)
+	}
+	q := good
+	if version == "v2" {
+		q = s.fault(doc.Rollouts[0].Stage, customer.Name)
+		if q != good {
+			s.result.Exposed++
+		}
+	}
+	o := Observation{Customer: customer.Name, Model: "m", Version: version}
+	rating := o
+	o.Failed = s.rnd.Float64() < q.fail
+	o.FirstToken = time.Duration(float64(q.firstToken) * (0.5 + s.rnd.ExpFloat64()/2))
+	o.Tokens = 1 + int(q.tokens*s.rnd.ExpFloat64())
+	s.evidence[i].Record(o)
+	if !o.Failed {
+		rating.Rated, rating.Pass = true, s.rnd.Float64() < q.pass
+		s.ratings = append(s.ratings, pendingRating{s.now.Add(simRatingDelay), i, rating})
+	}
+}
+
+// control merges the evidence at the driver, decides and commits. It reports
+// whether the roll-out is over everywhere.
+func (s *simulation) control(decide func(Case) Decision) bool {
+	r := &s.committed.Rollouts[0]
+	if r.State != configuration.RolloutRunning {
+		s.result.State, s.result.Reason = r.State, r.Reason
+		s.result.Stopped = r.State != configuration.RolloutComplete
+		for i := range simInstances {
+			if s.docs[i] != s.committed {
+				return false
+			}
+		}
+		return true
+	}
+	if s.docs[0] != s.committed {
+		return false
+	}
+	for i := 1; i < simInstances; i++ {
+		s.evidence[0].Merge(s.evidence[i].Changed())
+	}
+	d := decide(Case{
+		Rollout: r,
+		Old:     s.evidence[0].Summaries("m", "v1"),
+		New:     s.evidence[0].Summaries("m", "v2"),
+		Pace:    1, Now: s.now,
+	})
+	if d.Verdict == VerdictHold {
+		return false
+	}
+	doc := s.committed.Clone()
+	if err := Apply(doc, r.ID, d, s.now); err != nil {
+		panic(err)
+	}
+	s.committed = doc
+	for i := range simInstances {
+		s.applyAt[i] = s.now.Add(time.Duration(s.rnd.Float64() * float64(time.Second)))
+	}
+	return false
+}
+
+// timer is the baseline: it widens by time and never looks at the evidence.
+func timer(c Case) Decision {
+	if c.Now.Sub(c.Rollout.StageAt) < StageTime {
+		return Decision{Verdict: VerdictHold}
+	}
+	return Decision{Verdict: VerdictAdvance}
+}
--- /dev/null
+++ b/internal/release/rollout/trial.go
@@ -0,0 +1,112 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+)
+
+// Trial names the present stretch of a roll-out: it changes with every stage
+// and every resumption, so that each is judged on evidence of its own.
+func Trial(r *configuration.Rollout) string { return trialAt(r, r.StageAt) }
+
+func trialAt(r *configuration.Rollout, at time.Time) string {
+	return fmt.Sprintf("%s/%d", r.ID, at.UnixMilli())
+}
+
+// baseline names the latest stretch in which the old version still had a share
+// of new sessions. The last stage has none of its own and is measured against
+// the stage before.
+func baseline(r *configuration.Rollout) string {
+	for i := len(r.History) - 1; i >= 0; i-- {
+		if s := r.History[i]; s.Share > 0 && s.Share < 1 {
+			return trialAt(r, s.At)
+		}
+	}
+	return ""
+}
+
+// trials names the stretches since the latest start or resumption, on whose
+// evidence together the roll-out is judged beside that of the present stage.
+func trials(r *configuration.Rollout) []string {
+	var list []string
+	for i := len(r.History) - 1; i >= 0; i-- {
+		switch s := r.History[i]; {
+		case s.Share > 0:
+			list = append(list, trialAt(r, s.At))
+		case len(list) > 0:
+			return list
+		}
+	}
+	return list
+}
+
+// index holds the trials of one document by model, so that counting an outcome
+// needs no more than two look-ups.
+type index struct {
+	doc    *configuration.Document
+	models map[string]*modelIndex
+}
+
+type modelIndex struct {
+	from, to string
+	// present and baseline are the trials that outcomes of to and from count
+	// for now; kept are all whose evidence is still of use.
+	present  string
+	baseline string
+	kept     []string
+}
+
+func newIndex(doc *configuration.Document) *index {
+	x := &index{doc: doc, models: map[string]*modelIndex{}}
+	if doc == nil {
+		return x
+	}
+	for _, m := range doc.Models {
+		r := doc.RolloutOf(m.Name)
+		if r == nil || !isJudged(r.State) {
+			continue
+		}
+		mx := &modelIndex{from: r.From, to: r.To, present: Trial(r), baseline: baseline(r)}
+		mx.kept = append(trials(r), mx.present)
+		if mx.baseline != "" {
+			mx.kept = append(mx.kept, mx.baseline)
+		}
+		x.models[m.Name] = mx
+	}
+	return x
+}
+
+// trial returns the trial that outcomes of the version count for now, "" if
+// they are not evidence.
+func (x *index) trial(model, version string) string {
+	m := x.models[model]
+	switch {
+	case m == nil:
+		return ""
+	case version == m.to:
+		return m.present
+	case version == m.from:
+		return m.baseline
+	}
+	return ""
+}
+
+// isKept reports whether evidence of this trial is still of use.
+func (x *index) isKept(model, trial string) bool {
+	m := x.models[model]
+	return m != nil && slices.Contains(m.kept, trial)
+}
+
+// isJudged reports whether evidence is kept in this state. A halted roll-out
+// still gets some from the sessions in progress.
+func isJudged(s configuration.RolloutState) bool {
+	return s == configuration.RolloutRunning || s == configuration.RolloutHalted
+}
+
+// isUnderWay reports whether a roll-out in this state may still change.
+func isUnderWay(s configuration.RolloutState) bool {
+	return isJudged(s) || s == configuration.RolloutPreparing
+}
