--- /dev/null
+++ b/internal/fleet/peer/calls.go
@@ -0,0 +1,53 @@
+package peer
+
+import "context"
+
+// Heartbeat exchanges heartbeats.
+func (c *Client) Heartbeat(ctx context.Context, address string, req *HeartbeatRequest) (*HeartbeatResponse, error) {
+	return invoke(ctx, c, "Heartbeat", address, req, PeerClient.Heartbeat)
+}
+
+// Configuration offers or asks for the configuration.
+func (c *Client) Configuration(ctx context.Context, address string, req *ConfigurationRequest) (*ConfigurationResponse, error) {
+	return invoke(ctx, c, "Configuration", address, req, PeerClient.Configuration)
+}
+
+// Credit asks for cold-start credits.
+func (c *Client) Credit(ctx context.Context, address string, req *CreditRequest) (*CreditResponse, error) {
+	return invoke(ctx, c, "Credit", address, req, PeerClient.Credit)
+}
+
+// Pin reads or writes a session pin.
+func (c *Client) Pin(ctx context.Context, address string, req *PinRequest) (*PinResponse, error) {
+	return invoke(ctx, c, "Pin", address, req, PeerClient.Pin)
+}
+
+// Ledger sends records to a shard's keeper.
+func (c *Client) Ledger(ctx context.Context, address string, req *LedgerRequest) (*LedgerResponse, error) {
+	return invoke(ctx, c, "Ledger", address, req, PeerClient.Ledger)
+}
+
+// Copies leaves copies of records.
+func (c *Client) Copies(ctx context.Context, address string, req *CopiesRequest) (*CopiesResponse, error) {
+	return invoke(ctx, c, "Copies", address, req, PeerClient.Copies)
+}
+
+// Evidence exchanges roll-out counters.
+func (c *Client) Evidence(ctx context.Context, address string, req *EvidenceRequest) (*EvidenceResponse, error) {
+	return invoke(ctx, c, "Evidence", address, req, PeerClient.Evidence)
+}
+
+// Reports spreads load reports.
+func (c *Client) Reports(ctx context.Context, address string, req *ReportsRequest) (*ReportsResponse, error) {
+	return invoke(ctx, c, "Reports", address, req, PeerClient.Reports)
+}
+
+// Explain asks for decision records.
+func (c *Client) Explain(ctx context.Context, address string, req *ExplainRequest) (*ExplainResponse, error) {
+	return invoke(ctx, c, "Explain", address, req, PeerClient.Explain)
+}
+
+// Status asks for the state of an instance.
+func (c *Client) Status(ctx context.Context, address string, req *StatusRequest) (*StatusResponse, error) {
+	return invoke(ctx, c, "Status", address, req, PeerClient.Status)
+}
--- /dev/null
+++ b/internal/fleet/peer/server.go
@@ -0,0 +1,201 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"expvar"
+	"net/http"
+
+	"connectrpc.com/connect"
+)
+
+// keyHeader carries the key that instances share.
+const keyHeader = "Kingcupyard-Peer-Key"
+
+// maxMessageBytes bounds a message; the store holds values up to a megabyte.
+const maxMessageBytes = 4 << 20
+
+var refusals = expvar.NewMap("PeerRefusals")
+
+var errWrongKey = errors.New("wrong peer key")
+
+// Heartbeater answers heartbeats.
+type Heartbeater interface {
+	Heartbeat(ctx context.Context, req *HeartbeatRequest) (*HeartbeatResponse, error)
+}
+
+// Configurer answers offers of and requests for the configuration.
+type Configurer interface {
+	Configuration(ctx context.Context, req *ConfigurationRequest) (*ConfigurationResponse, error)
+}
+
+// Creditor answers requests for cold-start credits.
+type Creditor interface {
+	Credit(ctx context.Context, req *CreditRequest) (*CreditResponse, error)
+}
+
+// Pinner answers reads and writes of session pins.
+type Pinner interface {
+	Pin(ctx context.Context, req *PinRequest) (*PinResponse, error)
+}
+
+// LedgerKeeper commits bill and claim records.
+type LedgerKeeper interface {
+	Ledger(ctx context.Context, req *LedgerRequest) (*LedgerResponse, error)
+}
+
+// CopyHolder holds copies of records while the store is out.
+type CopyHolder interface {
+	Copies(ctx context.Context, req *CopiesRequest) (*CopiesResponse, error)
+}
+
+// EvidenceExchanger merges roll-out counters.
+type EvidenceExchanger interface {
+	Evidence(ctx context.Context, req *EvidenceRequest) (*EvidenceResponse, error)
+}
+
+// Reporter takes in load reports.
+type Reporter interface {
+	Reports(ctx context.Context, req *ReportsRequest) (*ReportsResponse, error)
+}
+
+// Explainer finds decision records.
+type Explainer interface {
+	Explain(ctx context.Context, req *ExplainRequest) (*ExplainResponse, error)
+}
+
+// StatusTeller tells the state of the instance.
+type StatusTeller interface {
+	Status(ctx context.Context, req *StatusRequest) (*StatusResponse, error)
+}
+
+// Server answers the peer protocol; calls without a handler are refused as
+// unimplemented.
+type Server struct {
+	key           string
+	heartbeat     Heartbeater
+	configuration Configurer
+	credit        Creditor
+	pin           Pinner
+	ledger        LedgerKeeper
+	copies        CopyHolder
+	evidence      EvidenceExchanger
+	reports       Reporter
+	explain       Explainer
+	status        StatusTeller
+}
+
+// ServerOption changes how a server is built.
+type ServerOption func(*Server)
+
+// WithKey makes the server refuse calls without this key.
+func WithKey(key string) ServerOption { return func(s *Server) { s.key = key } }
+
+// WithHeartbeater sets who answers heartbeats.
+func WithHeartbeater(h Heartbeater) ServerOption { return func(s *Server) { s.heartbeat = h } }
+
+// WithConfigurer sets who answers for the configuration.
+func WithConfigurer(h Configurer) ServerOption { return func(s *Server) { s.configuration = h } }
+
+// WithCreditor sets who grants credits.
+func WithCreditor(h Creditor) ServerOption { return func(s *Server) { s.credit = h } }
+
+// WithPinner sets who keeps pins.
+func WithPinner(h Pinner) ServerOption { return func(s *Server) { s.pin = h } }
+
+// WithLedgerKeeper sets who commits records.
+func WithLedgerKeeper(h LedgerKeeper) ServerOption { return func(s *Server) { s.ledger = h } }
+
+// WithCopyHolder sets who holds copies.
+func WithCopyHolder(h CopyHolder) ServerOption { return func(s *Server) { s.copies = h } }
+
+// WithEvidenceExchanger sets who merges evidence.
+func WithEvidenceExchanger(h EvidenceExchanger) ServerOption {
+	return func(s *Server) { s.evidence = h }
+}
+
+// WithReporter sets who takes in load reports.
+func WithReporter(h Reporter) ServerOption { return func(s *Server) { s.reports = h } }
+
+// WithExplainer sets who finds decision records.
+func WithExplainer(h Explainer) ServerOption { return func(s *Server) { s.explain = h } }
+
+// WithStatusTeller sets who tells the state of the instance.
+func WithStatusTeller(h StatusTeller) ServerOption { return func(s *Server) { s.status = h } }
+
+// NewServer returns a server of the peer protocol.
+func NewServer(opts ...ServerOption) *Server {
+	s := &Server{}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Handler returns the HTTP handler to mount on the peer listener.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(NewPeerHandler(&service{s}, connect.WithReadMaxBytes(maxMessageBytes)))
+	return mux
+}
+
+// service adapts the server to the generated handler.
+type service struct{ *Server }
+
+// answer checks the key, passes the message on and wraps the reply.
+func answer[H any, Req, Resp any](ctx context.Context, s *Server, req *connect.Request[Req], handler H, isSet bool, call func(H, context.Context, *Req) (*Resp, error)) (*connect.Response[Resp], error) {
+	if s.key != "" && subtle.ConstantTimeCompare([]byte(req.Header().Get(keyHeader)), []byte(s.key)) != 1 {
+		refusals.Add("WrongKey", 1)
+		return nil, connect.NewError(connect.CodeUnauthenticated, errWrongKey)
+	}
+	if !isSet {
+		refusals.Add("Unimplemented", 1)
+		return nil, connect.NewError(connect.CodeUnimplemented, errors.New(req.Spec().Procedure))
+	}
+	resp, err := call(handler, ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func (s *service) Heartbeat(ctx context.Context, req *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error) {
+	return answer(ctx, s.Server, req, s.heartbeat, s.heartbeat != nil, Heartbeater.Heartbeat)
+}
+
+func (s *service) Configuration(ctx context.Context, req *connect.Request[ConfigurationRequest]) (*connect.Response[ConfigurationResponse], error) {
+	return answer(ctx, s.Server, req, s.configuration, s.configuration != nil, Configurer.Configuration)
+}
+
+func (s *service) Credit(ctx context.Context, req *connect.Request[CreditRequest]) (*connect.Response[CreditResponse], error) {
+	return answer(ctx, s.Server, req, s.credit, s.credit != nil, Creditor.Credit)
+}
+
+func (s *service) Pin(ctx context.Context, req *connect.Request[PinRequest]) (*connect.Response[PinResponse], error) {
+	return answer(ctx, s.Server, req, s.pin, s.pin != nil, Pinner.Pin)
+}
+
+func (s *service) Ledger(ctx context.Context, req *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error) {
+	return answer(ctx, s.Server, req, s.ledger, s.ledger != nil, LedgerKeeper.Ledger)
+}
+
+func (s *service) Copies(ctx context.Context, req *connect.Request[CopiesRequest]) (*connect.Response[CopiesResponse], error) {
+	return answer(ctx, s.Server, req, s.copies, s.copies != nil, CopyHolder.Copies)
+}
+
+func (s *service) Evidence(ctx context.Context, req *connect.Request[EvidenceRequest]) (*connect.Response[EvidenceResponse], error) {
+	return answer(ctx, s.Server, req, s.evidence, s.evidence != nil, EvidenceExchanger.Evidence)
+}
+
+func (s *service) Reports(ctx context.Context, req *connect.Request[ReportsRequest]) (*connect.Response[ReportsResponse], error) {
+	return answer(ctx, s.Server, req, s.reports, s.reports != nil, Reporter.Reports)
+}
+
+func (s *service) Explain(ctx context.Context, req *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
+	return answer(ctx, s.Server, req, s.explain, s.explain != nil, Explainer.Explain)
+}
+
+func (s *service) Status(ctx context.Context, req *connect.Request[StatusRequest]) (*connect.Response[StatusResponse], error) {
+	return answer(ctx, s.Server, req, s.status, s.status != nil, StatusTeller.Status)
+}
