--- a/internal/catalogue/configuration/document.go
+++ b/internal/catalogue/configuration/document.go
@@ -19,9 +19,15 @@
 // Document is the whole configuration at one revision of the store.
 type Document struct {
 	FormatVersion int
-	// Revision is the store's modification revision; it is not part of the
-	// stored value.
-	Revision    int64 `json:"-"`
+	// Revision orders documents: Base plus the store's modification revision.
+	// It is not part of the stored value.
+	Revision int64 `json:"-"`
+	// Base is added to the store's revision. It is raised when a document is
+	// written into a store whose own revisions have gone back.
+	Base int64 `json:",omitempty"`
+	// Serial counts the accepted edits. A document with a higher revision but
+	// no higher serial does not descend from the one in force.
+	Serial      int64 `json:",omitempty"`
 	Changes     []Change
 	Preset      string
 	Presets     []Preset
@@ -41,6 +47,10 @@
 	Operator string
 	Summary  string
 	At       time.Time
+	// Parent is the revision that the edit was made on.
+	Parent int64 `json:",omitempty"`
+	// Fields names what the edit changed.
+	Fields []string `json:",omitempty"`
 }
 
 // Preset is a named set of policies. Exactly one is in force at any time.
@@ -233,11 +243,11 @@
 		return nil, &FormatError{Revision: revision, Err: err}
 	}
 	if head.FormatVersion > FormatVersion {
-		return nil, &FormatError{Revision: revision, Err: fmt.Errorf("format version %d is newer than %d", head.FormatVersion, FormatVersion)}
+		return nil, &FormatError{Revision: revision, Newer: true, Err: fmt.Errorf("format version %d is newer than %d", head.FormatVersion, FormatVersion)}
 	}
 	doc, err := decodeStrict(value)
 	if err != nil {
-		return nil, &FormatError{Revision: revision, Err: err}
+		return nil, &FormatError{Revision: revision, Newer: isUnknownField(err), Err: err}
 	}
 	doc.Revision = revision
 	if err := doc.Validate(); err != nil {
--- a/internal/catalogue/configuration/validate.go
+++ b/internal/catalogue/configuration/validate.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 // FormatError reports a stored value that this program must not apply.
 type FormatError struct {
 	Revision int64
-	Err      error
+	// Newer is set when a newer program must have written the value.
+	Newer bool
+	Err   error
 }
 
 func (e *FormatError) Error() string {
@@ -39,6 +42,12 @@
 	return doc, nil
 }
 
+// isUnknownField reports whether strict decoding met a field that this program
+// does not know. The decoder has no type for this error.
+func isUnknownField(err error) bool {
+	return strings.Contains(err.Error(), "json: unknown field")
+}
+
 // Validate checks the document against its own rules: names are unique and
 // refer to things that exist, shares are within bounds, and exactly one preset
 // is in force. It returns a *FieldError for the first fault.
