--- a/internal/fleet/board/board.go
+++ b/internal/fleet/board/board.go
@@ -17,15 +17,35 @@
 	// Servers is written by the roster controller, which joins the
 	// platform's instance list with the engines' load reports.
 	Servers Section[Servers]
+	// Listing is written by the roster controller.
+	Listing Section[Listing]
+	// Sightings is written by membership.
+	Sightings Section[Sightings]
 }
 
 // Confirmation says when this instance last knew its configuration to be in
 // force, and whether it may take new work.
 type Confirmation struct {
+	// At is when the store or a peer last answered that nothing newer is in
+	// force, counted from when it was asked.
 	At       time.Time
 	Revision int64
 	Ready    bool
 	Reason   string
+	// Until is when the confirmation lapses: an instance that was paused past
+	// it must take no new work, whatever Ready says.
+	Until time.Time
+	// StoreAt is when the store itself last confirmed the revision, as far as
+	// this instance has heard.
+	StoreAt time.Time
+	// Watching is set while this instance is one of its data centre's
+	// watchers of the store.
+	Watching bool
+}
+
+// Allows reports whether the instance may take new work at this moment.
+func (c *Confirmation) Allows(now time.Time) bool {
+	return c != nil && c.Ready && now.Before(c.Until)
 }
 
 // Members is the membership as this instance sees it, sorted by name.
--- /dev/null
+++ b/internal/fleet/distribution/confirm.go
@@ -0,0 +1,82 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+// The reasons why an instance takes no new work.
+const (
+	reasonNone    = "NoConfiguration"
+	reasonJoining = "Joining"
+	reasonCutOff  = "CutOff"
+	reasonNewer   = "ConfigurationNewerFormat"
+)
+
+// runConfirm publishes the confirmation at each tick.
+func (c *Controller) runConfirm(ctx context.Context) {
+	for {
+		c.confirm()
+		if !c.sleep(ctx, tickInterval) {
+			return
+		}
+	}
+}
+
+// confirm publishes how fresh the configuration is.
+func (c *Controller) confirm() {
+	joined := c.isJoined()
+	watching := c.isWatcher()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := c.storeAt
+	if c.peerAt.After(at) {
+		at = c.peerAt
+	}
+	next := &board.Confirmation{
+		At:       at,
+		Revision: c.revision(),
+		Until:    at.Add(InForceBound),
+		StoreAt:  c.confirmedAt,
+		Watching: watching,
+	}
+	next.Reason = c.unreadyReason(joined, at)
+	next.Ready = next.Reason == ""
+	c.board.Confirmation.Publish(next)
+}
+
+// unreadyReason returns why no new work may be taken, empty if it may. The
+// caller holds the lock.
+func (c *Controller) unreadyReason(joined bool, at time.Time) string {
+	own := c.revision()
+	switch {
+	case own == 0:
+		return reasonNone
+	case !joined:
+		return reasonJoining
+	case c.newerSeen > own:
+		return reasonNewer
+	case c.clock.Since(at) >= InForceBound:
+		return reasonCutOff
+	}
+	return ""
+}
+
+// isJoined reports whether enough has been heard since the start to know the
+// highest revision: some peers have answered, or there are none, or none of
+// them answered in time while the store did.
+func (c *Controller) isJoined() bool {
+	others := len(c.others())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.revision() == 0 {
+		return false
+	}
+	heard := len(c.answered)
+	if heard >= min(joinPeers, others) && (heard > 0 || !c.storeAt.IsZero()) {
+		return true
+	}
+	return c.clock.Since(c.started) >= InForceBound && (heard > 0 || !c.storeAt.IsZero())
+}
--- /dev/null
+++ b/internal/fleet/distribution/controller.go
@@ -0,0 +1,181 @@
+package distribution
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+// Controller keeps the configuration of one instance up to date.
+type Controller struct {
+	self       string
+	dataCentre string
+	board      *board.Board
+	store      Store
+	peers      Peers
+	clock      clockwork.Clock
+	log        *zap.Logger
+	started    time.Time
+	// changed wakes the pusher; buffered, so that wakes are coalesced.
+	changed chan struct{}
+
+	mu sync.Mutex
+	// value is the stored form of the document in force.
+	value []byte
+	// storeMod is the store's modification revision that was last read.
+	storeMod int64
+	// storeAt is when the store last answered, counted from the question.
+	storeAt time.Time
+	// confirmedAt is when the store last confirmed the document in force.
+	confirmedAt time.Time
+	// peerAt is when a peer last answered, counted from the question.
+	peerAt time.Time
+	// newerSeen is the revision of a document that only newer programs read.
+	newerSeen int64
+	// answered names the peers that answered since the start.
+	answered map[string]struct{}
+	refused  map[refusal]struct{}
+}
+
+// refusal identifies a refused document, so that it is logged once.
+type refusal struct {
+	outcome  Outcome
+	revision int64
+}
+
+// Option changes how a controller is built.
+type Option func(*Controller)
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option { return func(c *Controller) { c.clock = clock } }
+
+// WithLog sets the log.
+func WithLog(log *zap.Logger) Option { return func(c *Controller) { c.log = log } }
+
+// New returns the controller of the instance with this name and data centre.
+func New(self, dataCentre string, b *board.Board, s Store, p Peers, opts ...Option) *Controller {
+	c := &Controller{
+		self:       self,
+		dataCentre: dataCentre,
+		board:      b,
+		store:      s,
+		peers:      p,
+		clock:      clockwork.NewRealClock(),
+		log:        zap.NewNop(),
+		changed:    make(chan struct{}, 1),
+		answered:   map[string]struct{}{},
+		refused:    map[refusal]struct{}{},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.started = c.clock.Now()
+	return c
+}
+
+// Run keeps the configuration up to date until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){c.runStore, c.runWatch, c.runPeers, c.runPush, c.runConfirm} {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+// sleep waits, and reports false when the context ended.
+func (c *Controller) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.clock.After(d):
+		return true
+	}
+}
+
+// offer applies a document that replaces the one in force.
+func (c *Controller) offer(doc *configuration.Document, source string) Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	outcome := Judge(c.board.Configuration.Get(), doc)
+	if outcome == Applied {
+		value, err := doc.Encode()
+		if err != nil {
+			c.refuse(Unreadable, doc.Revision, source, err)
+			return Unreadable
+		}
+		c.value = value
+		c.board.Configuration.Publish(doc)
+		counts.Add("Applied"+source, 1)
+		c.log.Info("configuration applied", zap.Int64("Revision", doc.Revision), zap.String("Source", source))
+		c.wake()
+		return outcome
+	}
+	if outcome != Same {
+		c.refuse(outcome, doc.Revision, source, nil)
+	}
+	return outcome
+}
+
+func (c *Controller) wake() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// refuse counts a document that is not applied and logs it once. The caller
+// holds the lock.
+func (c *Controller) refuse(outcome Outcome, revision int64, source string, err error) {
+	counts.Add("Refused"+string(outcome), 1)
+	if outcome == Newer {
+		c.newerSeen = max(c.newerSeen, revision)
+	}
+	key := refusal{outcome, revision}
+	if _, ok := c.refused[key]; ok {
+		return
+	}
+	if len(c.refused) >= maxRemembered {
+		clear(c.refused)
+	}
+	c.refused[key] = struct{}{}
+	c.log.Warn("configuration refused", zap.String("Reason", string(outcome)),
+		zap.Int64("Revision", revision), zap.String("Source", source), zap.Error(err))
+}
+
+// maxRemembered bounds how many refused documents are remembered.
+const maxRemembered = 256
+
+// offerValue parses and offers a document in its stored form.
+func (c *Controller) offerValue(value []byte, revision int64, parse func([]byte, int64) (*configuration.Document, error), source string) Outcome {
+	doc, err := parse(value, revision)
+	if err == nil {
+		return c.offer(doc, source)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	outcome := outcomeOf(err)
+	c.refuse(outcome, revision, source, err)
+	return outcome
+}
+
+// revision returns the revision in force here, 0 if none is.
+func (c *Controller) revision() int64 {
+	if doc := c.board.Configuration.Get(); doc != nil {
+		return doc.Revision
+	}
+	return 0
+}
+
+// inForce returns the document in force in its stored form.
+func (c *Controller) inForce() (value []byte, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.value, c.revision()
+}
--- /dev/null
+++ b/internal/fleet/distribution/frompeers.go
@@ -0,0 +1,243 @@
+package distribution
+
+import (
+	"context"
+	"math"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+)
+
+// Configuration answers a peer: it takes in a document that is pushed, and
+// gives the document in force to a peer that has a lower revision.
+func (c *Controller) Configuration(_ context.Context, req *peer.ConfigurationRequest) (*peer.ConfigurationResponse, error) {
+	if len(req.Document) > 0 {
+		c.offerValue(req.Document, req.DocumentRevision, configuration.Parse, sourcePush)
+	}
+	value, revision := c.inForce()
+	resp := &peer.ConfigurationResponse{Revision: revision}
+	if revision > req.HaveRevision {
+		resp.Document = value
+	}
+	return resp, nil
+}
+
+// runPeers follows the heartbeats, and joins through peers at the start.
+func (c *Controller) runPeers(ctx context.Context) {
+	sightings, unsubscribe := c.board.Sightings.Subscribe()
+	defer unsubscribe()
+	for {
+		c.followSightings(ctx)
+		if !c.isJoined() {
+			c.join(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-sightings:
+		case <-c.clock.After(tickInterval):
+		}
+	}
+}
+
+// followSightings takes confirmations from heartbeats and asks for the
+// document where a peer has a higher revision.
+func (c *Controller) followSightings(ctx context.Context) {
+	sightings := c.board.Sightings.Get()
+	if sightings == nil {
+		return
+	}
+	highest := board.Sighting{Revision: c.revision()}
+	for _, s := range sightings.List {
+		c.confirmBy(s)
+		if s.Revision > highest.Revision {
+			highest = s
+		}
+	}
+	if highest.Name != "" && !c.isRefused(highest.Revision) {
+		_ = c.pull(ctx, highest.Name, highest.PeerAddress)
+	}
+}
+
+// isRefused reports whether a document of this revision was refused before.
+func (c *Controller) isRefused(revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, outcome := range []Outcome{Forked, Newer, Unreadable} {
+		if _, ok := c.refused[refusal{outcome, revision}]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmBy takes a peer's answer as a confirmation of the document in force.
+func (c *Controller) confirmBy(s board.Sighting) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.At.IsZero() {
+		return
+	}
+	c.answered[s.Name] = struct{}{}
+	own := c.revision()
+	if s.Revision > own {
+		return
+	}
+	if s.At.After(c.peerAt) {
+		c.peerAt = s.At
+	}
+	if s.Revision == own && s.ConfirmedAt.After(c.confirmedAt) {
+		c.confirmedAt = s.ConfirmedAt
+	}
+}
+
+// pull asks one peer for a document newer than the one in force here.
+func (c *Controller) pull(ctx context.Context, name, address string) error {
+	asked := c.clock.Now()
+	resp, err := c.peers.Configuration(ctx, address, &peer.ConfigurationRequest{HaveRevision: c.revision()})
+	if err != nil {
+		counts.Add("PullFailed", 1)
+		return err
+	}
+	if len(resp.Document) > 0 {
+		c.offerValue(resp.Document, resp.Revision, configuration.Parse, sourcePeer)
+	}
+	c.confirmBy(board.Sighting{Name: name, Revision: resp.Revision, At: asked})
+	return nil
+}
+
+// join asks peers for the highest revision: the store may be out, or hold an
+// older document than the fleet.
+func (c *Controller) join(ctx context.Context) {
+	for _, m := range c.joinCandidates() {
+		_ = c.pull(ctx, m.Name, m.PeerAddress)
+	}
+}
+
+// joinCandidates returns the next peers to ask, of its own data centre and of
+// others by rendezvous, so that joining instances ask different ones.
+func (c *Controller) joinCandidates() []board.Member {
+	others := c.others()
+	names := board.Names(others)
+	var candidates []board.Member
+	for _, name := range board.Rank("Join/"+c.self, names, len(names)) {
+		c.mu.Lock()
+		_, done := c.answered[name]
+		c.mu.Unlock()
+		if done {
+			continue
+		}
+		for _, m := range others {
+			if m.Name == name {
+				candidates = append(candidates, m)
+			}
+		}
+		if len(candidates) == joinPeers {
+			break
+		}
+	}
+	return candidates
+}
+
+// others returns the members besides this instance.
+func (c *Controller) others() []board.Member {
+	members := c.board.Members.Get()
+	if members == nil {
+		return nil
+	}
+	others := make([]board.Member, 0, len(members.List))
+	for _, m := range members.List {
+		if m.Name != c.self {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// runPush pushes each new document to the data centre while this instance is a
+// watcher of it.
+func (c *Controller) runPush(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.changed:
+		}
+		if c.isWatcher() {
+			c.pushAll(ctx)
+		}
+	}
+}
+
+// pushAll offers the document in force to all members of the data centre until
+// they have it, a few times at most: heartbeats do the rest.
+func (c *Controller) pushAll(ctx context.Context) {
+	var missing []board.Member
+	for _, m := range c.board.Members.Get().InDataCentre(c.dataCentre) {
+		if m.Name != c.self {
+			missing = append(missing, m)
+		}
+	}
+	for range pushAttempts {
+		missing = c.pushTo(ctx, missing)
+		if len(missing) == 0 || !c.sleep(ctx, pushRetryInterval) {
+			return
+		}
+	}
+	counts.Add("PushGivenUp", int64(len(missing)))
+}
+
+// pushTo offers the document to members and returns those that lack it.
+func (c *Controller) pushTo(ctx context.Context, members []board.Member) []board.Member {
+	missed := make([]bool, len(members))
+	var group errgroup.Group
+	group.SetLimit(pushConcurrency)
+	for i, m := range members {
+		group.Go(func() error {
+			missed[i] = c.push(ctx, m) != nil
+			return nil
+		})
+	}
+	_ = group.Wait()
+	var missing []board.Member
+	for i, m := range members {
+		if missed[i] {
+			missing = append(missing, m)
+		}
+	}
+	return missing
+}
+
+// push offers the revision to one member and sends the document if it has a
+// lower one. A member that has a higher one answers with its document.
+func (c *Controller) push(ctx context.Context, m board.Member) error {
+	value, revision := c.inForce()
+	resp, err := c.peers.Configuration(ctx, m.PeerAddress, &peer.ConfigurationRequest{HaveRevision: revision})
+	if err == nil && resp.Revision < revision {
+		counts.Add("Pushed", 1)
+		resp, err = c.peers.Configuration(ctx, m.PeerAddress, &peer.ConfigurationRequest{
+			HaveRevision: revision, Document: value, DocumentRevision: revision,
+		})
+	}
+	if err != nil {
+		counts.Add("PushFailed", 1)
+		return err
+	}
+	if resp.Revision > revision && len(resp.Document) > 0 {
+		c.offerValue(resp.Document, resp.Revision, configuration.Parse, sourcePeer)
+	}
+	return nil
+}
+
+// askRevision asks a member for the revision in force there, without the
+// document.
+func askRevision(ctx context.Context, peers Peers, address string) (int64, error) {
+	resp, err := peers.Configuration(ctx, address, &peer.ConfigurationRequest{HaveRevision: math.MaxInt64})
+	if err != nil {
+		return 0, err
+	}
+	return resp.Revision, nil
+}
--- /dev/null
+++ b/internal/fleet/distribution/inforce.go
@@ -0,0 +1,72 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// InstanceInForce says whether a revision is in force on one instance.
+type InstanceInForce struct {
+	Name        string
+	DataCentre  string
+	PeerAddress string
+	// Revision is what the instance has in force.
+	Revision int64
+	InForce  bool
+	// Error says why the instance could not be asked.
+	Error string
+}
+
+// Bounds of asking the fleet.
+const (
+	askConcurrency = 32
+	askInterval    = 200 * time.Millisecond
+)
+
+// InForce asks each member which revision it has in force.
+func (e *Editor) InForce(ctx context.Context, revision int64) []InstanceInForce {
+	members := e.controller.board.Members.Get()
+	if members == nil {
+		own := e.controller.revision()
+		return []InstanceInForce{{Name: e.controller.self, DataCentre: e.controller.dataCentre, Revision: own, InForce: own >= revision}}
+	}
+	list := make([]InstanceInForce, len(members.List))
+	var group errgroup.Group
+	group.SetLimit(askConcurrency)
+	for i, m := range members.List {
+		group.Go(func() error {
+			in := InstanceInForce{Name: m.Name, DataCentre: m.DataCentre, PeerAddress: m.PeerAddress}
+			in.Revision = e.controller.revision()
+			if m.Name != e.controller.self {
+				var err error
+				if in.Revision, err = askRevision(ctx, e.controller.peers, m.PeerAddress); err != nil {
+					in.Error = err.Error()
+				}
+			}
+			in.InForce = in.Error == "" && in.Revision >= revision
+			list[i] = in
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return list
+}
+
+// AwaitInForce asks until the revision is in force on every member or the
+// context ends, and returns the last answers.
+func (e *Editor) AwaitInForce(ctx context.Context, revision int64) []InstanceInForce {
+	for {
+		list := e.InForce(ctx, revision)
+		missing := 0
+		for _, in := range list {
+			if !in.InForce {
+				missing++
+			}
+		}
+		if missing == 0 || !e.controller.sleep(ctx, askInterval) {
+			return list
+		}
+	}
+}
