--- /dev/null
+++ b/internal/platform/roster/doc.go
@@ -0,0 +1,58 @@
+// Package roster learns which instances and backend servers there are, and how
+// loaded the servers are. It reads the platform's instance list, asks the
+// servers that this instance is chosen to poll for their load, and exchanges
+// load reports with the other instances, so that the number of polls does not
+// grow with the product of instances and servers.
+//
+// The controller writes the board's Listing and Servers sections.
+package roster
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+)
+
+// OwnService is the service name of this system's own instances.
+const OwnService = "kingcupyard"
+
+// Times and numbers of the roster.
+const (
+	listInterval    = time.Second
+	pollInterval    = 500 * time.Millisecond
+	pollConcurrency = 16
+	publishInterval = 100 * time.Millisecond
+	// smallFleet is the number of members up to which everyone exchanges
+	// reports with everyone.
+	smallFleet = 16
+	// spreadPerReceiver stretches the interval between two batches of reports
+	// with the number of receivers, so that an instance sends about the same
+	// number of messages a second at any size.
+	spreadPerReceiver = 75 * time.Millisecond
+	minSpreadInterval = 500 * time.Millisecond
+	sendConcurrency   = 8
+	// pollers is how many instances may poll one server: the first, and each
+	// next one when there was no report for another takeOver.
+	pollers  = 3
+	takeOver = 2 * time.Second
+	// maxAhead is how far a server's clock may be ahead.
+	maxAhead = 5 * time.Second
+	// minKeptShare is the share of the last list that must be left, else a
+	// list is taken for wrong until it has stayed so for implausibleFor.
+	minKeptShare   = 0.5
+	implausibleFor = 30 * time.Second
+)
+
+var counts = expvar.NewMap("Roster")
+
+// Getter asks for JSON documents over HTTP.
+type Getter interface {
+	Get(ctx context.Context, url string, out any) error
+}
+
+// Peers sends reports to other instances.
+type Peers interface {
+	Reports(ctx context.Context, address string, req *peer.ReportsRequest) (*peer.ReportsResponse, error)
+}
--- /dev/null
+++ b/internal/platform/roster/judge.go
@@ -0,0 +1,76 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+// dropReason says why a load report was not taken, empty if it was.
+type dropReason string
+
+// The reasons for dropping a report.
+const (
+	taken           dropReason = ""
+	dropNegative    dropReason = "Negative"
+	dropFuture      dropReason = "Future"
+	dropUnknown     dropReason = "UnknownServer"
+	dropWrongServer dropReason = "WrongServer"
+	dropOutOfOrder  dropReason = "OutOfOrder"
+	dropGeneration  dropReason = "OldGeneration"
+	// repeated is the last report once more: it says that the server answers
+	// and has nothing new, and only renews the time of receipt.
+	repeated dropReason = "Repeated"
+)
+
+// judge decides whether a report replaces the last one of the same server.
+func judge(last, next board.Report, now time.Time) dropReason {
+	switch {
+	case next.Running < 0 || next.Waiting < 0 || next.Concurrency < 0 || next.ColdConcurrency < 0 || next.FirstToken < 0:
+		return dropNegative
+	case next.At.After(now.Add(maxAhead)):
+		return dropFuture
+	case last.ReceivedAt.IsZero():
+		return taken
+	case next.Generation < last.Generation:
+		return dropGeneration
+	case next.Generation > last.Generation:
+		return taken
+	case next.Sequence < last.Sequence:
+		return dropOutOfOrder
+	case next.Sequence == last.Sequence:
+		return repeated
+	}
+	return taken
+}
+
+// hasGap reports whether reports between two were missed. A load report
+// replaces the one before it, so that a gap is counted and no more.
+func hasGap(last, next board.Report) bool {
+	return !last.ReceivedAt.IsZero() && next.Generation == last.Generation && next.Sequence > last.Sequence+1
+}
+
+// listJudge decides whether an instance list is plausible. One that loses most
+// of its entries at once is kept back until it has stayed so for a while.
+type listJudge struct {
+	size  int
+	since time.Time
+}
+
+// accept reports whether a list of n entries may replace the last one.
+func (j *listJudge) accept(n int, now time.Time) bool {
+	if n > 0 && float64(n) >= minKeptShare*float64(j.size) {
+		j.size = n
+		j.since = time.Time{}
+		return true
+	}
+	if j.since.IsZero() {
+		j.since = now
+	}
+	if n == 0 || now.Sub(j.since) < implausibleFor {
+		return false
+	}
+	j.size = n
+	j.since = time.Time{}
+	return true
+}
