Pin every model of a session in its token

Cause: a cascade's steps are models of their own; a token with one model let the second step change its version within a session. Change: a pin holds further models and versions, sealed with the first. Conclusion: a session on a cascade keeps the versions of all its models.

--- a/internal/routing/session/sealer.go
+++ b/internal/routing/session/sealer.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,41 @@
 	Version   string
 	Session   string
 	StartedAt time.Time
+	// Others pins the further models that the session uses, as the steps of a
+	// cascade are models of their own.
+	Others []ModelVersion
+}
+
+// ModelVersion is the version of one model.
+type ModelVersion struct {
+	Model   string
+	Version string
+}
+
+// Of returns the pin of one model of the session, and whether it has one.
+func (p Pin) Of(model string) (Pin, bool) {
+	if p.Model == model {
+		return p, true
+	}
+	for _, o := range p.Others {
+		if o.Model == model {
+			p.Model, p.Version, p.Others = o.Model, o.Version, nil
+			return p, true
+		}
+	}
+	return Pin{}, false
+}
+
+// With returns the pin with the version of one more model, or another version
+// of one that it has.
+func (p Pin) With(model, version string) Pin {
+	if p.Model == "" || p.Model == model {
+		p.Model, p.Version = model, version
+		return p
+	}
+	others := slices.DeleteFunc(slices.Clone(p.Others), func(o ModelVersion) bool { return o.Model == model })
+	p.Others = append(others, ModelVersion{model, version})
+	return p
 }
 
 // Fault says what is wrong with a token.
@@ -101,11 +137,12 @@
 	Version  string
 	Session  string
 	Started  int64
+	Others   []ModelVersion `json:",omitempty"`
 }
 
 // Seal returns the token for a pin.
 func (s *Sealer) Seal(p Pin) (string, error) {
-	plain, err := json.Marshal(sealed{p.Customer, p.Model, p.Version, p.Session, p.StartedAt.UnixMilli()})
+	plain, err := json.Marshal(sealed{p.Customer, p.Model, p.Version, p.Session, p.StartedAt.UnixMilli(), p.Others})
 	if err != nil {
 		return "", fmt.Errorf("encode session token: %w", err)
 	}
@@ -146,7 +183,7 @@
 	if c.Customer != customer {
 		return Pin{}, &TokenError{Fault: FaultForeignCustomer, KeyID: keyID}
 	}
-	return Pin{c.Customer, c.Model, c.Version, c.Session, time.UnixMilli(c.Started)}, nil
+	return Pin{c.Customer, c.Model, c.Version, c.Session, time.UnixMilli(c.Started), c.Others}, nil
 }
 
 // bound returns the data that the seal covers beside the content.
--- a/internal/routing/session/session_test.go
+++ b/internal/routing/session/session_test.go
@@ -22,13 +22,16 @@
 	is.NoErr(err)
 	both, err := NewSealer([]configuration.SessionKey{key("k2", 2), key("k1", 1)})
 	is.NoErr(err)
-	pin := Pin{"c", "m", "v1", "s", time.UnixMilli(1700000000000)}
+	pin := Pin{"c", "m", "v1", "s", time.UnixMilli(1700000000000), []ModelVersion{{"dear", "v7"}}}
 	token, err := old.Seal(pin)
 	is.NoErr(err)
 	is.True(IsToken(token))
 	opened, err := both.Open("c", token)
 	is.NoErr(err)
 	is.Equal(opened, pin)
+	other, ok := opened.Of("dear")
+	is.True(ok)
+	is.Equal(other.Version, "v7")
 	rotated, err := both.Seal(pin)
 	is.NoErr(err)
 
