--- a/internal/fleet/board/sightings.go
+++ b/internal/fleet/board/sightings.go
@@ -20,5 +20,10 @@
 	// ConfirmedAt is when the peer's revision was last confirmed by the
 	// store, on this instance's clock.
 	ConfirmedAt time.Time
-	At          time.Time
+	// At is when the peer's latest answer was asked for, zero if the peer has
+	// only sent requests of its own. A request may have waited in a buffer
+	// while this process was paused, so that it proves no freshness.
+	At time.Time
+	// HeardAt is when anything of the peer was last processed.
+	HeardAt time.Time
 }
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -32,6 +33,8 @@
 	clock     clockwork.Clock
 	rng       *rand.Rand
 	limits    Limits
+	members   func() int
+	sharedBy  atomic.Int64
 	reads     *bucket
 	writes    *bucket
 	hold      *hold
@@ -54,6 +57,10 @@
 // WithLimits sets the rates that the fleet shares.
 func WithLimits(l Limits) Option { return func(c *Client) { c.limits = l } }
 
+// WithMembers shares the service's rates among as many instances as the
+// function says.
+func WithMembers(members func() int) Option { return func(c *Client) { c.members = members } }
+
 // New returns a client of the service at this IP and port.
 func New(address string, opts ...Option) *Client {
 	c := &Client{
@@ -61,6 +68,7 @@
 		timeout: defaultTimeout,
 		clock:   clockwork.NewRealClock(),
 		limits:  DefaultLimits,
+		members: func() int { return 1 },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -68,7 +76,9 @@
 	if c.rng == nil {
 		c.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	share := c.limits.ShareOf(1)
+	members := c.members()
+	c.sharedBy.Store(int64(members))
+	share := c.limits.ShareOf(members)
 	c.reads = newBucket(share.ReadsPerSecond, share.BurstSeconds, c.clock)
 	c.writes = newBucket(share.WritesPerSecond, share.BurstSeconds, c.clock)
 	c.hold = &hold{clock: c.clock, rng: c.rng}
@@ -84,8 +94,12 @@
 	return c
 }
 
-// SetMembers shares the service's rates among so many instances.
-func (c *Client) SetMembers(members int) {
+// share adapts the budget to the number of instances.
+func (c *Client) share() {
+	members := c.members()
+	if c.sharedBy.Swap(int64(members)) == int64(members) {
+		return
+	}
 	share := c.limits.ShareOf(members)
 	c.reads.set(share.ReadsPerSecond, share.BurstSeconds)
 	c.writes.set(share.WritesPerSecond, share.BurstSeconds)
@@ -109,6 +123,7 @@
 		c.counters.refused(p, "Hold")
 		return &UnavailableError{Purpose: p, Err: &HoldError{}}
 	}
+	c.share()
 	b := c.reads
 	if k == write {
 		b = c.writes
