--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -70,7 +70,8 @@
 	Usage   *usage   `json:"usage,omitempty"`
 }
 
-// answer is the text that the engine will generate for one request.
+// answer is the text that the engine will generate for one request. The tag
+// of the last message stands in every token, so that a caller knows its own.
 type answer struct {
 	id     string
 	tag    string
@@ -80,12 +81,6 @@
 	model  string
 }
 
-// Tag returns the word that stands in every token of the answer to a prompt
-// whose last message is this; a caller knows its own answer by it.
-func Tag(lastMessage string) string {
-	return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(lastMessage)))
-}
-
 // word returns the text of a token, counted from 1.
 func (a answer) word(n int) string { return a.tag + "." + strconv.Itoa(n) + a.mark + " " }
 
@@ -137,10 +132,14 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	model, version, _ := strings.Cut(in.Model, "@")
 	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
+	last := ""
+	if len(in.Messages) > 0 {
+		last = fmt.Sprint(in.Messages[len(in.Messages)-1].Content)
+	}
 	return &task{
 		ctx: ctx, cancel: cancel, ready: make(chan struct{}),
 		attempt: r.Header.Get(HeaderAttempt), request: r.Header.Get(HeaderRequest),
-		customer: r.Header.Get(HeaderCustomer), priority: priority, runs: Loaded{model, version},
+		customer: r.Header.Get(HeaderCustomer), priority: priority, tag: observation.Tag(last), runs: Loaded{model, version},
 	}
 }
 
@@ -170,12 +169,10 @@
 // version only, so that another server can resume it.
 func (e *Engine) compose(t *task, r *http.Request, in chatRequest) answer {
 	a := answer{id: t.attempt, model: in.Model, tokens: e.settings.DefaultTokens, mark: MarkPass}
-	last := ""
 	for _, m := range in.Messages {
-		last = fmt.Sprint(m.Content)
-		a.prompt += m.Role + "\n" + last + "\n"
+		a.prompt += m.Role + "\n" + fmt.Sprint(m.Content) + "\n"
 	}
-	a.tag = Tag(last)
+	a.tag = t.tag
 	if in.MaxTokens > 0 {
 		a.tokens = in.MaxTokens
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -45,6 +45,7 @@
 	attempt  string
 	request  string
 	customer string
+	tag      string
 	priority int
 	runs     Loaded
 }
@@ -158,7 +159,7 @@
 func (e *Engine) taskEvent(t *task, kind observation.Kind) observation.Event {
 	return e.event(observation.Event{
 		At: e.clock.Now(), Kind: kind, AttemptID: t.attempt, RequestID: t.request,
-		Customer: t.customer, Model: t.runs.Model, Version: t.runs.Version,
+		Customer: t.customer, Tag: t.tag, Model: t.runs.Model, Version: t.runs.Version,
 	})
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -55,7 +55,7 @@
 		has     string
 	}{
 		{name: "Whole", chunks: 5, has: `{"id":"a1","object":"chat.completion.chunk"`},
-		{name: "Resumed", headers: []string{HeaderResume, "3"}, chunks: 2, has: Tag("hello") + ".4+ "},
+		{name: "Resumed", headers: []string{HeaderResume, "3"}, chunks: 2, has: observation.Tag("hello") + ".4+ "},
 		{name: "ResumedAtEnd", headers: []string{HeaderResume, "4"}, chunks: 2, has: `"finish_reason":"stop"`},
 		{name: "Broken", faults: Faults{BreakAfterTokens: 2}, chunks: 2, broken: true},
 		{name: "Crossed", faults: Faults{CrossAnswers: true}, chunks: 5, has: `"id":"crossed-a1"`},
--- a/internal/standin/observation/log.go
+++ b/internal/standin/observation/log.go
@@ -5,10 +5,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind names what was observed.
@@ -38,6 +41,11 @@
 	KindOrdered Kind = "Ordered"
 )
 
+// Tag returns the hash of a request's last message or body.
+func Tag(text string) string {
+	return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(text)))
+}
+
 // Event is one observation.
 type Event struct {
 	Sequence   uint64
@@ -51,6 +59,9 @@
 	Customer   string `json:",omitempty"`
 	Model      string `json:",omitempty"`
 	Version    string `json:",omitempty"`
+	// Tag is the hash of what the caller asked, by which a request is known
+	// whatever IDs the router gives it.
+	Tag        string `json:",omitempty"`
 	Method     string `json:",omitempty"`
 	Path       string `json:",omitempty"`
 	Tokens     int    `json:",omitempty"`
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -201,11 +201,11 @@
 	s.running--
 }
 
-func (s *Server) observe(r *http.Request, kind observation.Kind) {
+func (s *Server) observe(r *http.Request, body []byte, kind observation.Kind) {
 	s.log.Add(observation.Event{
 		At: s.clock.Now(), Kind: kind, Server: s.settings.Name, Service: s.settings.Service, DataCentre: s.settings.DataCentre,
 		AttemptID: r.Header.Get(HeaderAttempt), RequestID: r.Header.Get(HeaderRequest),
-		Customer: r.Header.Get(HeaderCustomer), Method: r.Method, Path: r.URL.Path,
+		Customer: r.Header.Get(HeaderCustomer), Tag: observation.Tag(string(body)), Method: r.Method, Path: r.URL.Path,
 	})
 }
 
@@ -226,15 +226,15 @@
 		return
 	}
 	if s.faults.Get().Refuse || !s.enter(id) {
-		s.observe(r, observation.KindRefused)
+		s.observe(r, body, observation.KindRefused)
 		w.Header().Set(HeaderRunState, "NotRun")
 		host.Fail(w, http.StatusServiceUnavailable, "busy")
 		return
 	}
 	defer s.leave()
-	s.observe(r, observation.KindStarted)
+	s.observe(r, body, observation.KindStarted)
 	<-s.clock.After(s.settings.Duration)
-	s.observe(r, observation.KindFinished)
+	s.observe(r, body, observation.KindFinished)
 	s.loseAnswer(r)
 	host.JSON(w, http.StatusOK, done{s.settings.Name, id, r.Method, r.URL.Path, string(body)})
 }
