Extend the shared vocabulary for cold-start credits

Members carry ListedAt: an instance may act as keeper only while the platform's list that made it keeper is fresh, and listed members stay in the list as Suspect so that both sides of a partition name the same keeper.

--- a/internal/fleet/board/board.go
+++ b/internal/fleet/board/board.go
@@ -34,6 +34,12 @@
 	List []Member
 	// Epoch grows with every change of the list.
 	Epoch uint64
+	// ListedAt is this instance's time when it last asked the platform for
+	// the instance list and got it; the list is no older than that plus the
+	// platform's lag. Every listed instance stays in List, as Suspect if it
+	// does not answer, so that members who cannot reach each other still
+	// agree on who keeps what.
+	ListedAt time.Time
 }
 
 // MemberState is the state of an instance.
