--- /dev/null
+++ b/internal/fleet/keeper/office_test.go
@@ -0,0 +1,109 @@
+package keeper_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/keeper"
+)
+
+func members(self string, listedAt time.Time, names ...string) *board.Members {
+	m := &board.Members{Self: self, ListedAt: listedAt}
+	for _, n := range names {
+		m.List = append(m.List, board.Member{Name: n, State: board.MemberAlive})
+	}
+	return m
+}
+
+func reason(err error) keeper.OfficeReason {
+	var no *keeper.NotKeeperError
+	if errors.As(err, &no) {
+		return no.Reason
+	}
+	return ""
+}
+
+// run keeps the office looking at the clock with a fresh list from from to to.
+func run(o *keeper.Office, from, to time.Time, names ...string) {
+	for now := from; !now.After(to); now = now.Add(time.Second) {
+		o.Update(members("a", now, names...), now)
+	}
+}
+
+func TestOfficeWaitsOutItsPredecessor(t *testing.T) {
+	is := is.New(t)
+	o := keeper.NewOffice(keeper.DefaultTiming())
+	start := time.Unix(1000, 0)
+	run(o, start, start, "a")
+	_, err := o.Term("s", start)
+	is.Equal(reason(err), keeper.ReasonWaiting)
+	wait := keeper.DefaultTiming().Wait()
+	run(o, start, start.Add(wait), "a")
+	end := start.Add(wait)
+	o.Update(members("a", end, "a"), end)
+	_, err = o.Term("s", end)
+	is.NoErr(err)
+}
+
+func TestOfficeIsVoid(t *testing.T) {
+	start := time.Unix(1000, 0)
+	inOffice := start.Add(20 * time.Second)
+	cases := map[string]struct {
+		event func(o *keeper.Office) time.Time
+		want  keeper.OfficeReason
+	}{
+		"after a pause": {func(o *keeper.Office) time.Time {
+			now := inOffice.Add(5 * time.Second)
+			o.Update(members("a", now, "a"), now)
+			return now
+		}, keeper.ReasonWaiting},
+		"while the list is stale": {func(*keeper.Office) time.Time { return inOffice.Add(time.Hour) }, keeper.ReasonStale},
+		"after a spell with another keeper": {func(o *keeper.Office) time.Time {
+			o.Update(members("a", inOffice, "b"), inOffice)
+			o.Update(members("a", inOffice, "a"), inOffice)
+			return inOffice
+		}, keeper.ReasonWaiting},
+		"under another keeper": {func(o *keeper.Office) time.Time {
+			o.Update(members("a", inOffice, "b"), inOffice)
+			return inOffice
+		}, keeper.ReasonOther},
+		"with no change": {func(*keeper.Office) time.Time { return inOffice }, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := keeper.NewOffice(keeper.DefaultTiming())
+			run(o, start, start, "a")
+			_, _ = o.Term("s", start)
+			run(o, start, inOffice, "a")
+			now := c.event(o)
+			_, err := o.Term("s", now)
+			is.Equal(reason(err), c.want)
+		})
+	}
+}
+
+func TestOfMovesFewKeys(t *testing.T) {
+	is := is.New(t)
+	list := members("", time.Time{}, "a", "b", "c", "d").List
+	list[3].State = board.MemberSuspect
+	moved, kept := 0, 0
+	for key := range 1000 {
+		before, _ := keeper.Of(list, string(rune(key)), keeper.WithSuspects())
+		after, _ := keeper.Of(list, string(rune(key)))
+		is.True(after.Name != "d")
+		if before.Name == "d" {
+			moved++
+		} else {
+			kept++
+			is.Equal(before.Name, after.Name)
+		}
+	}
+	is.True(moved > 150 && moved < 350)
+	_, ok := keeper.Of(nil, "key")
+	is.True(!ok)
+}
--- /dev/null
+++ b/internal/routing/capacity/bank.go
@@ -0,0 +1,153 @@
+package capacity
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/keeper"
+)
+
+// Bank is the keeper's side of credits. It hands out no more than a server
+// bears, less all work that may run there already.
+type Bank struct {
+	set    Settings
+	office *keeper.Office
+
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+// NewBank returns a bank that grants under the terms of the office.
+func NewBank(office *keeper.Office, set Settings) *Bank {
+	return &Bank{set: set, office: office, accounts: map[string]*account{}}
+}
+
+// View is what the keeper knows of a server.
+type View struct {
+	Server string
+	Belief Belief
+	// Concurrency and ColdConcurrency are what it bears warm and cold.
+	Concurrency     int
+	ColdConcurrency int
+	Ramp            time.Duration
+}
+
+// Look takes in the keeper's view of a server. Call it at each tick for every
+// server, so that terms begin before the first request for credits.
+func (b *Bank) Look(v View, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	term, err := b.office.Term(v.Server, now)
+	var no *keeper.NotKeeperError
+	if errors.As(err, &no) && no.Reason != keeper.ReasonWaiting {
+		delete(b.accounts, v.Server)
+		return
+	}
+	a := b.accounts[v.Server]
+	if a == nil {
+		a = newAccount()
+		b.accounts[v.Server] = a
+	}
+	if opened := latest(term.Since, v.Belief.TurnedCold); opened.After(a.openAt) {
+		a.open(opened, latest(term.From, v.Belief.TurnedCold.Add(b.set.Quiet())), v.ColdConcurrency)
+	}
+	a.epoch = term.Epoch
+	a.ramp(v, now)
+	if r := &v.Belief.Report; !r.ReceivedAt.IsZero() {
+		a.note(r.Running+r.Waiting, r.At, now, b.set)
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Grant answers a member's request. What the member says of its work in use
+// is taken in even when nothing can be granted.
+func (b *Bank) Grant(req CreditRequest, now time.Time) CreditResponse {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := holder{req.Member, req.Generation}
+	var resp CreditResponse
+	for _, ask := range req.Asks {
+		g := b.grant(h, req.Sequence, ask, now)
+		if g.Refusal != "" {
+			counters.Add("Grant"+string(g.Refusal), 1)
+		}
+		resp.Grants = append(resp.Grants, g)
+	}
+	return resp
+}
+
+func (b *Bank) grant(h holder, sequence uint64, ask CreditAsk, now time.Time) CreditGrant {
+	refuse := func(r GrantRefusal) CreditGrant {
+		return CreditGrant{Server: ask.Server, Epoch: ask.Epoch, Refusal: r}
+	}
+	term, err := b.office.Term(ask.Server, now)
+	a := b.accounts[ask.Server]
+	var no *keeper.NotKeeperError
+	if errors.As(err, &no) && no.Reason != keeper.ReasonWaiting || a == nil || a.epoch != term.Epoch {
+		return refuse(GrantNotKeeper)
+	}
+	if !a.report(h, sequence, ask, now, b.set) {
+		return refuse(GrantOutOfOrder)
+	}
+	b.office.Raise(ask.Server, ask.Epoch)
+	if term.Epoch < ask.Epoch {
+		term.Epoch = ask.Epoch + 1
+		a.epoch = term.Epoch
+	}
+	if err != nil || now.Before(a.settledAt) {
+		return refuse(GrantQuiet)
+	}
+	strangers := a.unaccounted(now, b.set)
+	if strangers == unknown {
+		return refuse(GrantUnknown)
+	}
+	limit := int(a.limit)
+	free := limit - strangers - a.others(h)
+	count := max(0, min(ask.Wanted, free, a.share(limit, now, b.set.Office.CreditValid)))
+	out := CreditGrant{Server: ask.Server, Count: count, Epoch: term.Epoch, Valid: b.set.Office.CreditValid}
+	if count < ask.Wanted {
+		out.Refusal = GrantFull
+	}
+	if count > 0 {
+		a.grant(h, count, now.Add(b.set.Office.CreditValid+b.set.Office.Margin))
+	}
+	return out
+}
+
+// rampStep is the time between two rises of the limit, and rampGrowth the
+// factor of each, as long as the server answers well.
+const (
+	rampStep   = time.Second
+	rampGrowth = 1.25
+)
+
+// ramp moves the limit of a server that left cold start towards its full
+// concurrency: not faster than the ramp, and only while requests do not wait.
+// Hysteresis: it holds on the first sign of waiting and starts over on cold.
+func (a *account) ramp(v View, now time.Time) {
+	if v.Belief.Phase == Cold {
+		a.limit = float64(v.ColdConcurrency)
+		a.grown = now
+		return
+	}
+	ceiling := float64(v.Concurrency)
+	if v.Ramp > 0 && v.Belief.Phase == Ramping {
+		done := now.Sub(v.Belief.ColdAt).Seconds() / v.Ramp.Seconds()
+		ceiling = float64(v.ColdConcurrency) + done*float64(v.Concurrency-v.ColdConcurrency)
+	}
+	if now.Sub(a.grown) < rampStep {
+		return
+	}
+	a.grown = now
+	if v.Belief.Report.Waiting == 0 {
+		a.limit = min(ceiling, a.limit*rampGrowth)
+	}
+	a.limit = max(a.limit, float64(v.ColdConcurrency))
+}
--- /dev/null
+++ b/internal/routing/capacity/controller.go
@@ -0,0 +1,167 @@
+package capacity
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/keeper"
+)
+
+// Controller keeps the limiter and the bank up to date from the board, and
+// asks keepers for credits for servers in cold start that have demand.
+type Controller struct {
+	board   *board.Board
+	set     Settings
+	clock   clockwork.Clock
+	peers   Peers
+	limiter *Limiter
+	office  *keeper.Office
+	bank    *Bank
+
+	mu       sync.Mutex
+	sequence uint64
+	asking   map[string]uint64 // keeper to the sequence of the request on its way
+}
+
+// NewController returns a controller; Run starts it.
+func NewController(b *board.Board, peers Peers, clock clockwork.Clock, set Settings) *Controller {
+	office := keeper.NewOffice(set.Office)
+	return &Controller{
+		board: b, set: set, clock: clock, peers: peers,
+		limiter: NewLimiter(set), office: office, bank: NewBank(office, set),
+		asking: map[string]uint64{},
+	}
+}
+
+// Limiter returns the limiter that the request path uses.
+func (c *Controller) Limiter() *Limiter { return c.limiter }
+
+// Grant answers a peer's request for credits.
+func (c *Controller) Grant(req CreditRequest) CreditResponse {
+	return c.bank.Grant(req, c.clock.Now())
+}
+
+// Resign ends this instance's terms as keeper, for a planned stop.
+func (c *Controller) Resign() { c.office.Resign() }
+
+// Run ticks until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := c.clock.NewTicker(c.set.Tick)
+	defer ticker.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	c.Refresh()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			c.Refresh()
+			for _, p := range c.Plan() {
+				calls.Go(func() { c.ask(ctx, p) })
+			}
+		}
+	}
+}
+
+// Refresh takes in the board: membership for the office, reports for the
+// limiter and the bank.
+func (c *Controller) Refresh() {
+	now := c.clock.Now()
+	members, doc := c.board.Members.Get(), c.board.Configuration.Get()
+	c.office.Update(members, now)
+	c.limiter.Update(c.board.Servers.Get(), doc, members, now)
+	for _, v := range c.limiter.views() {
+		c.bank.Look(v, now)
+	}
+}
+
+// Plan is one request for credits, bound for one keeper.
+type Plan struct {
+	Keeper  board.Member
+	Request CreditRequest
+	// AskedAt is the time from which a grant's validity counts.
+	AskedAt time.Time
+}
+
+// Plan gives back what this instance has no use for and returns the requests
+// to send, one for each keeper that has none on its way.
+func (c *Controller) Plan() []Plan {
+	members := c.board.Members.Get()
+	if members == nil {
+		return nil
+	}
+	now := c.clock.Now()
+	self := selfOf(members)
+	ring := keeper.NewRing(members.List, keeper.WithSuspects())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	byKeeper := map[string]*Plan{}
+	var order []string
+	for _, name := range c.limiter.needing(members, c.set.Askers) {
+		k, ok := ring.Of(name)
+		if !ok || c.asking[k.Name] != 0 {
+			continue
+		}
+		p := byKeeper[k.Name]
+		if p == nil {
+			p = &Plan{Keeper: k, AskedAt: now, Request: CreditRequest{Member: members.Self, Generation: self.Generation}}
+			byKeeper[k.Name] = p
+			order = append(order, k.Name)
+		}
+		p.Request.Asks = append(p.Request.Asks, c.limiter.ask(name, now))
+	}
+	plans := make([]Plan, 0, len(order))
+	for _, name := range order {
+		c.sequence++
+		c.asking[name] = c.sequence
+		byKeeper[name].Request.Sequence = c.sequence
+		plans = append(plans, *byKeeper[name])
+	}
+	return plans
+}
+
+func selfOf(members *board.Members) board.Member {
+	for _, m := range members.List {
+		if m.Name == members.Self {
+			return m
+		}
+	}
+	return board.Member{Name: members.Self}
+}
+
+// Finish takes in the answer to a plan, or its failure. An answer to a plan
+// that was given up is ignored.
+func (c *Controller) Finish(p Plan, resp CreditResponse, err error) {
+	c.mu.Lock()
+	current := c.asking[p.Keeper.Name] == p.Request.Sequence
+	if current {
+		delete(c.asking, p.Keeper.Name)
+	}
+	c.mu.Unlock()
+	switch {
+	case !current:
+		counters.Add("CreditAnswerLate", 1)
+	case err != nil:
+		counters.Add("CreditAnswerFailed", 1)
+	default:
+		for _, g := range resp.Grants {
+			c.limiter.credit(g, p.AskedAt, c.clock.Now())
+		}
+	}
+}
+
+func (c *Controller) ask(ctx context.Context, p Plan) {
+	if p.Keeper.Name == p.Request.Member {
+		c.Finish(p, c.bank.Grant(p.Request, c.clock.Now()), nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.set.Office.CreditValid/2)
+	defer cancel()
+	resp, err := c.peers.Credit(ctx, p.Keeper, p.Request)
+	c.Finish(p, resp, err)
+}
--- /dev/null
+++ b/internal/routing/placement/choose.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// How many servers are sampled near and far, and how many are looked at in
+// turn when no sampled one will do.
+const (
+	samplesDataCentre = 3
+	samplesRegion     = 2
+	samplesAnywhere   = 2
+	maxWalk           = 64
+)
+
+// search is the state of one Choose; it lives on the stack.
+type search struct {
+	placer *Placer
+	query  *Query
+	pool   *pool
+	now    time.Time
+	hit    string
+	blocks int
+	counts Counts
+	best   pick
+	// avoided is the best server in a data centre that the query avoids.
+	avoided pick
+}
+
+type pick struct {
+	entry     *entry
+	predicted time.Duration
+}
+
+// Choose returns the server with the least predicted time to first token
+// among a few sampled by what they bear: near ones, far ones, and the one
+// that holds the prompt's prefix. The error is a *NoServerError.
+func (p *Placer) Choose(q *Query, rnd Rand) (Choice, error) {
+	s := search{placer: p, query: q}
+	if x := p.index.Load(); x != nil {
+		s.pool = x.pools[q.key()]
+	}
+	if s.pool == nil {
+		counters.Add("NoPool", 1)
+		return Choice{}, &NoServerError{Service: q.Service, Model: q.Model, Version: q.Version}
+	}
+	s.now = p.clock.Now()
+	s.sample(rnd)
+	if s.best.entry == nil {
+		s.walk(rnd)
+	}
+	if s.best.entry == nil {
+		s.best = s.avoided
+	}
+	if s.best.entry == nil {
+		counters.Add("NoServer", 1)
+		return Choice{}, &NoServerError{Service: q.Service, Model: q.Model, Version: q.Version, Pool: len(s.pool.entries), Reason: s.counts}
+	}
+	return Choice{Server: s.best.entry.server, Predicted: s.best.predicted, Reason: s.counts}, nil
+}
+
+func (q *Query) key() poolKey {
+	if q.Plain {
+		return poolKey{service: q.Service}
+	}
+	return poolKey{q.Service, q.Model, q.Version}
+}
+
+func (s *search) sample(rnd Rand) {
+	p := s.pool
+	if c := s.placer.cache; c != nil && len(s.query.Prefix) > 0 {
+		s.hit, s.blocks = c.longest(s.query.Prefix)
+		if i, ok := p.byName[s.hit]; ok {
+			s.consider(&p.entries[i])
+		}
+	}
+	if near, ok := p.near[s.query.DataCentre]; ok {
+		for range samplesDataCentre {
+			s.consider(&p.entries[p.sample(near.dataCentre, rnd)])
+		}
+		for range samplesRegion {
+			s.consider(&p.entries[p.sample(near.region, rnd)])
+		}
+	}
+	for range samplesAnywhere {
+		s.consider(&p.entries[p.sample(span{0, len(p.entries)}, rnd)])
+	}
+}
+
+// walk looks at servers in turn from a random one.
+func (s *search) walk(rnd Rand) {
+	n := len(s.pool.entries)
+	start := int(rnd.Uint64() % uint64(n))
+	for i := range min(n, maxWalk) {
+		s.consider(&s.pool.entries[(start+i)%n])
+	}
+}
+
+func (s *search) consider(e *entry) {
+	s.counts.Examined++
+	if reason := s.rule(e); reason != "" {
+		s.counts.add(reason)
+		return
+	}
+	predicted := s.predict(e)
+	best := &s.best
+	if slices.Contains(s.query.AvoidDataCentres, e.server.DataCentre) {
+		best = &s.avoided
+	}
+	if best.entry == nil || predicted < best.predicted {
+		*best = pick{e, predicted}
+	}
+}
+
+// rule returns why the server is ruled out for now, or nothing.
+func (s *search) rule(e *entry) RuleOut {
+	name := e.server.Name
+	switch {
+	case slices.Contains(s.query.ExcludeServers, name):
+		return RuledExcluded
+	case s.placer.load.Ejected(name, s.now):
+		return RuledEjected
+	case !s.placer.load.Startable(name, s.now):
+		return RuledLimited
+	}
+	return ""
+}
+
+func (c *Counts) add(reason RuleOut) {
+	switch reason {
+	case RuledExcluded:
+		c.Excluded++
+	case RuledEjected:
+		c.Ejected++
+	case RuledLimited:
+		c.Limited++
+	}
+}
+
+// cachedShare is the part of the time to first token that a fully cached
+// prompt saves.
+const cachedShare = 0.6
+
+// predict estimates the time to first token: distance, prompt processing less
+// what is cached, and the queue. The reported load is corrected by what this
+// instance started or finished since the report.
+func (s *search) predict(e *entry) time.Duration {
+	p := s.placer
+	load := float64(max(0, e.reported+p.load.InFlight(e.server.Name)-e.base))
+	capacity := float64(e.concurrency)
+	first := float64(s.pool.firstToken)
+	if e.server.Report.Cold {
+		first = max(first, float64(e.server.Report.FirstToken))
+	}
+	if e.server.Name == s.hit && len(s.query.Prefix) > 0 {
+		first *= 1 - cachedShare*float64(s.blocks)/float64(len(s.query.Prefix))
+	}
+	first *= 1 + load/capacity
+	queue := max(0, load+1-capacity) / capacity * float64(p.holdTime)
+	return p.distance(s.query.DataCentre, s.pool, e) + time.Duration(first+queue)
+}
+
+func (p *Placer) distance(from string, pool *pool, e *entry) time.Duration {
+	if e.server.DataCentre == from {
+		return p.distances.DataCentre
+	}
+	if near, ok := pool.near[from]; ok && pool.entries[near.dataCentre.from].server.Region == e.server.Region {
+		return p.distances.Region
+	}
+	return p.distances.Beyond
+}
--- /dev/null
+++ b/internal/routing/placement/explain.go
@@ -0,0 +1,162 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+// RuleOut names why a server may not get an attempt.
+type RuleOut string
+
+// The reasons for ruling a server out.
+const (
+	RuledExcluded      RuleOut = "Excluded"      // tried already
+	RuledEjected       RuleOut = "Ejected"       // failed too often
+	RuledLimited       RuleOut = "Limited"       // bears no more now
+	RuledUnknown       RuleOut = "Unknown"       // not in the instance list
+	RuledLeaving       RuleOut = "Leaving"       // leaving
+	RuledDataCentreOut RuleOut = "DataCentreOut" // taken out by operators
+	RuledNotActive     RuleOut = "NotActive"     // version withdrawn or not active
+	RuledNotLoaded     RuleOut = "NotLoaded"     // version not loaded there
+	RuledService       RuleOut = "OtherService"  // another service's server
+	RuledNotReady      RuleOut = "NotReady"      // this instance's configuration is too old
+)
+
+// Candidate is one server in an explanation.
+type Candidate struct {
+	Server     string
+	DataCentre string
+	// RuledOut is empty for a server that could have been chosen.
+	RuledOut  RuleOut
+	Predicted time.Duration
+}
+
+// Explain lists the servers of the service with the reason why each was ruled
+// out, as Choose would see them now.
+func (p *Placer) Explain(q *Query) []Candidate {
+	servers, doc := p.board.Servers.Get(), p.board.Configuration.Get()
+	if servers == nil || doc == nil {
+		return nil
+	}
+	s := search{placer: p, query: q, now: p.clock.Now()}
+	if x := p.index.Load(); x != nil {
+		s.pool = x.pools[q.key()]
+	}
+	if p.cache != nil {
+		s.hit, s.blocks = p.cache.longest(q.Prefix)
+	}
+	var list []Candidate
+	for i := range servers.List {
+		server := &servers.List[i]
+		if server.Service != q.Service {
+			continue
+		}
+		list = append(list, s.explain(server, doc))
+	}
+	return list
+}
+
+func (s *search) explain(server *board.Server, doc *configuration.Document) Candidate {
+	c := Candidate{Server: server.Name, DataCentre: server.DataCentre, RuledOut: standing(s.query, server, doc)}
+	if c.RuledOut != "" || s.pool == nil {
+		return c
+	}
+	i, ok := s.pool.byName[server.Name]
+	if !ok {
+		return c
+	}
+	e := &s.pool.entries[i]
+	c.RuledOut = s.rule(e)
+	c.Predicted = s.predict(e)
+	return c
+}
+
+// standing returns why a server may not run the query whatever its load.
+func standing(q *Query, server *board.Server, doc *configuration.Document) RuleOut {
+	switch {
+	case server.Service != q.Service:
+		return RuledService
+	case server.State != board.ServerLive:
+		return RuledLeaving
+	case doc.IsOut(server.DataCentre):
+		return RuledDataCentreOut
+	case q.Plain:
+		return ""
+	case !isActive(doc, q.Model, q.Version):
+		return RuledNotActive
+	case !server.Runs(q.Model, q.Version):
+		return RuledNotLoaded
+	}
+	return ""
+}
+
+func isActive(doc *configuration.Document, model, version string) bool {
+	m := doc.Model(model)
+	if m == nil {
+		return false
+	}
+	v := m.Version(version)
+	return v != nil && v.State == configuration.VersionActive
+}
+
+// RuledOutError reports a server that must not get the attempt any more.
+type RuledOutError struct {
+	Server string
+	Reason RuleOut
+}
+
+func (e *RuledOutError) Error() string {
+	return fmt.Sprintf("server %s is ruled out: %s", e.Server, e.Reason)
+}
+
+// Refusal returns the reason that a caller sees if no other server will do.
+func (e *RuledOutError) Refusal() call.Reason {
+	switch e.Reason {
+	case RuledDataCentreOut:
+		return call.ReasonDataCentreOut
+	case RuledNotActive:
+		return call.ReasonVersionWithdrawn
+	case RuledNotReady:
+		return call.ReasonNotReady
+	}
+	return call.ReasonNoServer
+}
+
+// Recheck looks at the newest snapshot right before the first byte is sent,
+// since the attempt may have waited. The error is a *RuledOutError.
+func (p *Placer) Recheck(q *Query, server string) error {
+	reason := p.recheck(q, server)
+	if reason == "" {
+		return nil
+	}
+	counters.Add("Recheck"+string(reason), 1)
+	return &RuledOutError{Server: server, Reason: reason}
+}
+
+func (p *Placer) recheck(q *Query, server string) RuleOut {
+	servers, doc := p.board.Servers.Get(), p.board.Configuration.Get()
+	if c := p.board.Confirmation.Get(); doc == nil || c != nil && !c.Ready {
+		return RuledNotReady
+	}
+	if servers == nil {
+		return RuledUnknown
+	}
+	i, ok := sort.Find(len(servers.List), func(i int) int {
+		return strings.Compare(server, servers.List[i].Name)
+	})
+	if !ok {
+		// The list is sorted by name; an unsorted one is searched in full.
+		i = slices.IndexFunc(servers.List, func(s board.Server) bool { return s.Name == server })
+	}
+	if i < 0 {
+		return RuledUnknown
+	}
+	return standing(q, &servers.List[i], doc)
+}
--- /dev/null
+++ b/internal/routing/placement/placer.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+// counters counts why servers were ruled out and attempts found none.
+var counters = expvar.NewMap("RoutingPlacement")
+
+// Distances are the round-trip times by how far a server is.
+type Distances struct {
+	DataCentre time.Duration
+	Region     time.Duration
+	Beyond     time.Duration
+}
+
+// Placer chooses backend servers. Run keeps its index up to date.
+type Placer struct {
+	board     *board.Board
+	load      Load
+	clock     clockwork.Clock
+	cache     *Cache
+	distances Distances
+	holdTime  time.Duration
+	rebuild   time.Duration
+	index     atomic.Pointer[index]
+}
+
+// Option changes a Placer.
+type Option func(*Placer)
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(p *Placer) { p.clock = c } }
+
+// WithCache sets the memory of prompt prefixes.
+func WithCache(c *Cache) Option { return func(p *Placer) { p.cache = c } }
+
+// WithDistances sets the round-trip times.
+func WithDistances(d Distances) Option { return func(p *Placer) { p.distances = d } }
+
+// WithHoldTime sets how long a request holds a place at a server on average.
+func WithHoldTime(d time.Duration) Option { return func(p *Placer) { p.holdTime = d } }
+
+// New returns a placer that reads the board.
+func New(b *board.Board, load Load, opts ...Option) *Placer {
+	p := &Placer{
+		board: b, load: load, clock: clockwork.NewRealClock(),
+		distances: Distances{DataCentre: 500 * time.Microsecond, Region: 10 * time.Millisecond, Beyond: 100 * time.Millisecond},
+		holdTime:  4 * time.Second,
+		rebuild:   100 * time.Millisecond,
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Run rebuilds the index whenever servers or configuration change, until the
+// context ends.
+func (p *Placer) Run(ctx context.Context) error {
+	servers, stopServers := p.board.Servers.Subscribe()
+	defer stopServers()
+	docs, stopDocs := p.board.Configuration.Subscribe()
+	defer stopDocs()
+	for {
+		p.Rebuild()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-docs:
+			continue
+		case <-servers:
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.clock.After(p.rebuild):
+		case <-docs:
+		}
+	}
+}
+
+// Rebuild builds the index from the board.
+func (p *Placer) Rebuild() {
+	servers, doc := p.board.Servers.Get(), p.board.Configuration.Get()
+	before := p.index.Load()
+	if servers == nil || doc == nil || before != nil && before.servers == servers && before.doc == doc {
+		return
+	}
+	p.index.Store(newIndex(servers, doc, before, p.load))
+}
+
+// NoServerError reports that no server can take the attempt now.
+type NoServerError struct {
+	Service string
+	Model   string
+	Version string
+	// Pool is the number of servers that run what is asked for.
+	Pool int
+	// Reason says why the examined ones were ruled out.
+	Reason Counts
+}
+
+func (e *NoServerError) Error() string {
+	return fmt.Sprintf("no server for %s %s@%s: pool %d, examined %d: excluded %d, ejected %d, limited %d",
+		e.Service, e.Model, e.Version, e.Pool, e.Reason.Examined, e.Reason.Excluded, e.Reason.Ejected, e.Reason.Limited)
+}
