Carry attempts to backend servers over own connections

Cause: fasthttp's client repeats requests by itself and hides which connection an attempt uses, so neither 'at most once' nor 'cancel closes the connection' can be had from it. Change: attempt uses fasthttp's messages over connections it dials and pools.

--- /dev/null
+++ b/internal/relay/attempt/chat.go
@@ -0,0 +1,155 @@
+package attempt
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+const chatPath = "/v1/chat/completions"
+
+// errorBodyBytes bounds how much of an engine's error is kept.
+const errorBodyBytes = 64 << 10
+
+// Chat runs one attempt. When streaming, sink gets each chunk in order; while
+// it blocks, nothing more is read from the engine. An error of sink ends the
+// attempt as CallerGone and cancels the engine's stream.
+func (c *Client) Chat(ctx context.Context, target Target, chat Chat, sink func(Chunk) error) (Answer, error) {
+	x := c.newExchange(target, chat.AttemptID, chat.Limits, chat.Progress)
+	x.delivered = chat.ResumeFrom
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	if err := x.encodeChat(req, chat); err != nil {
+		return Answer{}, x.fail(BadRequest, err)
+	}
+	if err := x.connect(ctx, true); err != nil {
+		return Answer{}, err
+	}
+	if err := x.send(req); err != nil {
+		return Answer{}, err
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := x.receive(resp); err != nil {
+		return Answer{}, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return Answer{}, x.refused(resp)
+	}
+	x.advance(call.Ran)
+	if chat.Stream {
+		return x.readStream(resp, chat, sink)
+	}
+	return x.readWhole(resp)
+}
+
+func (x *exchange) encodeChat(req *fasthttp.Request, chat Chat) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(chat.Body, &fields); err != nil {
+		return fmt.Errorf("decode chat request: %w", err)
+	}
+	if fields == nil {
+		return errors.New("decode chat request: not an object")
+	}
+	model, err := json.Marshal(chat.Model + "@" + chat.Version)
+	if err != nil {
+		return fmt.Errorf("encode model: %w", err)
+	}
+	fields["model"] = model
+	fields["stream"] = json.RawMessage(strconv.FormatBool(chat.Stream))
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return fmt.Errorf("encode chat request: %w", err)
+	}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + x.target.Address + chatPath)
+	req.Header.SetContentType("application/json")
+	setIdentity(req, chat.AttemptID, chat.RequestID, chat.Customer)
+	req.Header.Set(HeaderPriority, strconv.Itoa(chat.Priority))
+	if chat.ResumeFrom > 0 {
+		req.Header.Set(HeaderResumeFrom, strconv.Itoa(chat.ResumeFrom))
+	}
+	req.SetBody(body)
+	return nil
+}
+
+func setIdentity(req *fasthttp.Request, attempt, request, customer string) {
+	req.Header.Set(HeaderAttempt, attempt)
+	req.Header.Set(HeaderRequest, request)
+	req.Header.Set(HeaderCustomer, customer)
+}
+
+// refused turns an engine's error status into an error. Only a 503 that says
+// so itself, under our attempt ID, proves that nothing ran.
+func (x *exchange) refused(resp *fasthttp.Response) *Error {
+	x.conn.arm(ProgressTimeout, x.limits.Progress)
+	body, whole, err := x.readBody(resp, errorBodyBytes)
+	if err != nil {
+		return err
+	}
+	status := resp.StatusCode()
+	kind := Status
+	switch {
+	case status == fasthttp.StatusServiceUnavailable && string(resp.Header.Peek(HeaderRunState)) == call.NotRun.String():
+		kind = Refused503
+		x.state = call.NotRun
+	case status < fasthttp.StatusInternalServerError:
+		x.advance(call.Ran)
+	}
+	retryAfter, _ := strconv.Atoi(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)))
+	x.finish(whole && !resp.ConnectionClose())
+	failures.Add(string(kind), 1)
+	return &Error{
+		Kind: kind, Server: x.target.Server, State: x.state, Delivered: x.delivered,
+		Status: status, Body: body, RetryAfter: time.Duration(retryAfter) * time.Second,
+	}
+}
+
+type wireUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type wireAnswer struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage wireUsage `json:"usage"`
+}
+
+func (x *exchange) readWhole(resp *fasthttp.Response) (Answer, error) {
+	first := x.elapsed()
+	x.conn.arm(ProgressTimeout, x.limits.Progress)
+	body, whole, err := x.readBody(resp, x.limits.AnswerBytes)
+	if err != nil {
+		return Answer{}, err
+	}
+	if !whole {
+		return Answer{}, x.fail(AnswerTooLarge, fmt.Errorf("answer is larger than %d bytes", x.limits.AnswerBytes))
+	}
+	var w wireAnswer
+	if err := json.Unmarshal(body, &w); err != nil {
+		return Answer{}, x.fail(Malformed, err)
+	}
+	if w.ID != x.id {
+		return Answer{}, x.fail(CrossedAnswer, &CrossedError{Want: x.id, Got: w.ID})
+	}
+	if len(w.Choices) == 0 || w.Choices[0].FinishReason == "" {
+		return Answer{}, x.fail(Truncated, errNoFinish)
+	}
+	x.finish(!resp.ConnectionClose())
+	return Answer{
+		Body: body, Usage: Usage(w.Usage), Whole: true, Tokens: w.Usage.CompletionTokens,
+		FirstToken: first, Duration: x.elapsed(),
+	}, nil
+}
+
+var errNoFinish = errors.New("the answer ended without a finish marker")
--- /dev/null
+++ b/internal/relay/attempt/conn.go
@@ -0,0 +1,164 @@
+package attempt
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// readBuffer is the size of a connection's read buffer in bytes. Together with
+// the socket's own buffers it bounds what a stream holds for a slow caller.
+const readBuffer = 8 << 10
+
+// conn is one connection with its watchdog: whoever misses a limit, or
+// cancels, closes it and leaves the cause.
+type conn struct {
+	net.Conn
+	target    Target
+	clock     clockwork.Clock
+	reader    *bufio.Reader
+	dialledAt time.Time
+	idleSince time.Time
+
+	mu       sync.Mutex
+	timer    clockwork.Timer
+	deadline time.Time
+	kind     Kind
+	cause    Kind
+	closed   bool
+	// provenAt is when the connection last showed that it works.
+	provenAt time.Time
+	// quietSince is when the watchdog was last armed.
+	quietSince time.Time
+	written    int
+	// readErr is the error that the network itself gave; libraries hide it.
+	readErr error
+}
+
+func newConn(nc net.Conn, target Target, clock clockwork.Clock) *conn {
+	now := clock.Now()
+	c := &conn{Conn: nc, target: target, clock: clock, dialledAt: now, provenAt: now}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
+// Read counts any byte as a sign of life.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		now := c.clock.Now()
+		c.mu.Lock()
+		c.provenAt = now
+		c.mu.Unlock()
+	}
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err
+}
+
+// Write counts the bytes handed to the network.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
+// arm has the connection closed for the given reason after limit, unless it
+// is armed again or disarmed before.
+func (c *conn) arm(kind Kind, limit time.Duration) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kind, c.deadline, c.quietSince = kind, now.Add(limit), now
+	if c.timer == nil {
+		c.timer = c.clock.AfterFunc(limit, c.expire)
+		return
+	}
+	c.timer.Reset(limit)
+}
+
+func (c *conn) disarm() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = time.Time{}
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
+
+func (c *conn) expire() {
+	now := c.clock.Now()
+	c.mu.Lock()
+	late := !c.deadline.IsZero() && !now.Before(c.deadline)
+	kind := c.kind
+	c.mu.Unlock()
+	if late {
+		c.abort(kind)
+	}
+}
+
+// abort closes the connection at once, dropping what was not yet sent. The
+// first cause stays.
+func (c *conn) abort(cause Kind) {
+	c.mu.Lock()
+	if c.cause == "" {
+		c.cause = cause
+	}
+	done := c.closed
+	c.closed = true
+	c.deadline = time.Time{}
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.mu.Unlock()
+	if done {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+// failure returns the cause left by a watchdog or a cancellation, else the
+// kind that the error itself shows.
+func (c *conn) failure(kind Kind) Kind {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause != "" {
+		return c.cause
+	}
+	return kind
+}
+
+// silent reports whether the connection missed a limit without a single byte
+// of life, and since when it was quiet.
+func (c *conn) silent() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	missed := c.cause == WriteTimeout || c.cause == FirstByteTimeout || c.cause == ProgressTimeout
+	return c.quietSince, missed && !c.provenAt.After(c.quietSince)
+}
+
+func (c *conn) proven() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.provenAt
+}
+
+// readKind says how reading failed.
+func (c *conn) readKind() Kind {
+	switch err := c.readErr; {
+	case err == nil:
+		return Malformed
+	case errors.Is(err, io.EOF):
+		return Truncated
+	}
+	return Reset
+}
--- /dev/null
+++ b/internal/relay/attempt/plain.go
@@ -0,0 +1,86 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+// hopHeaders are not passed on in either direction.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Host": true, "Expect": true, "Accept-Encoding": true, "Authorization": true,
+	HeaderAttempt: true, HeaderRequest: true, HeaderCustomer: true,
+}
+
+// unframed is fasthttp's content length of a body that ends with its
+// connection. Such a body cannot be told from a truncated one.
+const unframed = -2
+
+var errUnframed = errors.New("the answer states no length")
+
+// Plain runs one attempt at a plain service's call. Any status is an answer;
+// only failures to get one are errors.
+func (c *Client) Plain(ctx context.Context, target Target, plain Plain) (PlainAnswer, error) {
+	x := c.newExchange(target, plain.AttemptID, plain.Limits, plain.Progress)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	x.encodePlain(req, plain)
+	if err := x.connect(ctx, plain.Idempotent); err != nil {
+		return PlainAnswer{}, err
+	}
+	if err := x.send(req); err != nil {
+		return PlainAnswer{}, err
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	resp.SkipBody = plain.Method == fasthttp.MethodHead
+	if err := x.receive(resp); err != nil {
+		return PlainAnswer{}, err
+	}
+	x.advance(call.Ran)
+	if resp.Header.ContentLength() == unframed && !resp.SkipBody {
+		return PlainAnswer{}, x.fail(Truncated, errUnframed)
+	}
+	x.conn.arm(ProgressTimeout, x.limits.Progress)
+	body, whole, err := x.readBody(resp, x.limits.AnswerBytes)
+	if err != nil {
+		return PlainAnswer{}, err
+	}
+	if !whole {
+		return PlainAnswer{}, x.fail(AnswerTooLarge, fmt.Errorf("answer is larger than %d bytes", x.limits.AnswerBytes))
+	}
+	header := http.Header{}
+	for key, value := range resp.Header.All() {
+		if !hopHeaders[string(key)] {
+			header.Add(string(key), string(value))
+		}
+	}
+	x.finish(!resp.ConnectionClose())
+	return PlainAnswer{Status: resp.StatusCode(), Header: header, Body: body, Duration: x.elapsed()}, nil
+}
+
+func (x *exchange) encodePlain(req *fasthttp.Request, plain Plain) {
+	uri := "http://" + x.target.Address + plain.Path
+	if plain.Query != "" {
+		uri += "?" + plain.Query
+	}
+	req.Header.SetMethod(plain.Method)
+	req.SetRequestURI(uri)
+	for key, values := range plain.Header {
+		if hopHeaders[http.CanonicalHeaderKey(key)] {
+			continue
+		}
+		for _, v := range values {
+			req.Header.Add(key, v)
+		}
+	}
+	setIdentity(req, plain.AttemptID, plain.RequestID, plain.Customer)
+	req.SetBody(plain.Body)
+}
--- /dev/null
+++ b/internal/relay/attempt/resume.go
@@ -0,0 +1,76 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Elsewhere reports whether the same request may fare better at another
+// server. Whether it may be sent again at all is the caller's decision.
+func (e *Error) Elsewhere() bool {
+	switch e.Kind {
+	case BadRequest, AnswerTooLarge, CallerGone, Cancelled, Deadline:
+		return false
+	case Status:
+		return e.Status >= 500
+	}
+	return true
+}
+
+// Next chooses the server and the attempt ID for another attempt. The error
+// that it returns ends the stream; last is nil for the first attempt.
+type Next func(ctx context.Context, last *Error) (Target, string, error)
+
+// ChatResumed streams one answer over as many attempts as next allows. Each
+// attempt continues after the last token delivered, so that sink sees every
+// token once and in order. All attempts run the same model and version.
+func (c *Client) ChatResumed(ctx context.Context, chat Chat, next Next, sink func(Chunk) error) (Answer, error) {
+	chat.Stream = true
+	started := c.clock.Now()
+	var whole Answer
+	var last *Error
+	for {
+		target, id, err := next(ctx, last)
+		if err != nil {
+			return whole, errors.Join(err, asError(last))
+		}
+		chat.AttemptID = id
+		begun := c.clock.Since(started)
+		answer, err := c.Chat(ctx, target, chat, sink)
+		whole = whole.continued(answer, chat.ResumeFrom, begun)
+		whole.Duration = c.clock.Since(started)
+		if err == nil {
+			return whole, nil
+		}
+		if !errors.As(err, &last) || !last.Elsewhere() {
+			return whole, err
+		}
+		chat.ResumeFrom = whole.Tokens
+	}
+}
+
+// asError keeps a nil *Error from becoming a non-nil error.
+func asError(e *Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
+
+// continued adds a later attempt's part to the answer so far. An engine that
+// resumed counts only its own tokens, so the sequence gives the total.
+func (a Answer) continued(part Answer, resumedFrom int, begun time.Duration) Answer {
+	if a.FirstToken == 0 && part.FirstToken > 0 {
+		a.FirstToken = begun + part.FirstToken
+	}
+	a.Tokens = max(a.Tokens, part.Tokens)
+	a.Whole = part.Whole
+	if part.Usage != (Usage{}) {
+		a.Usage = part.Usage
+	}
+	if resumedFrom > 0 {
+		a.Usage.CompletionTokens = a.Tokens
+	}
+	return a
+}
