Check again right before the first byte of an attempt

Cause: a request may wait for a connection between its placement and its first byte; a withdrawal or a data centre taken out in between must still stop it. Change: BeforeWrite runs when the connection stands and nothing is written; its error ends the attempt as NotStarted with state NotRun.

--- a/internal/relay/attempt/attempt.go
+++ b/internal/relay/attempt/attempt.go
@@ -65,6 +65,9 @@
 	Priority   int
 	Progress   *call.Progress
 	Limits     Limits
+	// BeforeWrite is called right before the first byte is written; its error
+	// ends the attempt as NotStarted.
+	BeforeWrite func() error
 }
 
 // Chunk is one token of a streamed answer.
@@ -115,6 +118,8 @@
 	Idempotent bool
 	Progress   *call.Progress
 	Limits     Limits
+	// BeforeWrite is as in Chat.
+	BeforeWrite func() error
 }
 
 // PlainAnswer is the whole answer of a plain service, whatever its status.
--- a/internal/relay/attempt/attempt_test.go
+++ b/internal/relay/attempt/attempt_test.go
@@ -215,3 +215,27 @@
 		is.Equal(p.State(), call.MayHaveRun) // never back for the request
 	}
 }
+
+// TestBeforeWriteEndsAttempt refuses an attempt at the last moment: the server
+// sees a connection and no request.
+func TestBeforeWriteEndsAttempt(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServer(t, "read", "whole")
+	c := New()
+	defer c.Close()
+	refused := errors.New("data centre is out")
+	p := new(call.Progress)
+	_, err := c.Chat(context.Background(), f.target(), Chat{
+		AttemptID: "a1", Model: "small", Version: "v1", Body: []byte(chatBody), Progress: p,
+		BeforeWrite: func() error { return refused },
+	}, nil)
+	var e *Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Kind, NotStarted)
+	is.Equal(e.State, call.NotRun)
+	is.Equal(p.State(), call.NotRun)
+	is.True(errors.Is(err, refused))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(len(f.requests), 0)
+}
--- a/internal/relay/attempt/chat.go
+++ b/internal/relay/attempt/chat.go
@@ -23,7 +23,7 @@
 // attempt as CallerGone and cancels the engine's stream.
 func (c *Client) Chat(ctx context.Context, target Target, chat Chat, sink func(Chunk) error) (Answer, error) {
 	x := c.newExchange(target, chat.AttemptID, chat.Limits, chat.Progress)
-	x.delivered = chat.ResumeFrom
+	x.delivered, x.before = chat.ResumeFrom, chat.BeforeWrite
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	if err := x.encodeChat(req, chat); err != nil {
--- a/internal/relay/attempt/error.go
+++ b/internal/relay/attempt/error.go
@@ -16,6 +16,7 @@
 // The kinds of failure.
 const (
 	BadRequest       Kind = "BadRequest"
+	NotStarted       Kind = "NotStarted"
 	DialRefused      Kind = "DialRefused"
 	DialTimeout      Kind = "DialTimeout"
 	DialFailed       Kind = "DialFailed"
--- a/internal/relay/attempt/exchange.go
+++ b/internal/relay/attempt/exchange.go
@@ -23,6 +23,8 @@
 	state    call.RunState
 	conn     *conn
 	stop     func() bool
+	// before is called right before the first byte is written.
+	before func() error
 	// delivered is the number of the last token given to the sink.
 	delivered int
 }
@@ -87,6 +89,11 @@
 
 // send writes the request. The run state moves before the first byte does.
 func (x *exchange) send(req *fasthttp.Request) error {
+	if x.before != nil {
+		if err := x.before(); err != nil {
+			return x.fail(NotStarted, err)
+		}
+	}
 	x.advance(call.MayHaveRun)
 	x.conn.written = 0
 	x.conn.arm(WriteTimeout, x.limits.Write)
--- a/internal/relay/attempt/plain.go
+++ b/internal/relay/attempt/plain.go
@@ -29,6 +29,7 @@
 // only failures to get one are errors.
 func (c *Client) Plain(ctx context.Context, target Target, plain Plain) (PlainAnswer, error) {
 	x := c.newExchange(target, plain.AttemptID, plain.Limits, plain.Progress)
+	x.before = plain.BeforeWrite
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	x.encodePlain(req, plain)
