--- a/internal/fleet/distribution/controller.go
+++ b/internal/fleet/distribution/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,6 +25,7 @@
 	started    time.Time
 	// changed wakes the pusher; buffered, so that wakes are coalesced.
 	changed chan struct{}
+	offices atomic.Pointer[office]
 
 	mu sync.Mutex
 	// value is the stored form of the document in force.
--- a/internal/fleet/distribution/doc.go
+++ b/internal/fleet/distribution/doc.go
@@ -29,8 +29,12 @@
 	pollInterval          = time.Second
 	tickInterval          = 250 * time.Millisecond
 	pushRetryInterval     = 300 * time.Millisecond
+	pushTimeout           = 500 * time.Millisecond
 	pushAttempts          = 5
 	pushConcurrency       = 8
+	// pushFanOut is how many members an instance that does not watch pushes
+	// a new document to.
+	pushFanOut = 2
 	// joinPeers is how many peers a joining instance asks at least, if there
 	// are so many.
 	joinPeers = 3
--- a/internal/fleet/distribution/editor.go
+++ b/internal/fleet/distribution/editor.go
@@ -132,8 +132,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if doc.HasChange(edit.ID) {
+	if doc.Revision > 0 {
 		e.controller.offer(doc, sourceEdit)
+	}
+	if doc.HasChange(edit.ID) {
 		return doc.Revision, nil
 	}
 	if edit.Expected != 0 && edit.Expected != doc.Revision {
--- a/internal/fleet/distribution/frompeers.go
+++ b/internal/fleet/distribution/frompeers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
+	"slices"
 
+	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
@@ -142,54 +145,56 @@
 	return candidates
 }
 
-// others returns the members besides this instance.
-func (c *Controller) others() []board.Member {
-	members := c.board.Members.Get()
-	if members == nil {
-		return nil
-	}
-	others := make([]board.Member, 0, len(members.List))
-	for _, m := range members.List {
-		if m.Name != c.self {
-			others = append(others, m)
-		}
-	}
-	return others
-}
+// others returns the members besides this instance. The caller must not change
+// the list.
+func (c *Controller) others() []board.Member { return c.office().others }
 
-// runPush pushes each new document to the data centre while this instance is a
-// watcher of it.
+// runPush spreads each new document.
 func (c *Controller) runPush(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.changed:
-		}
-		if c.isWatcher() {
-			c.pushAll(ctx)
+			c.spread(ctx)
 		}
 	}
 }
 
-// pushAll offers the document in force to all members of the data centre until
-// they have it, a few times at most: heartbeats do the rest.
-func (c *Controller) pushAll(ctx context.Context) {
-	var missing []board.Member
-	for _, m := range c.board.Members.Get().InDataCentre(c.dataCentre) {
-		if m.Name != c.self {
-			missing = append(missing, m)
-		}
-	}
+// spread offers the document in force to others until they have it, a few
+// times at most: heartbeats do the rest.
+func (c *Controller) spread(ctx context.Context) {
+	revision := c.revision()
+	missing := c.receivers()
 	for range pushAttempts {
 		missing = c.pushTo(ctx, missing)
 		if len(missing) == 0 || !c.sleep(ctx, pushRetryInterval) {
 			return
 		}
+		if c.revision() != revision {
+			// The next spread begins at once, with everybody.
+			return
+		}
 	}
 	counts.Add("PushGivenUp", int64(len(missing)))
 }
 
+// receivers returns whom this instance pushes a new document to. A watcher
+// pushes to its data centre. Any other pushes to a few members of its data
+// centre and of others, so that the document also spreads where the watchers
+// have failed and nobody has noticed yet.
+func (c *Controller) receivers() []board.Member {
+	members := c.board.Members.Get()
+	if c.isWatcher() {
+		near := members.InDataCentre(c.dataCentre)
+		return slices.DeleteFunc(near, func(m board.Member) bool { return m.Name == c.self })
+	}
+	others := c.others()
+	key := fmt.Sprintf("Push/%s/%d", c.self, c.revision())
+	chosen := board.Rank(key, board.Names(others), pushFanOut)
+	return lo.Filter(others, func(m board.Member, _ int) bool { return slices.Contains(chosen, m.Name) })
+}
+
 // pushTo offers the document to members and returns those that lack it.
 func (c *Controller) pushTo(ctx context.Context, members []board.Member) []board.Member {
 	missed := make([]bool, len(members))
@@ -214,6 +219,8 @@
 // push offers the revision to one member and sends the document if it has a
 // lower one. A member that has a higher one answers with its document.
 func (c *Controller) push(ctx context.Context, m board.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
 	value, revision := c.inForce()
 	resp, err := c.peers.Configuration(ctx, m.PeerAddress, &peer.ConfigurationRequest{HaveRevision: revision})
 	if err == nil && resp.Revision < revision {
--- a/internal/fleet/distribution/fromstore.go
+++ b/internal/fleet/distribution/fromstore.go
@@ -20,13 +20,31 @@
 // isWatcher reports whether this instance watches for its data centre. An
 // instance that sees no members of it, or has no document, asks for itself.
 func (c *Controller) isWatcher() bool {
+	return c.board.Configuration.Get() == nil || c.office().watcher
+}
+
+// office is what follows from the membership, kept until it changes.
+type office struct {
+	version uint64
+	watcher bool
+	others  []board.Member
+}
+
+func (c *Controller) office() *office {
+	version := c.board.Members.Version()
+	if known := c.offices.Load(); known != nil && known.version == version {
+		return known
+	}
 	members := c.board.Members.Get()
+	next := &office{version: version}
 	names := board.Names(members.InDataCentre(c.dataCentre))
-	if c.board.Configuration.Get() == nil || !slices.Contains(names, c.self) {
-		return true
-	}
 	chosen := board.Rank("Configuration/"+c.dataCentre, names, watchersPerDataCentre)
-	return slices.Contains(chosen, c.self)
+	next.watcher = !slices.Contains(names, c.self) || slices.Contains(chosen, c.self)
+	if members != nil {
+		next.others = slices.DeleteFunc(slices.Clone(members.List), func(m board.Member) bool { return m.Name == c.self })
+	}
+	c.offices.Store(next)
+	return next
 }
 
 // runStore polls the store's revision while this instance is a watcher or
