--- a/internal/measure/load/request.go
+++ b/internal/measure/load/request.go
@@ -105,7 +105,7 @@
 	}
 	defer resp.Body.Close()
 	out.Status = resp.StatusCode
-	out.RouterID = resp.Header.Get("X-Request-Id")
+	out.RouterID = resp.Header.Get("Request-Id")
 	out.Token = resp.Header.Get("Session-Id")
 	switch {
 	case resp.StatusCode >= http.StatusBadRequest:
