Add the library behind the demo

Cause: one command must show the whole system under load and faults. What operators changed is read from the documents as the store committed them.

--- /dev/null
+++ b/internal/measure/demo/step.go
@@ -0,0 +1,116 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/preset"
+	"github.com/kingcupyard/kingcupyard/internal/standin/engine"
+	"github.com/kingcupyard/kingcupyard/internal/standin/store"
+)
+
+// loadDuration is how long load is sent; the steps happen within it.
+const loadDuration = 18 * time.Second
+
+// faultDuration is how long a passing fault lasts.
+const faultDuration = time.Second
+
+// step is one thing that operators do or that fails while load runs.
+type step struct {
+	at   time.Duration
+	name string
+	do   func(ctx context.Context) error
+}
+
+// steps lists what happens, in order of time.
+func (r *run) steps() []step {
+	d, op := r.settings.deployment, r.operator
+	movedOut := d.DataCentres[1]
+	return []step{
+		{500 * time.Millisecond, "CreateCustomer", func(ctx context.Context) error {
+			return op.CreateCustomer(ctx, configuration.Customer{
+				Name: probeName, KeyHashes: []string{configuration.HashKey(keyOf(probeName))}, Weight: 1,
+				Allowed: []configuration.Allowance{{Model: modelBasic}}, OnWithdrawal: configuration.WithdrawalRefuse,
+			})
+		}},
+		{time.Second, "LoseStoreAnswers", r.storeFault(func(f *store.Faults) { f.LoseAnswers = 3 })},
+		{1500 * time.Millisecond, "ApplyPreset", func(ctx context.Context) error { return op.ApplyPreset(ctx, preset.Maintenance) }},
+		{2 * time.Second, "StartRollout", func(ctx context.Context) error {
+			return op.StartRollout(ctx, modelBasic, versionOne, versionTwo, []float64{0.2, 0.5, 1})
+		}},
+		{3 * time.Second, "Withdraw", func(ctx context.Context) error {
+			return op.Withdraw(ctx, modelFine, versionTwo, "demo")
+		}},
+		{3500 * time.Millisecond, "Allow", func(ctx context.Context) error {
+			return op.Allow(ctx, probeName, configuration.Allowance{Model: modelFine})
+		}},
+		{4 * time.Second, "TakeOut", func(ctx context.Context) error { return op.TakeOut(ctx, movedOut) }},
+		{4500 * time.Millisecond, "ServerLeaves", func(context.Context) error {
+			r.platform.Roster.Leave(fmt.Sprintf("%s-%02d", d.ModelService, 1))
+			return nil
+		}},
+		{5 * time.Second, "TurnCold", r.engineFault(2, func(f *engine.Faults) { f.TurnCold = true })},
+		{6 * time.Second, "BreakStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 5 })},
+		{6*time.Second + faultDuration, "MendStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 0 })},
+		{8 * time.Second, "CrossAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = true })},
+		{8*time.Second + faultDuration, "MendAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = false })},
+		{9500 * time.Millisecond, "SilenceConnections", r.engineFault(6, func(f *engine.Faults) { f.Silence = true })},
+		{11 * time.Second, "Return", func(ctx context.Context) error { return op.Return(ctx, movedOut) }},
+		{12500 * time.Millisecond, "StopInstance", func(ctx context.Context) error {
+			r.fleet.stop(ctx, r.platform, r.fleet.list()[1])
+			return nil
+		}},
+		{13 * time.Second, "ApplyPreset", func(ctx context.Context) error { return op.ApplyPreset(ctx, preset.Ordinary) }},
+		{13500 * time.Millisecond, "Disallow", func(ctx context.Context) error { return op.Disallow(ctx, probeName, modelBasic) }},
+	}
+}
+
+func (r *run) storeFault(change func(*store.Faults)) func(context.Context) error {
+	return func(context.Context) error {
+		r.platform.Store.SetFaults(change)
+		return nil
+	}
+}
+
+func (r *run) engineFault(n int, change func(*engine.Faults)) func(context.Context) error {
+	return func(context.Context) error {
+		r.platform.Engines[n].SetFaults(change)
+		return nil
+	}
+}
+
+// perform carries the steps out at their times. A step runs beside the later
+// ones if it takes long.
+func (r *run) perform(ctx context.Context) {
+	began := r.clock.Now()
+	for _, s := range r.steps() {
+		if wait := s.at - r.clock.Since(began); wait > 0 {
+			select {
+			case <-r.clock.After(wait):
+			case <-ctx.Done():
+				return
+			}
+		}
+		r.stepsRunning.Go(func() {
+			err := s.do(ctx)
+			result := "Done"
+			if err != nil {
+				result = "Failed"
+				r.fail(&StepError{s.name, err})
+			}
+			r.print("Event=Step Seconds=%.1f Name=%s Result=%s", r.clock.Since(began).Seconds(), s.name, result)
+		})
+	}
+}
+
+// StepError reports a step that could not be carried out.
+type StepError struct {
+	Name string
+	Err  error
+}
+
+func (e *StepError) Error() string { return fmt.Sprintf("step %s: %v", e.Name, e.Err) }
+
+func (e *StepError) Unwrap() error { return e.Err }
--- a/internal/measure/invariant/answer.go
+++ b/internal/measure/invariant/answer.go
@@ -158,7 +158,7 @@
 			if e.At.Sub(x.At) > inForceBound {
 				due = i
 			}
-			if slices.Equal(x.Models, e.Models) {
+			if !x.At.After(e.At) && slices.Equal(x.Models, e.Models) {
 				possible = i
 			}
 		}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -42,6 +42,7 @@
 	log      *observation.Log
 	host     *host.Host
 	faults   host.Faults[Faults]
+	onWrite  func(Entry, time.Time)
 
 	mu      sync.Mutex
 	data    *data
@@ -61,6 +62,12 @@
 // WithLog sets the log that observations go to.
 func WithLog(log *observation.Log) Option { return func(s *Store) { s.log = log } }
 
+// WithWriteHook calls hook with each value as it is committed, in order. The
+// hook must not call the store.
+func WithWriteHook(hook func(Entry, time.Time)) Option {
+	return func(s *Store) { s.onWrite = hook }
+}
+
 // New returns an empty store that is not listening yet.
 func New(settings Settings, opts ...Option) *Store {
 	s := &Store{
@@ -191,6 +198,11 @@
 	for _, ev := range s.data.written(before, now) {
 		s.log.Add(ev)
 	}
+	if s.onWrite != nil {
+		for _, c := range s.data.since(before+1, []byte{0}, []byte{0}) {
+			s.onWrite(Entry{string(c.KV.Key), c.KV.Value, int64(c.KV.ModRevision)}, now)
+		}
+	}
 	s.data.trim(s.settings.HistoryLimit)
 	s.wake()
 }
