--- a/internal/relay/call/call.go
+++ b/internal/relay/call/call.go
@@ -56,7 +56,11 @@
 // Request is one request of a caller. It is immutable but for Progress.
 type Request struct {
 	// ID is unique: the customer and its idempotency key, else a UUIDv7.
-	ID         string
+	ID string
+	// Keyed says that the ID comes from the caller's idempotency key.
+	Keyed bool
+	// Trace is the caller's own request ID, for explanations only.
+	Trace      string
 	Customer   string
 	Model      string
 	Class      string
@@ -82,6 +86,7 @@
 	ReasonNotAllowed              Reason = "NotAllowed"
 	ReasonUnknownModel            Reason = "UnknownModel"
 	ReasonUnknownService          Reason = "UnknownService"
+	ReasonUnknownPath             Reason = "UnknownPath"
 	ReasonTooLarge                Reason = "TooLarge"
 	ReasonVersionWithdrawn        Reason = "VersionWithdrawn"
 	ReasonSessionVersionWithdrawn Reason = "SessionVersionWithdrawn"
