--- a/internal/measure/demo/demo.go
+++ b/internal/measure/demo/demo.go
@@ -21,6 +21,8 @@
 	instances      = 3
 	requestsRate   = 60.0
 	duplicateShare = 0.3
+	maxTokens      = 64
+	requestTimeout = 10 * time.Second
 	stopTimeout    = 20 * time.Second
 	tokensPerPrice = 1000
 )
@@ -120,7 +122,7 @@
 	report, err := load.Run(ctx, load.Settings{
 		Callers: callers(), Rate: requestsRate, Duration: loadDuration, Seed: r.settings.Seed,
 		Service: d.PlainService, PlainPath: d.PlainPath, NonIdempotentPath: d.NonIdempotentPath,
-		DuplicateShare: duplicateShare, Pick: r.fleet.pick, OnSent: r.recordSent, OnOutcome: r.recordEnded,
+		MaxTokens: maxTokens, Timeout: requestTimeout, DuplicateShare: duplicateShare, Pick: r.fleet.pick, OnSent: r.recordSent, OnOutcome: r.recordEnded,
 	}, r.clock)
 	r.stepsRunning.Wait()
 	stopWatching()
--- a/internal/measure/invariant/invariant_test.go
+++ b/internal/measure/invariant/invariant_test.go
@@ -36,6 +36,9 @@
 			rejected := c.Check(readTrace(t, c.Name+".reject.jsonl"))
 			is.Equal(rejected.Violations, expected.Section("").Key(c.Name).MustInt())
 			is.True(rejected.Violations > 0)
+			// Recorded in the demo from a router that protects nothing, and cut
+			// down to the events that show the violation.
+			is.True(c.Check(readTrace(t, c.Name+".recorded.jsonl")).Violations > 0)
 		})
 	}
 }
