--- a/internal/measure/demo/demo.go
+++ b/internal/measure/demo/demo.go
@@ -93,7 +93,7 @@
 		return Summary{}, err
 	}
 	r := &run{settings: settings, clock: clock}
-	if r.platform, err = startPlatform(settings.deployment, settings.Seed); err != nil {
+	if r.platform, err = StartPlatform(settings.deployment, settings.Seed, Addresses{}); err != nil {
 		return Summary{}, err
 	}
 	defer r.platform.Close()
--- a/internal/measure/demo/deployment.go
+++ b/internal/measure/demo/deployment.go
@@ -81,8 +81,8 @@
 
 func customerName(n int) string { return fmt.Sprintf("customer-%02d", n) }
 
-// keyOf returns the API key of a customer.
-func keyOf(customer string) string { return "key-of-" + customer }
+// KeyOf returns the API key of a customer.
+func KeyOf(customer string) string { return "key-of-" + customer }
 
 // document is the configuration that the demo starts from.
 func (d Deployment) document(seed uint64) *configuration.Document {
@@ -132,7 +132,7 @@
 func (d Deployment) customer(n int) configuration.Customer {
 	name := customerName(n)
 	c := configuration.Customer{
-		Name: name, KeyHashes: []string{configuration.HashKey(keyOf(name))}, Services: []string{d.PlainService},
+		Name: name, KeyHashes: []string{configuration.HashKey(KeyOf(name))}, Services: []string{d.PlainService},
 		Allowed: []configuration.Allowance{{Model: modelBasic}}, Weight: 1, OnWithdrawal: configuration.WithdrawalRefuse,
 	}
 	if isLarge(n) {
@@ -161,7 +161,7 @@
 func callers() []load.Caller {
 	var list []load.Caller
 	for n := 1; n <= customers; n++ {
-		c := load.Caller{Customer: customerName(n), Key: keyOf(customerName(n)), Models: []string{cascadeName, modelBasic}, Weight: 1}
+		c := load.Caller{Customer: customerName(n), Key: KeyOf(customerName(n)), Models: []string{cascadeName, modelBasic}, Weight: 1}
 		switch {
 		case isLarge(n):
 			c.Weight = 4
--- a/internal/measure/demo/fleet.go
+++ b/internal/measure/demo/fleet.go
@@ -99,7 +99,7 @@
 	for n := range count {
 		settings := InstanceSettings{
 			Name: fmt.Sprintf("instance-%d", n+1), DataCentre: d.DataCentres[n%len(d.DataCentres)], Region: d.Region,
-			Store: p.addresses.store, InstanceList: p.addresses.roster, Rating: p.addresses.rating, Weights: p.addresses.weights,
+			Store: p.addresses.Store, InstanceList: p.addresses.InstanceList, Rating: p.addresses.Rating, Weights: p.addresses.Weights,
 			OperatorKeyHash: configuration.HashKey(operatorKey), PeerKey: peerKey,
 		}
 		in, err := s.Start(ctx, settings)
@@ -239,7 +239,7 @@
 		f.checkReady(ctx)
 		for _, m := range f.list() {
 			if !f.hasStopped(m) {
-				f.get(ctx, m.instance.Callers, modelsPath, keyOf(probeName))
+				f.get(ctx, m.instance.Callers, modelsPath, KeyOf(probeName))
 			}
 		}
 	}
--- a/internal/measure/demo/platform.go
+++ b/internal/measure/demo/platform.go
@@ -46,7 +46,7 @@
 	Engines []*engine.Engine
 	Plain   []*plain.Server
 
-	addresses platformAddresses
+	addresses Addresses
 	log       *observation.Log
 	closers   []func()
 
@@ -55,14 +55,19 @@
 	commits  invariant.Trace
 }
 
-type platformAddresses struct {
-	store, roster, rating, weights string
+// Addresses are those of the platform's services, each an IP and a port. Empty
+// ones are chosen at start.
+type Addresses struct {
+	Store        string
+	InstanceList string
+	Rating       string
+	Weights      string
 }
 
-// startPlatform starts every stand-in of a deployment and lists the backend
-// servers.
-func startPlatform(d Deployment, seed uint64) (*Platform, error) {
-	p := &Platform{log: observation.New(0)}
+// StartPlatform starts every stand-in of a deployment, lists the backend
+// servers and writes the initial configuration.
+func StartPlatform(d Deployment, seed uint64, at Addresses) (*Platform, error) {
+	p := &Platform{log: observation.New(0), addresses: at}
 	p.Store = store.New(store.Settings{}, store.WithLog(p.log), store.WithWriteHook(p.noteCommit))
 	p.Roster = roster.New(roster.Settings{Lag: rosterLag}, roster.WithLog(p.log))
 	p.Rating = rating.New(rating.Settings{Delay: ratingDelay, JudgeDuration: judgeDuration, Seed: seed})
@@ -71,11 +76,11 @@
 		service starter
 		address *string
 	}{
-		{p.Store, &p.addresses.store}, {p.Roster, &p.addresses.roster},
-		{p.Rating, &p.addresses.rating}, {p.Weights, &p.addresses.weights},
+		{p.Store, &p.addresses.Store}, {p.Roster, &p.addresses.InstanceList},
+		{p.Rating, &p.addresses.Rating}, {p.Weights, &p.addresses.Weights},
 	} {
 		var err error
-		if *s.address, err = p.start(s.service); err != nil {
+		if *s.address, err = p.start(s.service, *s.address); err != nil {
 			return nil, err
 		}
 	}
@@ -98,8 +103,11 @@
 	Close()
 }
 
-func (p *Platform) start(s starter) (string, error) {
-	address, err := s.Start(anyAddress)
+func (p *Platform) start(s starter, at string) (string, error) {
+	if at == "" {
+		at = anyAddress
+	}
+	address, err := s.Start(at)
 	if err != nil {
 		p.Close()
 		return "", fmt.Errorf("start a stand-in: %w", err)
@@ -122,7 +130,7 @@
 			Quality: map[string]float64{"basic@v1": 0.8, "basic@v2": 0.84, "fine@v1": 0.97, "fine@v2": 0.97},
 		}
 		e := engine.New(settings, engine.WithLog(p.log))
-		address, err := p.start(e)
+		address, err := p.start(e, "")
 		if err != nil {
 			return err
 		}
@@ -135,7 +143,7 @@
 			DataCentre: d.DataCentres[n%len(d.DataCentres)], Concurrency: plainLimit,
 		}
 		s := plain.New(settings, plain.WithLog(p.log))
-		address, err := p.start(s)
+		address, err := p.start(s, "")
 		if err != nil {
 			return err
 		}
@@ -145,6 +153,9 @@
 	return nil
 }
 
+// Addresses returns where the platform's services listen.
+func (p *Platform) Addresses() Addresses { return p.addresses }
+
 // Close stops every stand-in.
 func (p *Platform) Close() {
 	for _, c := range p.closers {
--- a/internal/measure/demo/step.go
+++ b/internal/measure/demo/step.go
@@ -31,7 +31,7 @@
 	return []step{
 		{500 * time.Millisecond, "CreateCustomer", func(ctx context.Context) error {
 			return op.CreateCustomer(ctx, configuration.Customer{
-				Name: probeName, KeyHashes: []string{configuration.HashKey(keyOf(probeName))}, Weight: 1,
+				Name: probeName, KeyHashes: []string{configuration.HashKey(KeyOf(probeName))}, Weight: 1,
 				Allowed: []configuration.Allowance{{Model: modelBasic}}, OnWithdrawal: configuration.WithdrawalRefuse,
 			})
 		}},
