Read the demo's bills from every write of the ledger

Cause: the ledger rolls chunks up and deletes them, so the keys left at the end do not show a bill that was written twice. Change: the store's write hook keeps each write under the ledger's prefix.

--- a/internal/measure/demo/commit.go
+++ b/internal/measure/demo/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
@@ -13,9 +14,15 @@
 // is not known.
 const notAuthorised = "unauthorised"
 
-// noteCommit turns each committed configuration into the events that the
-// checks judge from: what became allowed, withdrawn, taken out, and shown.
+// noteCommit keeps each write of the ledger, and turns each committed
+// configuration into the events that the checks judge from: what became
+// allowed, withdrawn, taken out, and shown.
 func (p *Platform) noteCommit(entry store.Entry, at time.Time) {
+	if strings.HasPrefix(entry.Key, ledgerPrefix) {
+		p.mu.Lock()
+		p.ledger = append(p.ledger, entry)
+		p.mu.Unlock()
+	}
 	if entry.Key != documentKey {
 		return
 	}
@@ -35,10 +42,12 @@
 	p.document = doc
 }
 
-func (p *Platform) committed() invariant.Trace {
+// committed returns the events of the configuration's commits and every write
+// of the ledger, also of what was rolled up since.
+func (p *Platform) committed() (invariant.Trace, []store.Entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.commits)
+	return slices.Clone(p.commits), slices.Clone(p.ledger)
 }
 
 // difference lists what one commit changed.
--- a/internal/measure/demo/demo.go
+++ b/internal/measure/demo/demo.go
@@ -33,7 +33,8 @@
 	Customer  string
 }
 
-// Bills reads the bills out of the ledger's keys.
+// Bills reads the bills out of all writes of the ledger, in order; a bill that
+// was written twice must be returned twice.
 type Bills func(entries []store.Entry) ([]Bill, error)
 
 // Settings describe one run of the demo.
@@ -172,14 +173,15 @@
 		r.record(fromStandin(ev))
 		summary.Cost += cost(ev)
 	}
-	bills, err := r.settings.Bills(r.platform.Store.Entries(ledgerPrefix, ledgerEnd))
+	commits, ledger := r.platform.committed()
+	bills, err := r.settings.Bills(ledger)
 	if err != nil {
 		return fmt.Errorf("read the bills: %w", err)
 	}
 	for _, b := range bills {
 		r.record(invariant.Event{At: r.clock.Now(), Kind: invariant.KindBilled, RequestID: b.RequestID, Customer: b.Customer})
 	}
-	r.trace = slices.Concat(r.platform.committed(), r.trace)
+	r.trace = slices.Concat(commits, r.trace)
 	r.trace.Sort()
 	return nil
 }
--- a/internal/measure/demo/platform.go
+++ b/internal/measure/demo/platform.go
@@ -20,7 +20,6 @@
 const (
 	documentKey  = "kingcupyard/Configuration"
 	ledgerPrefix = "kingcupyard/Ledger/"
-	ledgerEnd    = "kingcupyard/Ledger0"
 )
 
 // The times of the demo's platform.
@@ -53,6 +52,7 @@
 	mu       sync.Mutex
 	document *configuration.Document
 	commits  invariant.Trace
+	ledger   []store.Entry
 }
 
 // Addresses are those of the platform's services, each an IP and a port. Empty
