--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -200,7 +200,9 @@
 	}
 	if s.onWrite != nil {
 		for _, c := range s.data.since(before+1, []byte{0}, []byte{0}) {
-			s.onWrite(Entry{string(c.KV.Key), c.KV.Value, int64(c.KV.ModRevision)}, now)
+			if c.Type == "" {
+				s.onWrite(Entry{string(c.KV.Key), c.KV.Value, int64(c.KV.ModRevision)}, now)
+			}
 		}
 	}
 	s.data.trim(s.settings.HistoryLimit)
