--- a/internal/fleet/distribution/restore_test.go
+++ b/internal/fleet/distribution/restore_test.go
@@ -52,10 +52,10 @@
 		w.current, w.revision = backup, revision
 		w.instances[8].start()
 		for i := range 100 {
-			w.run(tick)
-			joining := w.instances[8].board
 			// At first the joining instance gets only the store's watch.
 			w.loss = lo.Ternary(i < 10, 1.0, 0.0)
+			w.run(tick)
+			joining := w.instances[8].board
 			if joining.Confirmation.Get().Allows(w.clock.Now()) {
 				is.Equal(joining.Configuration.Get().Revision, inForce)
 			}
--- a/internal/fleet/distribution/world_test.go
+++ b/internal/fleet/distribution/world_test.go
@@ -57,7 +57,6 @@
 	mu       sync.Mutex
 	sent     map[string]uint64
 	current  version
-	backup   version
 	revision int64
 	history  []version
 	delayed  []func()
