Drive roll-outs under a fenced lease, with capacity going along

Cause: a stage must move by itself, survive the loss or pause of the instance that drives it, and never give a version more traffic than warm servers bear. Change: Driver claims a roll-out by its fencing number and changes it by compare-and-swap on the state it decided on. The loader orders one load at a time in each data centre, heeds the weight store's limit, repeats orders until the reports agree and unloads withdrawn versions once drained. Guard keeps new sessions off a bad version while the store is out. The tests fail when the fence check, the state check, the capacity condition or the limit of one load is disabled.

--- a/internal/release/rollout/decide.go
+++ b/internal/release/rollout/decide.go
@@ -17,6 +17,7 @@
 	VerdictAdvance  Verdict = "Advance"  // widen to the next stage, or complete
 	VerdictHalt     Verdict = "Halt"     // no new sessions on the new version
 	VerdictWithdraw Verdict = "Withdraw" // no new work on the new version
+	VerdictPrepare  Verdict = "Prepare"  // back to no share until servers are warm
 )
 
 const (
--- /dev/null
+++ b/internal/release/rollout/driver.go
@@ -0,0 +1,246 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+const (
+	// DriverInterval is the time between two passes of the driver.
+	DriverInterval = time.Second
+	// changeTimeout bounds one change of the configuration.
+	changeTimeout = 5 * time.Second
+)
+
+// events counts what drivers did and why they didn't.
+var events = expvar.NewMap("RolloutEvents")
+
+// Driver carries roll-outs out while its instance holds the lease. All that it
+// must not forget is in the document, so any instance can take over at any
+// point; each change names its fencing number and the state it was decided on,
+// and loses if either has moved on.
+type Driver struct {
+	board    *board.Board
+	evidence *Evidence
+	lease    Lease
+	editor   Editor
+	loader   *loader
+	clock    clockwork.Clock
+	log      *zap.Logger
+	// committed is the revision of the driver's latest change; nothing is
+	// decided on an older document.
+	committed int64
+}
+
+// DriverOption changes a Driver.
+type DriverOption func(*Driver)
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) DriverOption { return func(d *Driver) { d.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l *zap.Logger) DriverOption { return func(d *Driver) { d.log = l } }
+
+// NewDriver returns a driver that does nothing until Run.
+func NewDriver(b *board.Board, evidence *Evidence, lease Lease, editor Editor, orders Orders, weights Weights, options ...DriverOption) *Driver {
+	d := &Driver{
+		board: b, evidence: evidence, lease: lease, editor: editor,
+		loader: newLoader(orders, weights),
+		clock:  clockwork.NewRealClock(), log: zap.NewNop(),
+	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+// Run drives roll-outs whenever this instance holds the lease, until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		tenure, err := d.lease.Acquire(ctx)
+		if err != nil {
+			events.Add("LeaseUnavailable", 1)
+			d.wait(ctx)
+			continue
+		}
+		events.Add("LeaseAcquired", 1)
+		d.log.Info("rollout driver in office", zap.Int64("Fence", tenure.Fence))
+		d.serve(tenure)
+		tenure.Release()
+	}
+	return ctx.Err()
+}
+
+func (d *Driver) serve(tenure *Tenure) {
+	for tenure.Held.Err() == nil {
+		err := d.Step(tenure.Held, tenure.Fence)
+		var fenced *FencedError
+		if errors.As(err, &fenced) {
+			events.Add("Fenced", 1)
+			d.log.Warn("rollout driver out of office", zap.Error(err))
+			return
+		}
+		if err != nil {
+			d.log.Warn("rollout step failed", zap.Error(err))
+		}
+		d.wait(tenure.Held)
+	}
+}
+
+func (d *Driver) wait(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-d.clock.After(DriverInterval):
+	}
+}
+
+// Step makes one pass: it decides on each roll-out under way and brings the
+// engines closer to what the document asks for. It returns a *FencedError once
+// another driver has taken over.
+func (d *Driver) Step(ctx context.Context, fence int64) error {
+	doc := d.board.Configuration.Get()
+	if doc == nil || doc.Revision < d.committed {
+		return nil
+	}
+	var errs []error
+	for _, m := range doc.Models {
+		r := doc.RolloutOf(m.Name)
+		if r == nil || !isUnderWay(r.State) {
+			continue
+		}
+		if err := d.drive(ctx, fence, doc, r); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	if err := errors.Join(errs...); isFenced(err) {
+		return err
+	}
+	errs = append(errs, d.loader.reconcile(ctx, fence, doc, d.board.Servers.Get(), d.clock.Now()))
+	return errors.Join(errs...)
+}
+
+func isFenced(err error) bool {
+	var fenced *FencedError
+	return errors.As(err, &fenced)
+}
+
+// drive claims the roll-out for this tenure, or decides on it.
+func (d *Driver) drive(ctx context.Context, fence int64, doc *configuration.Document, r *configuration.Rollout) error {
+	if r.Fence > fence {
+		return &FencedError{Fence: fence, Newest: r.Fence}
+	}
+	if r.Fence < fence {
+		return d.claim(ctx, fence, r)
+	}
+	decision := d.decide(doc, r)
+	if decision.Verdict == VerdictHold {
+		return nil
+	}
+	id := fmt.Sprintf("rollout/%s/%d/%d/%s", r.ID, fence, len(r.History), decision.Verdict)
+	summary := fmt.Sprintf("roll-out %s: %s: %s", r.ID, decision.Verdict, decision.Reason)
+	return d.change(ctx, id, summary, func(newest *configuration.Document) error {
+		if err := check(newest, fence, r); err != nil {
+			return err
+		}
+		return Apply(newest, r.ID, decision, d.clock.Now())
+	})
+}
+
+// claim writes the fencing number of this tenure, after which a late write of a
+// former driver loses.
+func (d *Driver) claim(ctx context.Context, fence int64, r *configuration.Rollout) error {
+	id := fmt.Sprintf("rollout/%s/%d/claim", r.ID, fence)
+	return d.change(ctx, id, fmt.Sprintf("roll-out %s: driver %d takes over", r.ID, fence), func(newest *configuration.Document) error {
+		found := byID(newest, r.ID)
+		if found == nil {
+			return &StaleError{Rollout: r.ID, Decided: "claim", Found: "no roll-out"}
+		}
+		if found.Fence > fence {
+			return &FencedError{Fence: fence, Newest: found.Fence}
+		}
+		found.Fence = fence
+		return nil
+	})
+}
+
+// check refuses a decision if the roll-out is no longer as it was decided on.
+func check(newest *configuration.Document, fence int64, r *configuration.Rollout) error {
+	found := byID(newest, r.ID)
+	switch {
+	case found == nil:
+		return &StaleError{Rollout: r.ID, Decided: describe(r), Found: "no roll-out"}
+	case found.Fence != fence:
+		return &FencedError{Fence: fence, Newest: found.Fence}
+	case found.State != r.State || found.Stage != r.Stage || !found.StageAt.Equal(r.StageAt):
+		return &StaleError{Rollout: r.ID, Decided: describe(r), Found: describe(found)}
+	}
+	return nil
+}
+
+func describe(r *configuration.Rollout) string {
+	return fmt.Sprintf("%s stage %d since %s", r.State, r.Stage, r.StageAt.Format(time.RFC3339Nano))
+}
+
+func (d *Driver) change(ctx context.Context, id, summary string, edit func(*configuration.Document) error) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	revision, err := d.editor.Change(ctx, id, summary, edit)
+	var stale *StaleError
+	switch {
+	case errors.As(err, &stale):
+		events.Add("Stale", 1)
+		return err
+	case err != nil:
+		events.Add("ChangeFailed", 1)
+		return fmt.Errorf("change %s: %w", id, err)
+	}
+	d.committed = revision
+	events.Add("Changed", 1)
+	d.log.Info("rollout changed", zap.String("Change", id), zap.String("Summary", summary), zap.Int64("Revision", revision))
+	return nil
+}
+
+// decide weighs evidence and capacity.
+func (d *Driver) decide(doc *configuration.Document, r *configuration.Rollout) Decision {
+	now := d.clock.Now()
+	pace := 0.0
+	if p := doc.PresetInForce(); p != nil {
+		pace = p.RolloutPace
+	}
+	decision := Decide(Case{
+		Rollout: r,
+		Old:     d.evidence.Summaries(r.Model, r.From),
+		New:     d.evidence.Summaries(r.Model, r.To),
+		Pace:    pace,
+		Now:     now,
+	})
+	return withCapacity(decision, r, capacityOf(d.board.Servers.Get(), doc, r, now), pace)
+}
+
+// withCapacity lets a stage begin or widen only if warm servers bear it, and
+// takes it back if its servers are gone.
+func withCapacity(d Decision, r *configuration.Rollout, c Capacity, pace float64) Decision {
+	switch {
+	case d.Verdict == VerdictHalt || d.Verdict == VerdictWithdraw || r.State == configuration.RolloutHalted:
+		return d
+	case r.State == configuration.RolloutPreparing:
+		if pace > 0 && c.bears(r.Stages[r.Stage]) {
+			return Decision{VerdictAdvance, c.String()}
+		}
+		return Decision{VerdictHold, "waiting for warm servers: " + c.String()}
+	case c.isLost(r.Share()):
+		return Decision{VerdictPrepare, "servers of the new version are gone: " + c.String()}
+	case d.Verdict == VerdictAdvance && r.Stage+1 < len(r.Stages) && !c.bears(r.Stages[r.Stage+1]):
+		return Decision{VerdictHold, "waiting for warm servers: " + c.String()}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/release/rollout/driver_test.go
@@ -0,0 +1,190 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+// fakePlatform is the store, the engines and the weight store of one test.
+type fakePlatform struct {
+	board   board.Board
+	clock   *clockwork.FakeClock
+	orders  []Order
+	limited bool
+	// before runs ahead of each change, as another writer might.
+	before func()
+}
+
+func (p *fakePlatform) Change(_ context.Context, id, _ string, edit func(*configuration.Document) error) (int64, error) {
+	if p.before != nil {
+		before := p.before
+		p.before = nil
+		before()
+	}
+	doc := p.board.Configuration.Get().Clone()
+	if err := edit(doc); err != nil {
+		return 0, err
+	}
+	doc.Revision++
+	doc.Changes = append(doc.Changes, configuration.Change{ID: id})
+	p.board.Configuration.Publish(doc)
+	return doc.Revision, nil
+}
+
+func (p *fakePlatform) Send(_ context.Context, o Order) error {
+	p.orders = append(p.orders, o)
+	return nil
+}
+
+func (p *fakePlatform) Permit(context.Context, string, string) error {
+	if p.limited {
+		return &RateLimitError{RetryAfter: time.Minute}
+	}
+	return nil
+}
+
+// publish shows six servers in two data centres, the first loaded of which run
+// the new version, and the first warm of those warm.
+func (p *fakePlatform) publish(loaded, warm int) {
+	var list []board.Server
+	for i := range 6 {
+		s := board.Server{Name: fmt.Sprintf("s%d", i), Service: "llm", DataCentre: fmt.Sprintf("dc%d", i%2), State: board.ServerLive}
+		s.Report = board.Report{ReceivedAt: p.clock.Now(), Concurrency: 8, Loaded: []board.Loaded{{Model: "m", Version: "v1"}}}
+		if i < loaded {
+			s.Report.Loaded = append(s.Report.Loaded, board.Loaded{Model: "m", Version: "v2"})
+			s.Report.Cold = i >= warm
+		}
+		list = append(list, s)
+	}
+	p.board.Servers.Publish(&board.Servers{List: list})
+}
+
+func (p *fakePlatform) rollout() *configuration.Rollout {
+	return p.board.Configuration.Get().RolloutOf("m")
+}
+
+func newFake(t *testing.T) (*fakePlatform, *Driver, *Evidence) {
+	p := &fakePlatform{clock: clockwork.NewFakeClockAt(start)}
+	doc := fixture()
+	doc.DataCentres = []configuration.DataCentre{{Name: "dc0"}, {Name: "dc1"}}
+	if err := Start(doc, Plan{ID: "r1", Model: "m", To: "v2", Stages: []float64{0.1, 1}}, start); err != nil {
+		t.Fatal(err)
+	}
+	p.board.Configuration.Publish(doc)
+	evidence := NewEvidence("a", 1, p.board.Configuration.Get)
+	return p, NewDriver(&p.board, evidence, nil, p, p, p, WithClock(p.clock)), evidence
+}
+
+func TestDriverWidensOnlyOntoWarmServers(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	p, d, evidence := newFake(t)
+	step := func(loaded, warm int) *configuration.Rollout {
+		p.clock.Advance(time.Second)
+		p.publish(loaded, warm)
+		is.NoErr(d.Step(ctx, 1))
+		return p.rollout()
+	}
+	step(0, 0) // claims
+	is.Equal(p.rollout().Fence, int64(1))
+	is.Equal(len(p.orders), 1) // one server bears the first stage
+	is.Equal(step(1, 0).State, configuration.RolloutPreparing)
+	is.Equal(step(1, 1).State, configuration.RolloutRunning)
+
+	for range MinRated {
+		evidence.Record(Observation{Model: "m", Version: "v2", Rated: true, Pass: true})
+	}
+	p.clock.Advance(StageTime)
+	p.orders = nil
+	is.Equal(step(1, 1).Stage, 0) // the next stage wants all six
+	is.Equal(len(p.orders), 2)    // one load a data centre at a time
+	is.Equal(step(6, 3).Stage, 0)
+	is.Equal(step(6, 6).Stage, 1)
+	is.Equal(step(2, 2).State, configuration.RolloutPreparing) // the pool ran out
+	is.Equal(step(6, 6).State, configuration.RolloutRunning)
+}
+
+func TestDriverRepeatsOrdersUntilTheReportAgrees(t *testing.T) {
+	is := is.New(t)
+	p, d, _ := newFake(t)
+	pass := func(after time.Duration, loaded int) int {
+		p.orders = nil
+		p.clock.Advance(after)
+		p.publish(loaded, loaded)
+		_ = d.Step(context.Background(), 1)
+		return len(p.orders)
+	}
+	p.limited = true
+	is.Equal(pass(time.Second, 0), 0)
+	p.limited = false
+	is.Equal(pass(time.Second, 0), 0) // waits for the weight store
+	is.Equal(pass(time.Minute, 0), 1)
+	is.Equal(pass(time.Second, 0), 0)
+	is.Equal(pass(orderRepeat, 0), 1)
+	is.Equal(pass(loadTimeout, 0), 1)
+	is.Equal(p.orders[0].Server, "s1") // another server than the one that timed out
+	is.Equal(pass(time.Second, 2), 0)
+
+	doc := p.board.Configuration.Get().Clone()
+	is.NoErr(Withdraw(doc, "r1", "test", p.clock.Now()))
+	p.board.Configuration.Publish(doc)
+	is.Equal(pass(time.Second, 2), 0) // running work drains
+	is.Equal(pass(drainTime, 2), 2)
+	is.Equal(p.orders[0].Kind, OrderUnload)
+	is.Equal(pass(time.Second, 0), 0)
+	is.Equal(pass(time.Second, 1), 1) // a late load of a former driver
+}
+
+func TestPausedDriverLoses(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	p, d, _ := newFake(t)
+	p.publish(1, 1)
+	is.NoErr(d.Step(ctx, 1))
+	other := NewDriver(&p.board, d.evidence, nil, p, p, p, WithClock(p.clock))
+	p.before = func() { is.NoErr(other.Step(ctx, 2)) } // claims while the first is paused
+	err := d.Step(ctx, 1)
+	var fenced *FencedError
+	is.True(errors.As(err, &fenced))
+	is.Equal(fenced.Newest, int64(2))
+	is.Equal(p.rollout().State, configuration.RolloutPreparing)
+
+	p.before = func() { // an operator's halt comes between decision and write
+		doc := p.board.Configuration.Get().Clone()
+		is.NoErr(Halt(doc, "r1", "operator", p.clock.Now()))
+		p.board.Configuration.Publish(doc)
+	}
+	var stale *StaleError
+	is.True(errors.As(other.Step(ctx, 2), &stale))
+	is.Equal(p.rollout().State, configuration.RolloutHalted)
+}
+
+func TestGuardClosesWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	var b board.Board
+	b.Configuration.Publish(running(0, 0.5, 1))
+	evidence := NewEvidence("a", 1, b.Configuration.Get)
+	g := NewGuard(&b, evidence, clockwork.NewFakeClockAt(start))
+	g.Check()
+	is.Equal(g.Unit("m", 0.1), 0.1)
+	for range 50 {
+		evidence.Record(Observation{Model: "m", Version: "v1", Rated: true, Pass: true})
+		evidence.Record(Observation{Model: "m", Version: "v2", Rated: true})
+	}
+	g.Check()
+	is.Equal(g.Unit("m", 0.1), 1.0)
+	resumed := b.Configuration.Get().Clone()
+	is.NoErr(Halt(resumed, "r1", "operator", start.Add(time.Minute)))
+	is.NoErr(Resume(resumed, "r1", start.Add(time.Minute)))
+	b.Configuration.Publish(resumed)
+	is.Equal(g.Unit("m", 0.1), 0.1) // a new trial starts open
+}
--- a/internal/release/rollout/edit.go
+++ b/internal/release/rollout/edit.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		return err
 	}
+	if r.State == configuration.RolloutHalted {
+		return nil
+	}
 	r.State, r.Reason = configuration.RolloutHalted, reason
 	record(r, now)
 	return nil
@@ -106,8 +109,17 @@
 	if r.State != configuration.RolloutHalted {
 		return &configuration.FieldError{Field: "State", Value: string(r.State), Allowed: "Halted"}
 	}
-	r.State, r.Reason = configuration.RolloutPreparing, ""
-	record(r, now)
+	return prepare(doc, id, "resumed", now)
+}
+
+// prepare takes the share back until warm servers bear the stage.
+func prepare(doc *configuration.Document, id, reason string, now time.Time) error {
+	r, err := underWay(doc, id)
+	if err != nil {
+		return err
+	}
+	r.State, r.Reason = configuration.RolloutPreparing, reason
+	r.StageAt = record(r, now)
 	return nil
 }
 
@@ -161,6 +173,8 @@
 		return Withdraw(doc, id, d.Reason, now)
 	case VerdictAdvance:
 		return advance(doc, id, d.Reason, now)
+	case VerdictPrepare:
+		return prepare(doc, id, d.Reason, now)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/release/rollout/loader.go
@@ -0,0 +1,243 @@
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+const (
+	// orderRepeat is the time after which an order is repeated that the
+	// server's report does not show yet.
+	orderRepeat = 30 * time.Second
+	// loadTimeout is the time after which a load no longer occupies its data
+	// centre.
+	loadTimeout = 5 * time.Minute
+	// drainTime is how long a withdrawn version stays loaded for the work that
+	// runs on it.
+	drainTime = 10 * time.Minute
+	// weightsPause is how long loads wait after the weight store failed.
+	weightsPause = 5 * time.Second
+	// orderTimeout bounds the sending of one order.
+	orderTimeout = 2 * time.Second
+)
+
+// loader brings the versions that servers run closer to what the document asks
+// for. It compares the servers' reports with the document at each pass, so an
+// order that got lost, or a late one of a former driver to an engine that does
+// not check fencing numbers, is made good at a later pass.
+type loader struct {
+	orders  Orders
+	weights Weights
+	// sent holds the time of the latest order for a server and version.
+	sent map[sentKey]time.Time
+	// begun holds the time of the first load order, kept until it shows.
+	begun map[sentKey]time.Time
+	// timeouts counts the loads that did not show in time; such servers are
+	// asked last.
+	timeouts map[string]int
+	// pausedUntil is set while the weight store refuses to serve.
+	pausedUntil time.Time
+}
+
+type sentKey struct {
+	server string
+	kind   OrderKind
+	loaded board.Loaded
+}
+
+func newLoader(orders Orders, weights Weights) *loader {
+	return &loader{
+		orders: orders, weights: weights,
+		sent:     map[sentKey]time.Time{},
+		begun:    map[sentKey]time.Time{},
+		timeouts: map[string]int{},
+	}
+}
+
+// reconcile sends the orders that are due.
+func (l *loader) reconcile(ctx context.Context, fence int64, doc *configuration.Document, servers *board.Servers, now time.Time) error {
+	if servers == nil {
+		return nil
+	}
+	l.forget(servers, now)
+	due := append(l.unloads(doc, servers, now), l.loads(doc, servers, now)...)
+	var errs []error
+	for _, o := range due {
+		o.Fence = fence
+		err := l.send(ctx, o, now)
+		if isFenced(err) {
+			return err
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// forget drops what is known of orders that the reports show to be carried out
+// and of servers that are gone.
+func (l *loader) forget(servers *board.Servers, now time.Time) {
+	shown := func(k sentKey) bool {
+		i := slices.IndexFunc(servers.List, func(s board.Server) bool { return s.Name == k.server })
+		return i < 0 || servers.List[i].Runs(k.loaded.Model, k.loaded.Version) == (k.kind == OrderLoad)
+	}
+	for k, at := range l.begun {
+		late := now.Sub(at) >= loadTimeout
+		if late && k.kind == OrderLoad {
+			events.Add("LoadTimeout", 1)
+			l.timeouts[k.server]++
+		}
+		if late || shown(k) {
+			delete(l.sent, k)
+			delete(l.begun, k)
+		}
+	}
+}
+
+func (l *loader) send(ctx context.Context, o Order, now time.Time) error {
+	if o.Kind == OrderLoad {
+		if now.Before(l.pausedUntil) {
+			return nil
+		}
+		if err := l.permit(ctx, o, now); err != nil {
+			return err
+		}
+	}
+	key := sentKey{o.Server, o.Kind, board.Loaded{Model: o.Model, Version: o.Version}}
+	l.sent[key] = now
+	if _, ok := l.begun[key]; !ok {
+		l.begun[key] = now
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := l.orders.Send(ctx, o); err != nil {
+		events.Add("OrderFailed", 1)
+		return fmt.Errorf("order %s %s@%s to %s: %w", o.Kind, o.Model, o.Version, o.Server, err)
+	}
+	events.Add("Order"+string(o.Kind), 1)
+	return nil
+}
+
+func (l *loader) permit(ctx context.Context, o Order, now time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := l.weights.Permit(ctx, o.Model, o.Version)
+	var limited *RateLimitError
+	if errors.As(err, &limited) {
+		events.Add("WeightsLimited", 1)
+		l.pausedUntil = now.Add(limited.RetryAfter)
+	} else if err != nil {
+		l.pausedUntil = now.Add(weightsPause)
+	}
+	if err != nil {
+		return fmt.Errorf("weights of %s@%s: %w", o.Model, o.Version, err)
+	}
+	return nil
+}
+
+// isDue reports whether an order was never sent, or long enough ago.
+func (l *loader) isDue(server string, kind OrderKind, model, version string, now time.Time) bool {
+	at, ok := l.sent[sentKey{server, kind, board.Loaded{Model: model, Version: version}}]
+	return !ok || now.Sub(at) >= orderRepeat
+}
+
+// unloads lists the orders for withdrawn versions that have drained.
+func (l *loader) unloads(doc *configuration.Document, servers *board.Servers, now time.Time) []Order {
+	var due []Order
+	for i := range servers.List {
+		s := &servers.List[i]
+		for _, loaded := range s.Report.Loaded {
+			m := doc.Model(loaded.Model)
+			if m == nil {
+				continue
+			}
+			v := m.Version(loaded.Version)
+			if v == nil || v.State != configuration.VersionWithdrawn || now.Sub(v.WithdrawnAt) < drainTime {
+				continue
+			}
+			if l.isDue(s.Name, OrderUnload, m.Name, v.Name, now) {
+				due = append(due, Order{Server: s.Name, Address: s.Address, Kind: OrderUnload, Model: m.Name, Version: v.Name})
+			}
+		}
+	}
+	return due
+}
+
+// loads lists the orders that give the next stage its servers, at most one at a
+// time in each data centre.
+func (l *loader) loads(doc *configuration.Document, servers *board.Servers, now time.Time) []Order {
+	var due []Order
+	for _, m := range doc.Models {
+		r := doc.RolloutOf(m.Name)
+		if r == nil || target(r) == 0 {
+			continue
+		}
+		due = append(due, l.loadsFor(doc, servers, r, now)...)
+	}
+	return due
+}
+
+// target returns the share that the servers should be made ready for.
+func target(r *configuration.Rollout) float64 {
+	switch r.State {
+	case configuration.RolloutPreparing:
+		return r.Stages[r.Stage]
+	case configuration.RolloutRunning:
+		return r.Stages[min(r.Stage+1, len(r.Stages)-1)]
+	case configuration.RolloutComplete:
+		return 1
+	}
+	return 0
+}
+
+func (l *loader) loadsFor(doc *configuration.Document, servers *board.Servers, r *configuration.Rollout, now time.Time) []Order {
+	var due []Order
+	c := capacityOf(servers, doc, r, now)
+	missing := c.wanted(target(r)) - c.Loaded
+	held := map[string]int{} // servers of the new version by data centre
+	busy := map[string]bool{}
+	var candidates []*board.Server
+	for _, s := range poolOf(servers, doc, r.Model) {
+		key := sentKey{s.Name, OrderLoad, board.Loaded{Model: r.Model, Version: r.To}}
+		_, loading := l.begun[key]
+		switch {
+		case s.Runs(r.Model, r.To):
+			held[s.DataCentre]++
+			busy[s.DataCentre] = busy[s.DataCentre] || s.Report.Cold
+		case loading:
+			missing--
+			held[s.DataCentre]++
+			busy[s.DataCentre] = true
+			if l.isDue(s.Name, OrderLoad, r.Model, r.To, now) {
+				due = append(due, loadOrder(s, r))
+			}
+		case s.Runs(r.Model, r.From):
+			candidates = append(candidates, s)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *board.Server) int {
+		return cmp.Or(cmp.Compare(l.timeouts[a.Name], l.timeouts[b.Name]), cmp.Compare(held[a.DataCentre], held[b.DataCentre]), cmp.Compare(a.Name, b.Name))
+	})
+	for _, s := range candidates {
+		if missing <= 0 {
+			break
+		}
+		if busy[s.DataCentre] {
+			continue
+		}
+		busy[s.DataCentre] = true
+		missing--
+		due = append(due, loadOrder(s, r))
+	}
+	return due
+}
+
+func loadOrder(s *board.Server, r *configuration.Rollout) Order {
+	return Order{Server: s.Name, Address: s.Address, Kind: OrderLoad, Model: r.Model, Version: r.To}
+}
