Test the platform's clients, the peer protocol and the roster; fill the store's budget at the start

The token buckets of the store's budget were built empty, so that the first statistics of an instance waited for tokens: they now start full.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -66,6 +66,11 @@
 // WithRand sets the random source of the ages.
 func WithRand(rng *rand.Rand) ClientOption { return func(c *Client) { c.rng = rng } }
 
+// WithDial sets how connections are made.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
+	return func(c *Client) { c.dial = dial }
+}
+
 // WithRoundTripper wraps the transport of each address, to count or disturb.
 func WithRoundTripper(wrap func(http.RoundTripper) http.RoundTripper) ClientOption {
 	return func(c *Client) { c.base = wrap }
--- /dev/null
+++ b/internal/fleet/peer/peer_test.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+type heart struct{ revision int64 }
+
+func (h heart) Heartbeat(_ context.Context, req *HeartbeatRequest) (*HeartbeatResponse, error) {
+	if req.Revision < 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("negative"))
+	}
+	return &HeartbeatResponse{Revision: h.revision + req.Revision}, nil
+}
+
+// listen serves on loopback and counts the connections.
+func listen(t *testing.T, handler http.Handler) (address string, conns *counter) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns = &counter{Listener: l}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(conns) }()
+	t.Cleanup(func() { server.Close() })
+	return l.Addr().String(), conns
+}
+
+type counter struct {
+	net.Listener
+	accepted int
+}
+
+func (c *counter) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	c.accepted++
+	return conn, err
+}
+
+func TestCalls(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	address, _ := listen(t, NewServer(WithKey("k"), WithHeartbeater(heart{40})).Handler())
+	c := NewClient(WithSharedKey("k"), WithTimeout(10*time.Second))
+	defer c.Close()
+	resp, err := c.Heartbeat(ctx, address, &HeartbeatRequest{Revision: 2})
+	is.NoErr(err)
+	is.Equal(resp.Revision, int64(42))
+
+	var call *CallError
+	_, err = c.Heartbeat(ctx, address, &HeartbeatRequest{Revision: -1})
+	is.True(errors.As(err, &call) && call.Answered())
+	_, err = c.Pin(ctx, address, &PinRequest{})
+	is.Equal(connect.CodeOf(err), connect.CodeUnimplemented)
+	_, err = NewClient(WithSharedKey("wrong")).Heartbeat(ctx, address, &HeartbeatRequest{})
+	is.Equal(connect.CodeOf(err), connect.CodeUnauthenticated)
+	_, err = c.Heartbeat(ctx, "127.0.0.1:1", &HeartbeatRequest{})
+	is.True(errors.As(err, &call) && call.NotSent() && !call.Answered())
+}
+
+// TestSilentConnection lets the first call hang: the next one uses a new
+// connection.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	inner := NewServer(WithHeartbeater(heart{})).Handler()
+	hang := make(chan struct{})
+	first := true
+	address, conns := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if first {
+			first = false
+			<-hang
+			return
+		}
+		inner.ServeHTTP(w, r)
+	}))
+	defer close(hang)
+	c := NewClient(WithTimeout(10 * time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Heartbeat(ctx, address, &HeartbeatRequest{})
+	is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded)
+	is.Equal(len(c.links), 0)
+	_, err = c.Heartbeat(context.Background(), address, &HeartbeatRequest{})
+	is.NoErr(err)
+	is.Equal(conns.accepted, 2)
+}
+
+// TestConnectionsAge dials anew after the greatest age of a connection.
+func TestConnectionsAge(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	address, conns := listen(t, NewServer(WithHeartbeater(heart{})).Handler())
+	c := NewClient(WithClock(clock), WithMaxAge(time.Minute), WithTimeout(10*time.Second))
+	for _, step := range []time.Duration{0, time.Second, time.Minute} {
+		clock.Advance(step)
+		_, err := c.Heartbeat(context.Background(), address, &HeartbeatRequest{})
+		is.NoErr(err)
+	}
+	is.Equal(conns.accepted, 2)
+}
--- /dev/null
+++ b/internal/platform/order/client_test.go
@@ -0,0 +1,74 @@
+package order_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/kingcupyard/kingcupyard/internal/platform/order"
+	"github.com/kingcupyard/kingcupyard/internal/platform/request"
+	"github.com/kingcupyard/kingcupyard/internal/platform/weights"
+)
+
+// serve answers with the status that the path's last digits name.
+func serve(t *testing.T, handler fasthttp.RequestHandler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return l.Addr().String()
+}
+
+func TestOrders(t *testing.T) {
+	is := is.New(t)
+	status := 200
+	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+		if status == 0 {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(net.Conn) {})
+			return
+		}
+		ctx.SetStatusCode(status)
+	})
+	c := order.New(request.New())
+	give := func(s int) error {
+		status = s
+		return c.Give(context.Background(), address, order.Order{Kind: order.Load, Model: "m", Version: "v", Fence: 3})
+	}
+	is.NoErr(give(200))
+	var fenced *order.FencedError
+	is.True(errors.As(give(409), &fenced) && fenced.Fence == 3)
+	var unsettled *order.UnsettledError
+	is.True(errors.As(give(0), &unsettled))
+	err := c.Give(context.Background(), "127.0.0.1:1", order.Order{})
+	is.True(err != nil && !errors.As(err, &unsettled))
+}
+
+func TestWeights(t *testing.T) {
+	is := is.New(t)
+	status := 200
+	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("Retry-After", "7")
+		ctx.SetStatusCode(status)
+		ctx.SetBodyString(string(ctx.Path()))
+	})
+	c := weights.New(address, request.New())
+	body, err := c.Fetch(context.Background(), "m", "v1")
+	is.NoErr(err)
+	is.Equal(string(body), "/weights/m/v1")
+	status = 429
+	_, err = c.Fetch(context.Background(), "m", "v1")
+	var limited *weights.RateError
+	is.True(errors.As(err, &limited) && limited.RetryAfter.Seconds() == 7)
+	status = 404
+	_, err = c.Fetch(context.Background(), "m", "v1")
+	var missing *weights.MissingError
+	is.True(errors.As(err, &missing))
+}
--- a/internal/platform/request/network.go
+++ b/internal/platform/request/network.go
@@ -9,8 +9,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-type netConn = net.Conn
-
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/internal/platform/request/request.go
+++ b/internal/platform/request/request.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -60,6 +61,11 @@
 // WithTimeout bounds requests whose context has no earlier deadline.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
+// WithDial sets how connections are made.
+func WithDial(dial func(address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.http.Dial = dial }
+}
+
 // New returns a client.
 func New(opts ...Option) *Client {
 	c := &Client{
@@ -71,7 +77,7 @@
 			MaxIdleConnDuration:       idleTimeout,
 			MaxResponseBodySize:       maxBodyBytes,
 			NoDefaultUserAgentHeader:  true,
-			Dial: func(address string) (conn netConn, err error) {
+			Dial: func(address string) (net.Conn, error) {
 				return fasthttp.DialTimeout(address, dialTimeout)
 			},
 		},
--- a/internal/platform/roster/controller.go
+++ b/internal/platform/roster/controller.go
@@ -24,11 +24,10 @@
 	clock       clockwork.Clock
 	log         *zap.Logger
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	judge    listJudge
-	sequence uint64
-	servers  map[string]*board.Server
+	mu      sync.Mutex
+	rng     *rand.Rand
+	judge   listJudge
+	servers map[string]*board.Server
 	// fresh names the servers whose report this instance polled and has not
 	// yet sent to others.
 	fresh map[string]struct{}
@@ -122,16 +121,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if resp.Sequence < c.sequence {
-		counts.Add("ListOutOfOrder", 1)
-		return
-	}
-	if !c.judge.accept(len(resp.Instances), now) {
+	if !c.judge.accept(resp.Sequence, len(resp.Instances), now) {
 		counts.Add("ListImplausible", 1)
-		c.log.Warn("instance list not taken", zap.Int("Entries", len(resp.Instances)))
+		c.log.Warn("instance list not taken", zap.Int("Entries", len(resp.Instances)), zap.Uint64("Sequence", resp.Sequence))
 		return
 	}
-	c.sequence = resp.Sequence
 	listing := &board.Listing{Sequence: resp.Sequence, At: now}
 	seen := map[string]struct{}{}
 	for _, l := range resp.Instances {
--- a/internal/platform/roster/judge.go
+++ b/internal/platform/roster/judge.go
@@ -51,26 +51,23 @@
 }
 
 // listJudge decides whether an instance list is plausible. One that loses most
-// of its entries at once is kept back until it has stayed so for a while.
+// of its entries at once, or is older than the last, is kept back until the
+// platform has stayed with it for a while. An empty one is never taken.
 type listJudge struct {
-	size  int
-	since time.Time
+	size     int
+	sequence uint64
+	since    time.Time
 }
 
 // accept reports whether a list of n entries may replace the last one.
-func (j *listJudge) accept(n int, now time.Time) bool {
-	if n > 0 && float64(n) >= minKeptShare*float64(j.size) {
-		j.size = n
-		j.since = time.Time{}
-		return true
-	}
-	if j.since.IsZero() {
+func (j *listJudge) accept(sequence uint64, n int, now time.Time) bool {
+	isPlausible := float64(n) >= minKeptShare*float64(j.size) && sequence >= j.sequence
+	if !isPlausible && j.since.IsZero() {
 		j.since = now
 	}
-	if n == 0 || now.Sub(j.since) < implausibleFor {
+	if n == 0 || !isPlausible && now.Sub(j.since) < implausibleFor {
 		return false
 	}
-	j.size = n
-	j.since = time.Time{}
+	*j = listJudge{size: n, sequence: sequence}
 	return true
 }
--- /dev/null
+++ b/internal/platform/roster/roster_test.go
@@ -0,0 +1,164 @@
+package roster
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+)
+
+// report reads a report written as Generation/Sequence/Running/aheadSeconds.
+func report(t *testing.T, text string, now time.Time) board.Report {
+	var r board.Report
+	var ahead int
+	if text == "none" {
+		return r
+	}
+	if _, err := fmt.Sscanf(text, "%d/%d/%d/%d", &r.Generation, &r.Sequence, &r.Running, &ahead); err != nil {
+		t.Fatal(text, err)
+	}
+	r.At, r.ReceivedAt = now.Add(time.Duration(ahead)*time.Second), now
+	return r
+}
+
+// TestJudge reads testdata/reports.txt: last report, next report, verdict.
+func TestJudge(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	f, err := os.Open("testdata/reports.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		w := strings.Fields(lines.Text())
+		if len(w) < 3 || w[0] == "#" {
+			continue
+		}
+		got := judge(report(t, w[0], now), report(t, w[1], now), now)
+		if got != dropReason(strings.TrimSuffix(w[2], "Taken")) {
+			t.Errorf("%s: got %q", lines.Text(), got)
+		}
+	}
+}
+
+// TestListJudge feeds list sizes, one a second, and marks those taken.
+func TestListJudge(t *testing.T) {
+	is := is.New(t)
+	var j listJudge
+	now := time.Unix(1e9, 0)
+	taken := ""
+	for _, n := range []int{20, 0, 0, 19, 5, 21, 11, 4} {
+		now = now.Add(time.Second)
+		taken += map[bool]string{true: "y", false: "n"}[j.accept(1, n, now)]
+	}
+	is.Equal(taken, "ynnynyyn")
+	is.True(j.accept(1, 4, now.Add(implausibleFor)))
+	is.True(!j.accept(1, 0, now.Add(time.Hour)))
+	j = listJudge{size: 4, sequence: 9}
+	is.True(!j.accept(3, 4, now))
+	is.True(j.accept(3, 4, now.Add(implausibleFor)))
+}
+
+// web answers GET requests from a table of values by URL.
+type web map[string]any
+
+func (w web) Get(_ context.Context, url string, out any) error {
+	v, ok := w[url]
+	if !ok {
+		return errors.New("unreachable")
+	}
+	text, _ := json.Marshal(v)
+	return json.Unmarshal(text, out)
+}
+
+// wire passes reports between controllers by address.
+type wire map[string]*Controller
+
+func (w wire) Reports(ctx context.Context, address string, req *peer.ReportsRequest) (*peer.ReportsResponse, error) {
+	return w[address].Reports(ctx, req)
+}
+
+// TestSpread lets three instances poll six servers once, and checks that each
+// server is polled once and that everybody has every report.
+func TestSpread(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := clockwork.NewFakeClock()
+	pages, list := web{}, listResponse{Sequence: 1}
+	for i := range 6 {
+		name, address := fmt.Sprint("s", i), fmt.Sprint("10.0.0.", i)
+		list.Instances = append(list.Instances, listed{Name: name, Address: address, Service: "llm", DataCentre: fmt.Sprint("dc", i%3), State: "Live"})
+		pages["http://"+address+"/load"] = loadResponse{Server: name, Sequence: 1, At: clock.Now(), Running: i}
+	}
+	members := &board.Members{}
+	for i := range 3 {
+		m := board.Member{Name: fmt.Sprint("i", i), PeerAddress: fmt.Sprint("i", i), DataCentre: fmt.Sprint("dc", i)}
+		members.List = append(members.List, m)
+		list.Instances = append(list.Instances, listed{Name: m.Name, PeerAddress: m.Name, Service: OwnService, DataCentre: m.DataCentre, State: "Live"})
+	}
+	pages["http://list/instances"] = list
+	w := wire{}
+	polls := 0
+	for _, m := range members.List {
+		b := &board.Board{}
+		b.Members.Publish(members)
+		w[m.Name] = New(m.Name, "list", b, pages, WithClock(clock), WithPeers(w), WithRand(rand.New(rand.NewPCG(1, 2))))
+		w[m.Name].readList(ctx)
+		polls += len(w[m.Name].targets())
+		w[m.Name].pollAll(ctx)
+	}
+	is.Equal(polls, 6)
+	for _, c := range w {
+		c.spread(ctx)
+	}
+	for _, c := range w {
+		c.publish()
+		is.Equal(len(c.board.Listing.Get().List), 3)
+		for i, s := range c.board.Servers.Get().List {
+			is.Equal(s.Report.Running, i)
+		}
+		is.Equal(len(c.targets()), 2)
+	}
+	// When reports stay away, the next instance polls as well.
+	clock.Advance(3*takeOver + time.Second)
+	members.List[1].DataCentre = "dc0"
+	w["i1"].board.Members.Publish(members)
+	is.Equal(len(w["i1"].targets()), 6-2)
+}
+
+// TestServerAtNewAddress drops the report of a server that moved.
+func TestServerAtNewAddress(t *testing.T) {
+	is := is.New(t)
+	c := New("i", "list", &board.Board{}, web{}, WithClock(clockwork.NewFakeClock()))
+	entry := listed{Name: "s", Address: "a", Service: "llm", State: "Live"}
+	c.takeList(listResponse{Sequence: 1, Instances: []listed{entry}})
+	is.Equal(c.take("s", board.Report{Sequence: 5, ReceivedAt: time.Unix(1, 0)}), taken)
+	is.Equal(c.take("t", board.Report{}), dropUnknown)
+	entry.Address = "b"
+	c.takeList(listResponse{Sequence: 2, Instances: []listed{entry}})
+	is.Equal(c.servers["s"].Report.Sequence, uint64(0))
+	c.takeList(listResponse{Sequence: 1, Instances: []listed{{Name: "x"}}})
+	is.Equal(len(c.servers), 1)
+}
+
+// TestReceiversAreBounded counts whom one instance sends reports to.
+func TestReceiversAreBounded(t *testing.T) {
+	is := is.New(t)
+	members := &board.Members{}
+	for i := range 360 {
+		members.List = append(members.List, board.Member{Name: fmt.Sprint("i", i), DataCentre: fmt.Sprint("dc", i%16)})
+	}
+	is.Equal(len(receivers("i0", members)), 22+15)
+}
--- a/internal/platform/store/budget.go
+++ b/internal/platform/store/budget.go
@@ -55,15 +55,17 @@
 }
 
 func newBucket(perSecond, burstSeconds float64, clock clockwork.Clock) *bucket {
-	b := &bucket{limiter: rate.NewLimiter(0, 0), clock: clock}
-	b.set(perSecond, burstSeconds)
-	return b
+	return &bucket{limiter: rate.NewLimiter(rate.Limit(perSecond), burst(perSecond, burstSeconds)), clock: clock}
+}
+
+func burst(perSecond, burstSeconds float64) int {
+	return max(minBurst, int(perSecond*burstSeconds))
 }
 
 func (b *bucket) set(perSecond, burstSeconds float64) {
 	now := b.clock.Now()
 	b.limiter.SetLimitAt(now, rate.Limit(perSecond))
-	b.limiter.SetBurstAt(now, max(minBurst, int(perSecond*burstSeconds)))
+	b.limiter.SetBurstAt(now, burst(perSecond, burstSeconds))
 }
 
 // take draws one token, or returns how long until it may be tried again.
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -33,6 +33,7 @@
 	clock     clockwork.Clock
 	rng       *rand.Rand
 	limits    Limits
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	members   func() int
 	sharedBy  atomic.Int64
 	reads     *bucket
@@ -61,6 +62,11 @@
 // function says.
 func WithMembers(members func() int) Option { return func(c *Client) { c.members = members } }
 
+// WithDial sets how connections are made.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // New returns a client of the service at this IP and port.
 func New(address string, opts ...Option) *Client {
 	c := &Client{
@@ -69,6 +75,7 @@
 		clock:   clockwork.NewRealClock(),
 		limits:  DefaultLimits,
 		members: func() int { return 1 },
+		dial:    (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -83,9 +90,8 @@
 	c.writes = newBucket(share.WritesPerSecond, share.BurstSeconds, c.clock)
 	c.hold = &hold{clock: c.clock, rng: c.rng}
 	c.counters = newCounters()
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	c.transport = &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           c.dial,
 		MaxIdleConnsPerHost:   idlePerHost,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: c.timeout,
