Add the ledger: sharded log of bills and claims in the platform's store

Cause: each request is billed once and a non-idempotent one runs at most once, whatever instance, keeper or store fails.

--- /dev/null
+++ b/internal/billing/ledger/audit.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Audit is what the store holds of the ledger.
+type Audit struct {
+	Totals []Total
+	Shards []ShardAudit
+}
+
+// ShardAudit is one shard's part of an Audit.
+type ShardAudit struct {
+	Shard int
+	// Through is the last chunk rolled up, Last the last one written.
+	Through  uint64
+	Last     uint64
+	RolledAt time.Time
+	Chunks   int
+	Bytes    int
+	Bills    int
+	Open     int
+	// OldestOpen is when the oldest open bill was opened.
+	OldestOpen time.Time
+	Settled    int
+	Claims     int
+	Origins    int
+	// Faults are contradictions in what is stored; there should be none.
+	Faults []string
+}
+
+// ReadAudit reads every shard from the store, totals the bills by customer,
+// model, version and service, and checks each shard's log.
+func ReadAudit(ctx context.Context, store Store, w Windows) (Audit, error) {
+	var out Audit
+	totals := map[totalKey]*Total{}
+	for shard := range Shards {
+		l, err := load(ctx, store, shard, w)
+		if err != nil {
+			return Audit{}, fmt.Errorf("audit: %w", err)
+		}
+		a, err := l.audit(ctx, store, shard)
+		if err != nil {
+			return Audit{}, fmt.Errorf("audit: %w", err)
+		}
+		out.Shards = append(out.Shards, a)
+		for k, t := range l.state.totals {
+			if totals[k] == nil {
+				totals[k] = new(Total)
+			}
+			totals[k].merge(*t)
+		}
+	}
+	for _, t := range totals {
+		out.Totals = append(out.Totals, *t)
+	}
+	slices.SortFunc(out.Totals, func(a, b Total) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Model, b.Model),
+			cmp.Compare(a.Version, b.Version), cmp.Compare(a.Service, b.Service))
+	})
+	return out, nil
+}
+
+func (l *loaded) audit(ctx context.Context, store Store, shard int) (ShardAudit, error) {
+	s := l.state
+	a := ShardAudit{
+		Shard: shard, Last: s.next - 1, Through: s.next - 1 - uint64(l.chunks), RolledAt: l.at, Chunks: l.chunks,
+		Open: len(s.open), Settled: len(s.settled), Claims: len(s.claims), Origins: len(s.origins),
+	}
+	for _, t := range s.totals {
+		a.Bills += t.Bills
+	}
+	for _, b := range s.open {
+		if a.OldestOpen.IsZero() || b.OpenedAt.Before(a.OldestOpen) {
+			a.OldestOpen = b.OpenedAt
+		}
+	}
+	pairs, err := readAll(ctx, store, prefixSpan(shardPrefix(shard)), pageReads)
+	if err != nil {
+		return ShardAudit{}, err
+	}
+	closed := map[string]uint64{}
+	for _, p := range pairs {
+		a.Bytes += len(p.Key) + len(p.Value)
+		if IsChunkKey(p.Key) {
+			a.check(p, closed)
+		}
+	}
+	return a, nil
+}
+
+// check looks for IDs that two chunks close, and chunks in the wrong place.
+func (a *ShardAudit) check(p Pair, closed map[string]uint64) {
+	c, err := DecodeChunk(p.Value)
+	if err != nil {
+		a.Faults = append(a.Faults, fmt.Sprintf("%s: %v", p.Key, err))
+		return
+	}
+	if c.Shard != a.Shard || chunkKey(c.Shard, c.Sequence) != p.Key {
+		a.Faults = append(a.Faults, fmt.Sprintf("%s holds chunk %d of shard %d", p.Key, c.Sequence, c.Shard))
+	}
+	for i := range c.Records {
+		r := &c.Records[i]
+		if r.Kind != KindClose {
+			continue
+		}
+		if first, twice := closed[r.key()]; twice {
+			a.Faults = append(a.Faults, fmt.Sprintf("bill %s is closed in chunks %d and %d", r.ID(), first, c.Sequence))
+		}
+		closed[r.key()] = c.Sequence
+	}
+}
--- /dev/null
+++ b/internal/billing/ledger/head.go
@@ -0,0 +1,281 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// claimBucket is the span of time whose claims share a page.
+const claimBucket = 10 * time.Minute
+
+// answerBytes bounds the answers kept in one page of claims.
+const answerBytes = 256 << 10
+
+// head is the stored form of a shard's log up to Through. Its revision is part
+// of the fence: a chunk is created only on the head that its writer knows.
+type head struct {
+	Format  int
+	Through uint64
+	At      time.Time
+	Totals  []Total
+	Origins []numbers
+	Open    []Bill
+	Settled []Bill
+	// ClosedFrom and KeyedFrom are the first pages kept, ClosedNext and
+	// KeyedNext the next new ones.
+	ClosedFrom uint64
+	ClosedNext uint64
+	KeyedFrom  uint64
+	KeyedNext  uint64
+}
+
+// claimsPage is the stored form of the claims of one span of time.
+type claimsPage struct {
+	Bucket int64
+	Claims []claimEntry
+}
+
+func bucketOf(at time.Time) int64 { return at.UnixNano() / int64(claimBucket) }
+
+// head returns the stored form of the state without its pages.
+func (s *state) head(now time.Time) head {
+	h := head{
+		Format: chunkFormat, Through: s.next - 1, At: now,
+		ClosedFrom: s.closed.first(), ClosedNext: s.closed.next,
+		KeyedFrom: s.keyed.first(), KeyedNext: s.keyed.next,
+	}
+	for _, t := range s.totals {
+		h.Totals = append(h.Totals, *t)
+	}
+	for _, n := range s.origins {
+		h.Origins = append(h.Origins, *n)
+	}
+	h.Open = billsOf(s.open)
+	h.Settled = billsOf(s.settled)
+	return h
+}
+
+func billsOf(m map[string]*Bill) []Bill {
+	out := make([]Bill, 0, len(m))
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, *m[key])
+	}
+	return out
+}
+
+// restore fills an empty state from a head.
+func (s *state) restore(h *head) {
+	s.next = h.Through + 1
+	s.closed.next, s.keyed.next = h.ClosedNext, h.KeyedNext
+	for i := range h.Totals {
+		t := h.Totals[i]
+		s.totals[totalKey{t.Customer, t.Model, t.Version, t.Service}] = &t
+	}
+	for i := range h.Origins {
+		n := h.Origins[i]
+		s.origins[n.Origin] = &n
+	}
+	for i := range h.Open {
+		b := h.Open[i]
+		s.open[recordKey(b.Customer, b.ID)] = &b
+	}
+	for i := range h.Settled {
+		b := h.Settled[i]
+		s.settled[recordKey(b.Customer, b.ID)] = &b
+	}
+}
+
+// claimsPages returns the pages of the given buckets. Answers are kept newest
+// first while there is room.
+func (s *state) claimsPages(buckets map[int64]bool) []claimsPage {
+	byBucket := map[int64][]claimEntry{}
+	for _, c := range s.claims {
+		if b := bucketOf(c.At); buckets[b] {
+			byBucket[b] = append(byBucket[b], *c)
+		}
+	}
+	var pages []claimsPage
+	for b := range buckets {
+		list := byBucket[b]
+		slices.SortFunc(list, func(x, y claimEntry) int {
+			if d := y.At.Compare(x.At); d != 0 {
+				return d
+			}
+			return strings.Compare(x.Customer+x.ID, y.Customer+y.ID)
+		})
+		room := answerBytes
+		for i := range list {
+			room -= len(list[i].Answer)
+			if room < 0 {
+				list[i].Answer = nil
+			}
+		}
+		pages = append(pages, claimsPage{Bucket: b, Claims: list})
+	}
+	return pages
+}
+
+// loaded is a shard's state with the revision of the head that it starts from.
+type loaded struct {
+	state    *state
+	revision int64
+	at       time.Time // of the head
+	// chunks is how many chunks lie after the head.
+	chunks int
+	bytes  int
+	// claimBuckets are the pages of claims in the store.
+	claimBuckets map[int64]bool
+	// changed are the buckets whose claims changed since the head.
+	changed map[int64]bool
+}
+
+// load reads a shard: its head, its pages and the chunks after the head. It
+// fails if there is a roll-up between the reads.
+func load(ctx context.Context, store Store, shard int, w Windows) (*loaded, error) {
+	l := &loaded{state: newState(w), claimBuckets: map[int64]bool{}, changed: map[int64]bool{}}
+	first, err := readHead(ctx, store, shard)
+	if err != nil {
+		return nil, err
+	}
+	if first.Revision != 0 {
+		var h head
+		if err := unpack(first.Value, &h); err != nil {
+			return nil, fmt.Errorf("read head of shard %d: %w", shard, err)
+		}
+		if h.Format > chunkFormat {
+			return nil, &FormatError{Format: h.Format}
+		}
+		l.revision, l.at = first.Revision, h.At
+		l.state.restore(&h)
+		if err := l.readPages(ctx, store, shard); err != nil {
+			return nil, err
+		}
+	}
+	if err := l.readChunks(ctx, store, shard); err != nil {
+		return nil, err
+	}
+	return l, l.confirm(ctx, store, shard)
+}
+
+// readHead returns the head of a shard; its revision is 0 if there is none.
+func readHead(ctx context.Context, store Store, shard int) (Pair, error) {
+	key := headKey(shard)
+	pairs, err := store.Range(ctx, Span{key, key + "\x00"}, 1)
+	if err != nil {
+		return Pair{}, fmt.Errorf("read head of shard %d: %w", shard, err)
+	}
+	if len(pairs) == 0 {
+		return Pair{Key: key}, nil
+	}
+	return pairs[0], nil
+}
+
+// confirm fails if the head is another than the one that was loaded.
+func (l *loaded) confirm(ctx context.Context, store Store, shard int) error {
+	h, err := readHead(ctx, store, shard)
+	if err != nil {
+		return err
+	}
+	if h.Revision != l.revision {
+		return errFenced
+	}
+	return nil
+}
+
+// refresh reads the chunks that others added. It fails if there was a roll-up.
+func (l *loaded) refresh(ctx context.Context, store Store, shard int) error {
+	if err := l.readChunks(ctx, store, shard); err != nil {
+		return err
+	}
+	return l.confirm(ctx, store, shard)
+}
+
+func (l *loaded) readPages(ctx context.Context, store Store, shard int) error {
+	pairs, err := readAll(ctx, store, prefixSpan(shardPrefix(shard)+"Pages/"), pageReads)
+	if err != nil {
+		return fmt.Errorf("read pages of shard %d: %w", shard, err)
+	}
+	for _, p := range pairs {
+		if err := l.addPage(strings.TrimPrefix(p.Key, shardPrefix(shard)+"Pages/"), p.Value); err != nil {
+			return fmt.Errorf("read page %s: %w", p.Key, err)
+		}
+	}
+	return nil
+}
+
+func (l *loaded) addPage(name string, value []byte) error {
+	if strings.HasPrefix(name, "Claims/") {
+		var page claimsPage
+		if err := unpack(value, &page); err != nil {
+			return err
+		}
+		l.claimBuckets[page.Bucket] = true
+		for i := range page.Claims {
+			c := page.Claims[i]
+			l.state.claims[recordKey(c.Customer, c.ID)] = &c
+		}
+		return nil
+	}
+	var page closedPage
+	if err := unpack(value, &page); err != nil {
+		return err
+	}
+	if strings.HasPrefix(name, "Keyed/") {
+		l.state.keyed.addPage(page)
+		return nil
+	}
+	l.state.closed.addPage(page)
+	return nil
+}
+
+// readChunks folds the chunks from the next one on.
+func (l *loaded) readChunks(ctx context.Context, store Store, shard int) error {
+	pairs, err := readAll(ctx, store, chunkSpan(shard, l.state.next), chunkReads)
+	if err != nil {
+		return fmt.Errorf("read chunks of shard %d: %w", shard, err)
+	}
+	for _, p := range pairs {
+		c, err := DecodeChunk(p.Value)
+		if err != nil {
+			return fmt.Errorf("read chunk %s: %w", p.Key, err)
+		}
+		if c.Sequence != l.state.next {
+			return &GapError{Shard: shard, Want: l.state.next, Got: c.Sequence}
+		}
+		l.apply(&c, len(p.Value))
+	}
+	return nil
+}
+
+// apply folds a chunk that is in the store.
+func (l *loaded) apply(c *Chunk, size int) {
+	for i := range c.Records {
+		r := &c.Records[i]
+		if r.Claim == nil && r.Finish == nil {
+			continue
+		}
+		l.changed[bucketOf(r.At)] = true
+		if have := l.state.claims[r.key()]; have != nil {
+			l.changed[bucketOf(have.At)] = true
+		}
+	}
+	l.state.applyChunk(c)
+	l.chunks++
+	l.bytes += size
+}
+
+// GapError reports a log with a chunk missing, which a roll-up in the middle
+// of reading can show.
+type GapError struct {
+	Shard int
+	Want  uint64
+	Got   uint64
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("shard %d: chunk %d where %d was expected", e.Shard, e.Got, e.Want)
+}
--- /dev/null
+++ b/internal/billing/ledger/ledger.go
@@ -0,0 +1,318 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+// Peers sends records to other instances.
+type Peers interface {
+	Ledger(ctx context.Context, to board.Member, req Request) (Response, error)
+	// Copies returns how many of the records the peer holds.
+	Copies(ctx context.Context, to board.Member, req CopyRequest) (held int, err error)
+}
+
+// Ledger is an instance's way to the ledger: it sends records to the keepers
+// of their shards until they are committed.
+type Ledger struct {
+	self    Origin
+	members *board.Section[board.Members]
+	peers   Peers
+	keeper  *Keeper
+	clock   clockwork.Clock
+	limits  Limits
+	lanes   [Shards]*lane
+	copier  *copier
+	routes  routes
+	stopped atomic.Bool
+
+	rngLock sync.Mutex
+	rng     *rand.Rand
+}
+
+// Limits bound how long the ledger makes a request wait.
+type Limits struct {
+	// Send bounds one request to a keeper.
+	Send time.Duration
+	// Claim bounds a claim; it is then given up.
+	Claim time.Duration
+	// CopyAfter is when a bill that is not committed is copied to peers.
+	CopyAfter time.Duration
+	// Linger is how long an opening record waits for company.
+	Linger time.Duration
+	// AnswerBytes bounds the answer that is kept for repeats of a claim.
+	AnswerBytes int
+}
+
+// DefaultLimits returns the limits that instances use.
+func DefaultLimits() Limits {
+	return Limits{
+		Send:        2 * time.Second,
+		Claim:       2 * time.Second,
+		CopyAfter:   500 * time.Millisecond,
+		Linger:      250 * time.Millisecond,
+		AnswerBytes: 4 << 10,
+	}
+}
+
+// Option changes a Ledger.
+type Option func(*Ledger)
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(l *Ledger) { l.clock = c } }
+
+// WithRand sets the random source of back-off and nonces.
+func WithRand(r *rand.Rand) Option { return func(l *Ledger) { l.rng = r } }
+
+// WithLimits sets the limits.
+func WithLimits(limits Limits) Option { return func(l *Ledger) { l.limits = limits } }
+
+// New returns the ledger of the instance self, whose own keeper is asked
+// without a message.
+func New(self Origin, members *board.Section[board.Members], peers Peers, keeper *Keeper, opts ...Option) *Ledger {
+	l := &Ledger{
+		self: self, members: members, peers: peers, keeper: keeper,
+		clock:  clockwork.NewRealClock(),
+		rng:    rand.New(rand.NewPCG(self.Generation, 2)),
+		limits: DefaultLimits(),
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	for i := range l.lanes {
+		l.lanes[i] = &lane{ledger: l, shard: i, opens: map[string]*entry{}}
+	}
+	l.copier = newCopier(l)
+	return l
+}
+
+// Open records that a request began, beside the request. A lost opening record
+// costs nothing unless this instance is lost too.
+func (l *Ledger) Open(b Bill) {
+	b.State, b.Instance = BillOpen, l.self.Instance
+	if b.OpenedAt.IsZero() {
+		b.OpenedAt = l.clock.Now()
+	}
+	l.lane(b.Customer, b.ID).open(Record{Kind: KindOpen, Origin: l.self, At: b.OpenedAt, Bill: &b})
+}
+
+// Closed says where a closed bill is kept.
+type Closed struct {
+	// Committed says that it is in the store.
+	Committed bool
+	// Duplicate says that the ID had been billed before; it is billed once.
+	Duplicate bool
+	// Holders are the peers that hold copies while the store is out.
+	Holders []string
+}
+
+// Close closes a bill. It returns once the bill is in the store or, when the
+// store is out, once two peers hold copies. An *UnbilledError says that ctx
+// ended before either; the bill is still sent until it is committed.
+func (l *Ledger) Close(ctx context.Context, b Bill) (Closed, error) {
+	now := l.clock.Now()
+	b.State, b.Instance, b.ClosedAt = BillClosed, l.self.Instance, now
+	if b.OpenedAt.IsZero() {
+		b.OpenedAt = now
+	}
+	ln := l.lane(b.Customer, b.ID)
+	e := ln.close(Record{Kind: KindClose, Origin: l.self, At: now, Bill: &b})
+	if !ln.isOut() {
+		select {
+		case o := <-e.done:
+			return closedBy(b, o)
+		case <-ctx.Done():
+			return Closed{}, &UnbilledError{ID: b.ID, Err: ctx.Err()}
+		case <-l.clock.After(l.limits.CopyAfter):
+		}
+	}
+	held := l.copier.leave(e)
+	select {
+	case o := <-e.done:
+		return closedBy(b, o)
+	case holders := <-held:
+		return Closed{Holders: holders}, nil
+	case <-ctx.Done():
+		return Closed{}, &UnbilledError{ID: b.ID, Err: ctx.Err()}
+	}
+}
+
+func closedBy(b Bill, o Outcome) (Closed, error) {
+	if o.State == Expired {
+		return Closed{}, &UnbilledError{ID: b.ID, Expired: true}
+	}
+	return Closed{Committed: true, Duplicate: o.State == Duplicate}, nil
+}
+
+// UnbilledError reports a bill that is kept in this instance's memory only,
+// or, if Expired, one that came later than the ledger remembers.
+type UnbilledError struct {
+	ID      string
+	Expired bool
+	Err     error
+}
+
+func (e *UnbilledError) Error() string {
+	if e.Expired {
+		return fmt.Sprintf("bill %s is older than the ledger remembers", e.ID)
+	}
+	return fmt.Sprintf("bill %s is neither committed nor copied: %v", e.ID, e.Err)
+}
+
+func (e *UnbilledError) Unwrap() error { return e.Err }
+
+// ClaimState is the result of a claim.
+type ClaimState string
+
+// The results of a claim.
+const (
+	// ClaimGranted allows the one run.
+	ClaimGranted ClaimState = "Granted"
+	// ClaimDuplicate says that the ID was claimed before.
+	ClaimDuplicate ClaimState = "Duplicate"
+	// ClaimMismatch says that it was claimed before with another body.
+	ClaimMismatch ClaimState = "Mismatch"
+)
+
+// ClaimResult answers a claim.
+type ClaimResult struct {
+	State ClaimState
+	// Ticket is to be handed to Finish, when granted.
+	Ticket Ticket
+	// Existing is set on ClaimDuplicate.
+	Existing Existing
+}
+
+// Ticket is the right to one run.
+type Ticket struct{ claim Claim }
+
+// ClaimError reports a claim that was not decided. The request must be
+// refused; nothing ran.
+type ClaimError struct {
+	ID    string
+	State OutcomeState
+	Err   error
+}
+
+func (e *ClaimError) Error() string {
+	return fmt.Sprintf("claim of %s is not decided: %s", e.ID, e.State)
+}
+
+func (e *ClaimError) Unwrap() error { return e.Err }
+
+// Claim reserves the one run of a non-idempotent request. Granted means that
+// the claim is in the store. After an error the claim is given up, so that the
+// caller may come again with the same ID.
+func (l *Ledger) Claim(ctx context.Context, id, customer string, bodyHash uint64) (ClaimResult, error) {
+	c := Claim{ID: id, Customer: customer, BodyHash: bodyHash, Nonce: l.nonce()}
+	ln := l.lane(customer, id)
+	e := ln.claim(Record{Kind: KindClaim, Origin: l.self, At: l.clock.Now(), Claim: &c})
+	if e == nil {
+		claims.Add("StoreOut", 1)
+		return ClaimResult{}, &ClaimError{ID: id, State: Unavailable}
+	}
+	var o Outcome
+	var err error
+	select {
+	case o = <-e.done:
+	case <-ctx.Done():
+		o.State, err = Unavailable, ctx.Err()
+	case <-l.clock.After(l.limits.Claim):
+		o.State = Unavailable
+	}
+	claims.Add(string(o.State), 1)
+	switch o.State {
+	case Committed:
+		return ClaimResult{State: ClaimGranted, Ticket: Ticket{c}}, nil
+	case Duplicate:
+		return ClaimResult{State: ClaimDuplicate, Existing: *o.Existing}, nil
+	case Mismatch:
+		return ClaimResult{State: ClaimMismatch}, nil
+	}
+	if ln.abandon(e) {
+		l.Finish(Ticket{c}, call.NotRun, nil)
+	}
+	return ClaimResult{}, &ClaimError{ID: id, State: o.State, Err: err}
+}
+
+// Finish records how the run under a ticket ended, beside the request. NotRun
+// frees the ID for another claim.
+func (l *Ledger) Finish(t Ticket, outcome call.RunState, answer []byte) {
+	if t.claim.Nonce == "" {
+		return
+	}
+	if len(answer) > l.limits.AnswerBytes {
+		claims.Add("AnswerTooLarge", 1)
+		answer = nil
+	}
+	f := Finish{ID: t.claim.ID, Customer: t.claim.Customer, Nonce: t.claim.Nonce, Outcome: outcome, Answer: answer}
+	l.lane(f.Customer, f.ID).send(&entry{
+		record: Record{Kind: KindFinish, Origin: l.self, At: l.clock.Now(), Finish: &f},
+		done:   make(chan Outcome, 1),
+	})
+}
+
+// Pending returns how many records are not committed yet, and how many of
+// those are bills without copies.
+func (l *Ledger) Pending() (records, unsafe int) {
+	for _, ln := range l.lanes {
+		r, u := ln.pending()
+		records, unsafe = records+r, unsafe+u
+	}
+	return records, unsafe
+}
+
+const flushPoll = 20 * time.Millisecond
+
+// Flush waits until every record is committed, or every bill has copies at
+// peers and the store is out. A planned stop calls it after the last request.
+func (l *Ledger) Flush(ctx context.Context) error {
+	for {
+		records, unsafe := l.Pending()
+		if records == 0 {
+			return nil
+		}
+		out := false
+		for _, ln := range l.lanes {
+			if ln.isOut() {
+				out = true
+				l.copier.leaveAll(ln.uncopied())
+			}
+		}
+		if out && unsafe == 0 && l.copier.idle() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d records are not committed, %d of them without copies: %w", records, unsafe, ctx.Err())
+		case <-l.clock.After(flushPoll):
+		}
+	}
+}
+
+// Stop sends nothing any more. Call Flush first.
+func (l *Ledger) Stop() { l.stopped.Store(true) }
+
+func (l *Ledger) lane(customer, id string) *lane { return l.lanes[ShardOf(customer, id)] }
+
+func (l *Ledger) nonce() string {
+	l.rngLock.Lock()
+	defer l.rngLock.Unlock()
+	return fmt.Sprintf("%s/%d/%016x", l.self.Instance, l.self.Generation, l.rng.Uint64())
+}
+
+// jitter returns a time between half and one and a half of d.
+func (l *Ledger) jitter(d time.Duration) time.Duration {
+	l.rngLock.Lock()
+	defer l.rngLock.Unlock()
+	return d/2 + time.Duration(l.rng.Int64N(int64(d)))
+}
--- /dev/null
+++ b/internal/billing/ledger/platform.go
@@ -0,0 +1,45 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/kingcupyard/kingcupyard/internal/platform/store"
+)
+
+// platformStore is the platform's service behind the ledger's interface.
+type platformStore struct{ client *store.Client }
+
+// OnStore returns the ledger's view of the platform's store. Chunks with
+// claims go before others when the budget is short.
+func OnStore(client *store.Client) Store { return platformStore{client} }
+
+func (p platformStore) Range(ctx context.Context, span Span, limit int) ([]Pair, error) {
+	entries, err := p.client.RangeSpan(ctx, store.Claim, store.Span{From: span.From, To: span.To}, limit)
+	if err != nil {
+		return nil, err
+	}
+	pairs := make([]Pair, len(entries))
+	for i, e := range entries {
+		pairs[i] = Pair{Key: e.Key, Value: e.Value, Revision: e.ModRevision}
+	}
+	return pairs, nil
+}
+
+func (p platformStore) Commit(ctx context.Context, txn Txn) (int64, bool, error) {
+	var t store.Transaction
+	for _, c := range txn.If {
+		t.If = append(t.If, store.Condition{Key: c.Key, ModRevision: c.Revision})
+	}
+	for _, put := range txn.Put {
+		t.Put = append(t.Put, store.Entry{Key: put.Key, Value: put.Value})
+	}
+	for _, s := range txn.Delete {
+		t.Delete = append(t.Delete, store.Span{From: s.From, To: s.To})
+	}
+	purpose := store.Ledger
+	if txn.Claims {
+		purpose = store.Claim
+	}
+	committed, revision, err := p.client.Commit(ctx, purpose, t)
+	return revision, committed, err
+}
--- /dev/null
+++ b/internal/billing/ledger/ring.go
@@ -0,0 +1,35 @@
+package ledger
+
+import (
+	"strconv"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/keeper"
+)
+
+// ring names the keeper of each shard. Members that this instance could not
+// reach lately are left out, so that all who miss the same keeper agree on the
+// same successor.
+type ring struct {
+	keepers [Shards]board.Member
+	ok      bool
+}
+
+func newRing(members *board.Members, avoid map[string]bool) *ring {
+	list := make([]board.Member, 0, len(members.List))
+	for _, m := range members.List {
+		if !avoid[m.Name] {
+			list = append(list, m)
+		}
+	}
+	hash := keeper.NewRing(list)
+	r := &ring{ok: hash.Len() > 0}
+	for i := range r.keepers {
+		if r.ok {
+			r.keepers[i], _ = hash.Of("Ledger/" + strconv.Itoa(i))
+		}
+	}
+	return r
+}
+
+func (r *ring) keeperOf(shard int) (board.Member, bool) { return r.keepers[shard], r.ok }
--- /dev/null
+++ b/internal/billing/ledger/schedule_test.go
@@ -0,0 +1,352 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+var (
+	scheduleCount = flag.Int("schedules", 1000, "seeded schedules to run")
+	scheduleSeed  = flag.Uint64("seed", 1, "seed of the first schedule")
+)
+
+// fault is one line of testdata/schedules.txt.
+type fault struct {
+	name   string
+	chance int
+	lasts  []time.Duration
+}
+
+func readFaults(t *testing.T) []fault {
+	t.Helper()
+	data, err := os.ReadFile("testdata/schedules.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []fault
+	for line := range strings.Lines(string(data)) {
+		f := strings.Split(line, "|")
+		if strings.HasPrefix(line, "#") || len(f) != 3 {
+			continue
+		}
+		chance, _ := strconv.Atoi(strings.TrimSpace(f[1]))
+		next := fault{name: strings.TrimSpace(f[0]), chance: chance}
+		for _, d := range strings.Fields(f[2]) {
+			lasts, err := time.ParseDuration(d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			next.lasts = append(next.lasts, lasts)
+		}
+		out = append(out, next)
+	}
+	return out
+}
+
+// request is one request ID with what happened to it, for the judge.
+type request struct {
+	id      string
+	booking bool
+	mu      sync.Mutex
+	runs    int // at the backend server
+	acked   int // Close returned without an error
+	closed  int // Close was called
+	refused int
+	nodes   []*node // where it arrived
+}
+
+func (r *request) onKilled() bool { return slices.ContainsFunc(r.nodes, (*node).isKilled) }
+
+// schedule is one seeded run of a world.
+type schedule struct {
+	*world
+	rng      *rand.Rand
+	requests []*request
+	work     sync.WaitGroup
+	lasting  time.Duration
+	log      []string
+}
+
+// faults starts the faults of this schedule.
+func (s *schedule) faults(faults []fault) {
+	kills := 0
+	for _, f := range faults {
+		for range 2 {
+			if s.rng.IntN(100) >= f.chance || f.name == "Kill" && kills == 2 {
+				continue
+			}
+			if f.name == "Kill" {
+				kills++
+			}
+			at := time.Duration(s.rng.Int64N(int64(30 * time.Second)))
+			lasts := f.lasts[s.rng.IntN(len(f.lasts))]
+			victim := s.nodes[s.rng.IntN(len(s.nodes))]
+			s.lasting = max(s.lasting, at+lasts)
+			s.log = append(s.log, fmt.Sprintf("%s at %s for %s on %s", f.name, at, lasts, victim.member.Name))
+			time.AfterFunc(at, func() { s.fault(f.name, victim, true) })
+			time.AfterFunc(at+lasts, func() { s.fault(f.name, victim, false) })
+		}
+	}
+}
+
+func (s *schedule) fault(name string, victim *node, on bool) {
+	st := s.store
+	percent := map[bool]int{true: 30}[on]
+	st.mu.Lock()
+	switch name {
+	case "Outage":
+		st.down = on
+	case "Slow":
+		st.latency = map[bool]time.Duration{true: 800 * time.Millisecond, false: 3 * time.Millisecond}[on]
+	case "LoseAnswer":
+		st.loseAnswer = percent
+	case "LoseRequest":
+		st.loseRequest = percent
+	case "DelayWrite":
+		st.delay = percent
+	case "LoseMessage":
+		s.loseMessage = percent
+	}
+	st.mu.Unlock()
+	switch {
+	case name == "Pause" && on:
+		victim.pause()
+	case name == "Pause":
+		victim.unpause()
+	case name == "Kill" && on:
+		victim.kill()
+		time.AfterFunc(5*time.Second, s.publish)
+	case name == "Partition" || name == "NoStore":
+		victim.mu.Lock()
+		victim.noStore = on && name == "NoStore"
+		if name == "Partition" {
+			victim.side = map[bool]int{true: 1}[on]
+		}
+		victim.mu.Unlock()
+		time.AfterFunc(2*time.Second, s.publish)
+	}
+}
+
+// arrivals brings the requests in; some come twice, to two instances.
+func (s *schedule) arrivals(count int) {
+	late := int64(20 * time.Second)
+	if s.rng.IntN(50) == 0 {
+		late = int64(70 * time.Minute)
+	}
+	for i := range count {
+		r := &request{booking: s.rng.IntN(3) == 0}
+		for k := 0; r.id == "" || ShardOf("c", r.id) > 1; k++ {
+			r.id = fmt.Sprintf("r%d-%d", i, k)
+		}
+		s.requests = append(s.requests, r)
+		at := time.Duration(s.rng.Int64N(int64(40 * time.Second)))
+		s.arrive(r, at)
+		if s.rng.IntN(2) == 0 {
+			s.arrive(r, at+time.Duration(s.rng.Int64N(int64(6*time.Second))))
+		}
+		if s.rng.IntN(6) == 0 {
+			s.arrive(r, at+time.Duration(s.rng.Int64N(late)))
+		}
+	}
+}
+
+func (s *schedule) arrive(r *request, at time.Duration) {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	works := time.Duration(s.rng.Int64N(int64(8 * time.Second)))
+	gaveUp, finishes := s.rng.IntN(5) == 0, s.rng.IntN(5) > 0
+	r.nodes = append(r.nodes, n)
+	s.work.Go(func() {
+		time.Sleep(at)
+		if n.pass() != nil {
+			return
+		}
+		if r.booking {
+			s.book(n, r, works, gaveUp, finishes)
+		} else {
+			s.bill(n, r, works)
+		}
+	})
+}
+
+// book is a non-idempotent request, as the request path carries it.
+func (s *schedule) book(n *node, r *request, works time.Duration, gaveUp, finishes bool) {
+	result, err := n.ledger.Claim(s.ctx, r.id, "c", 1)
+	if err != nil || result.State != ClaimGranted {
+		r.mu.Lock()
+		r.refused++
+		r.mu.Unlock()
+		return
+	}
+	if n.pass() != nil {
+		return
+	}
+	if gaveUp { // no server; nothing was sent
+		n.ledger.Finish(result.Ticket, call.NotRun, nil)
+		return
+	}
+	r.mu.Lock()
+	r.runs++
+	r.mu.Unlock()
+	s.bill(n, r, works)
+	if finishes && !n.isKilled() {
+		n.ledger.Finish(result.Ticket, call.Ran, []byte("booked"))
+	}
+}
+
+func (s *schedule) bill(n *node, r *request, works time.Duration) {
+	b := Bill{ID: r.id, Customer: "c", Model: "small", Version: "v1", Keyed: true, PromptTokens: 1, CompletionTokens: 1, OpenedAt: time.Now()}
+	n.ledger.Open(b)
+	time.Sleep(works)
+	if n.pass() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, 5*time.Second)
+	defer cancel()
+	_, err := n.ledger.Close(ctx, b)
+	var unbilled *UnbilledError
+	if errors.As(err, &unbilled) && unbilled.Expired {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil && !n.isKilled() {
+		r.acked++
+	}
+	r.closed++
+}
+
+// judge compares what the store and the backend server saw with what must
+// hold, and returns what does not.
+func (s *schedule) judge() (violations []string) {
+	fail := func(format string, args ...any) { violations = append(violations, fmt.Sprintf(format, args...)) }
+	closes, settles := map[string]int{}, map[string]int{}
+	for _, p := range s.store.chunks {
+		c, err := DecodeChunk(p.Value)
+		if err != nil {
+			fail("%v", err)
+		}
+		for _, rec := range c.Records {
+			switch rec.Kind {
+			case KindClose:
+				closes[rec.ID()]++
+			case KindSettle:
+				settles[rec.ID()]++
+			}
+		}
+	}
+	billed := 0
+	for _, r := range s.requests {
+		if closes[r.id]+settles[r.id] > 0 {
+			billed++
+		}
+		if closes[r.id] > 1 || settles[r.id] > 1 {
+			fail("%s closed %d times, settled %d times", r.id, closes[r.id], settles[r.id])
+		}
+		// A killed instance may have delivered on the strength of its copies.
+		if closes[r.id] == 0 && (r.acked > 0 || r.closed > 0 && !r.onKilled()) {
+			fail("%s lost: delivered %d, closed %d", r.id, r.acked, r.closed)
+		}
+		if r.runs > 1 {
+			fail("%s ran %d times", r.id, r.runs)
+		}
+	}
+	audit, err := ReadAudit(context.Background(), s.store, testWindows())
+	if err != nil {
+		return append(violations, err.Error())
+	}
+	counted := 0
+	for _, t := range audit.Totals {
+		counted += t.Bills
+	}
+	if counted != billed {
+		fail("totals count %d bills, the log has %d", counted, billed)
+	}
+	for _, a := range audit.Shards {
+		violations = append(violations, a.Faults...)
+		if a.Open > 0 {
+			fail("shard %d has %d bills still open", a.Shard, a.Open)
+		}
+	}
+	return append(violations, s.judgeClaims()...)
+}
+
+// judgeClaims arrives once more under each ID: what ran never runs again, and
+// what was refused as not run can.
+func (s *schedule) judgeClaims() (violations []string) {
+	for _, r := range s.requests {
+		if !r.booking {
+			continue
+		}
+		n := s.living()
+		result, err := n.ledger.Claim(s.ctx, r.id, "c", 1)
+		switch {
+		case err != nil:
+			violations = append(violations, fmt.Sprintf("%s: %v after all is well", r.id, err))
+		case r.runs > 0 && result.State != ClaimDuplicate:
+			violations = append(violations, fmt.Sprintf("%s ran and is now %s", r.id, result.State))
+		case r.runs == 0 && !r.onKilled() && result.State != ClaimGranted:
+			violations = append(violations, fmt.Sprintf("%s never ran and is now %s", r.id, result.State))
+		}
+	}
+	return violations
+}
+
+func (s *schedule) living() *node {
+	for _, n := range s.nodes {
+		if !n.isKilled() {
+			return n
+		}
+	}
+	return nil
+}
+
+func runSchedule(t *testing.T, seed uint64, faults []fault) (violations []string, s *schedule) {
+	synctest.Test(t, func(*testing.T) {
+		s = &schedule{world: newWorld(seed, 4+int(seed%2)), rng: rand.New(rand.NewPCG(seed, 9))}
+		s.faults(faults)
+		s.arrivals(20)
+		s.work.Wait()
+		time.Sleep(s.lasting) // all faults are over
+		s.publish()
+		time.Sleep(100 * time.Second)
+		for _, n := range s.nodes {
+			if records, _ := n.ledger.Pending(); records > 0 && !n.isKilled() {
+				violations = append(violations, fmt.Sprintf("%s still has %d records", n.member.Name, records))
+			}
+		}
+		violations = append(violations, s.judge()...)
+		s.end()
+	})
+	return violations, s
+}
+
+// TestSchedules runs seeded schedules that mix faults. Bills are neither lost
+// nor doubled, and no booking runs twice.
+func TestSchedules(t *testing.T) {
+	faults := readFaults(t)
+	const groups = 6
+	for g := range groups {
+		t.Run(strconv.Itoa(g), func(t *testing.T) {
+			t.Parallel()
+			for i := g; i < *scheduleCount; i += groups {
+				seed := *scheduleSeed + uint64(i)
+				if violations, s := runSchedule(t, seed, faults); len(violations) > 0 {
+					t.Errorf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(violations, "\n"), strings.Join(s.log, "\n"))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/billing/ledger/state.go
@@ -0,0 +1,207 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+// Windows are how long a shard remembers.
+type Windows struct {
+	// Bills is how long the closed bill of an ID made by an instance is known.
+	Bills time.Duration
+	// Claims is how long claims, closed bills of IDs named by callers, settled
+	// bills and record numbers are kept.
+	Claims time.Duration
+	// Skew is the greatest difference of the instances' clocks.
+	Skew time.Duration
+	// OpenLimit is when a bill that is still open is settled.
+	OpenLimit time.Duration
+	// GoneLimit is when an open bill is settled whose instance is gone.
+	GoneLimit time.Duration
+}
+
+// state is a shard's log folded up to the sequence before next.
+type state struct {
+	windows Windows
+	next    uint64
+	totals  map[totalKey]*Total
+	origins map[Origin]*numbers
+	open    map[string]*Bill
+	settled map[string]*Bill
+	closed  *closedSet
+	keyed   *closedSet
+	claims  map[string]*claimEntry
+}
+
+func newState(w Windows) *state {
+	return &state{
+		windows: w,
+		next:    1,
+		totals:  map[totalKey]*Total{},
+		origins: map[Origin]*numbers{},
+		open:    map[string]*Bill{},
+		settled: map[string]*Bill{},
+		closed:  newClosedSet(w.Bills / closedPages),
+		keyed:   newClosedSet(w.Claims / closedPages),
+		claims:  map[string]*claimEntry{},
+	}
+}
+
+// decide says what becomes of a record. The record is written only if the
+// second result is set; it may have been changed to what is to be written.
+func (s *state) decide(r *Record, now time.Time) (Outcome, bool) {
+	switch r.Kind {
+	case KindOpen:
+		return s.decideOpen(r, now)
+	case KindClose:
+		return s.decideClose(r, now)
+	case KindClaim:
+		return s.decideClaim(r, now)
+	case KindFinish:
+		return s.decideFinish(r, now)
+	}
+	return Outcome{State: Expired}, false
+}
+
+func (s *state) decideOpen(r *Record, now time.Time) (Outcome, bool) {
+	if now.Sub(r.At) > s.windows.Bills-s.windows.Skew {
+		return Outcome{State: Expired}, false
+	}
+	key := r.key()
+	known := s.open[key] != nil || s.settled[key] != nil || s.isClosed(key)
+	return Outcome{State: Committed}, !known
+}
+
+func (s *state) decideClose(r *Record, now time.Time) (Outcome, bool) {
+	if n := s.origins[r.Origin]; n != nil && n.has(r.Number) {
+		return Outcome{State: Committed}, false
+	}
+	if now.Sub(r.At) > s.windows.Claims-s.windows.Skew || now.Sub(r.Bill.OpenedAt) > s.windows.Claims-s.windows.Skew {
+		return Outcome{State: Expired}, false
+	}
+	if s.isClosed(r.key()) {
+		r.Kind, r.Bill = KindSkip, nil
+		return Outcome{State: Duplicate}, true
+	}
+	return Outcome{State: Committed}, true
+}
+
+// apply folds a committed record into the state.
+func (s *state) apply(r *Record, at time.Time) {
+	key := r.key()
+	switch r.Kind {
+	case KindOpen:
+		s.open[key] = r.Bill
+	case KindClose:
+		s.mark(r, at)
+		if old := s.settled[key]; old != nil {
+			s.total(old, -1)
+			delete(s.settled, key)
+		}
+		delete(s.open, key)
+		s.total(r.Bill, 1)
+		s.closedSet(r.Bill).add(digestOf(key))
+	case KindSkip:
+		s.mark(r, at)
+	case KindSettle:
+		delete(s.open, key)
+		s.settled[key] = r.Bill
+		s.total(r.Bill, 1)
+	case KindClaim:
+		s.applyClaim(r)
+	case KindFinish:
+		s.applyFinish(r)
+	}
+}
+
+func (s *state) isClosed(key string) bool {
+	d := digestOf(key)
+	return s.closed.has(d) || s.keyed.has(d)
+}
+
+func (s *state) closedSet(b *Bill) *closedSet {
+	if b.Keyed {
+		return s.keyed
+	}
+	return s.closed
+}
+
+func (s *state) mark(r *Record, at time.Time) {
+	n := s.origins[r.Origin]
+	if n == nil {
+		n = &numbers{Origin: r.Origin}
+		s.origins[r.Origin] = n
+	}
+	n.add(r.Number)
+	n.At = at
+}
+
+func (s *state) total(b *Bill, sign int) {
+	k := b.totalKey()
+	t := s.totals[k]
+	if t == nil {
+		t = new(Total)
+		s.totals[k] = t
+	}
+	t.add(b, sign)
+}
+
+// applyChunk folds the next chunk of the log.
+func (s *state) applyChunk(c *Chunk) {
+	for i := range c.Records {
+		s.apply(&c.Records[i], c.At)
+	}
+	s.next = c.Sequence + 1
+}
+
+// expire forgets what is older than the windows.
+func (s *state) expire(now time.Time) {
+	keep := s.windows.Claims + s.windows.Skew
+	for o, n := range s.origins {
+		if now.Sub(n.At) > keep {
+			delete(s.origins, o)
+		}
+	}
+	for key, b := range s.settled {
+		if now.Sub(b.ClosedAt) > keep {
+			delete(s.settled, key)
+		}
+	}
+	for key, c := range s.claims {
+		if now.Sub(c.At) > keep {
+			delete(s.claims, key)
+		}
+	}
+	s.closed.expire(now.Add(-s.windows.Bills - s.windows.Skew))
+	s.keyed.expire(now.Add(-keep))
+}
+
+// orphans returns the settlements that are due: bills whose instance is gone,
+// and bills open for longer than any request lasts.
+func (s *state) orphans(now time.Time, alive func(instance string) bool) []Record {
+	var out []Record
+	for _, b := range s.open {
+		age := now.Sub(b.OpenedAt)
+		if age < s.windows.GoneLimit || age < s.windows.OpenLimit && alive(b.Instance) {
+			continue
+		}
+		settled := *b
+		settled.State, settled.ClosedAt = BillSettled, now
+		out = append(out, Record{Kind: KindSettle, At: now, Bill: &settled})
+	}
+	return out
+}
+
+// claimEntry is what a shard knows of one claimed ID.
+type claimEntry struct {
+	Claim
+	Instance string
+	At       time.Time
+	Free     bool
+	State    call.RunState
+	Finished bool
+	Answer   []byte `json:",omitempty"`
+	// Given lists the claims given up by their maker.
+	Given []string `json:",omitempty"`
+}
--- /dev/null
+++ b/internal/billing/ledger/world_test.go
@@ -0,0 +1,365 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+var errFake = errors.New("no answer")
+
+// fakeStore is the platform's store with the faults that it can have. It keeps
+// every value that was ever created under a chunk's key.
+type fakeStore struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	pairs    map[string]Pair
+	revision int64
+	chunks   []Pair
+	commits  int
+
+	down    bool
+	latency time.Duration
+	// loseAnswer, loseRequest and delay are chances in a hundred.
+	loseAnswer, loseRequest, delay int
+}
+
+func newFakeStore(rng *rand.Rand) *fakeStore {
+	return &fakeStore{rng: rng, pairs: map[string]Pair{}, latency: 3 * time.Millisecond}
+}
+
+func (f *fakeStore) chance(percent int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(100) < percent
+}
+
+// wait takes the store's latency, or fails when it is down.
+func (f *fakeStore) wait(ctx context.Context) error {
+	f.mu.Lock()
+	d, down := f.latency+time.Duration(f.rng.Int64N(int64(f.latency)+1)), f.down
+	f.mu.Unlock()
+	if down {
+		d = time.Second
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+	}
+	if down {
+		return errFake
+	}
+	return nil
+}
+
+func (f *fakeStore) Range(ctx context.Context, span Span, limit int) ([]Pair, error) {
+	if err := f.wait(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Pair
+	for key, p := range f.pairs {
+		if key >= span.From && key < span.To {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Pair) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return out[:min(len(out), limit)], nil
+}
+
+func (f *fakeStore) Commit(ctx context.Context, txn Txn) (int64, bool, error) {
+	if err := f.wait(ctx); err != nil {
+		return 0, false, err
+	}
+	switch {
+	case f.chance(f.loseRequest):
+		return 0, false, errFake
+	case f.chance(f.delay):
+		f.mu.Lock()
+		late := time.Duration(f.rng.Int64N(int64(20 * time.Second)))
+		f.mu.Unlock()
+		time.AfterFunc(late, func() { f.apply(txn) })
+		return 0, false, errFake
+	}
+	revision, ok := f.apply(txn)
+	if f.chance(f.loseAnswer) {
+		return 0, false, errFake
+	}
+	return revision, ok, nil
+}
+
+func (f *fakeStore) apply(txn Txn) (int64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	for _, c := range txn.If {
+		if f.pairs[c.Key].Revision != c.Revision {
+			return 0, false
+		}
+	}
+	f.revision++
+	for _, s := range txn.Delete {
+		for key := range f.pairs {
+			if key >= s.From && key < s.To {
+				delete(f.pairs, key)
+			}
+		}
+	}
+	for _, p := range txn.Put {
+		p.Revision = f.revision
+		f.pairs[p.Key] = p
+		if IsChunkKey(p.Key) {
+			f.chunks = append(f.chunks, p)
+		}
+	}
+	return f.revision, true
+}
+
+// node is one instance of the world.
+type node struct {
+	world   *world
+	member  board.Member
+	section board.Section[board.Members]
+	ledger  *Ledger
+	keeper  *Keeper
+	holder  *Holder
+
+	mu      sync.Mutex
+	killed  bool
+	noStore bool
+	side    int           // nodes of different sides do not reach each other
+	resume  chan struct{} // set while paused
+}
+
+// pass holds a paused node up and fails a killed one.
+func (n *node) pass() error {
+	n.mu.Lock()
+	resume := n.resume
+	n.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.killed {
+		return errFake
+	}
+	return nil
+}
+
+func (n *node) isKilled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.killed
+}
+
+// nodeStore is the store as one node reaches it.
+type nodeStore struct{ n *node }
+
+func (s nodeStore) enter(ctx context.Context) error {
+	if err := s.n.pass(); err != nil {
+		return err
+	}
+	s.n.mu.Lock()
+	cut := s.n.noStore
+	s.n.mu.Unlock()
+	if cut {
+		return silence(ctx)
+	}
+	return nil
+}
+
+func silence(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+	}
+	return errFake
+}
+
+func (s nodeStore) Range(ctx context.Context, span Span, limit int) ([]Pair, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, err
+	}
+	return s.n.world.store.Range(ctx, span, limit)
+}
+
+// Commit of a paused node goes out late, whatever its context says.
+func (s nodeStore) Commit(ctx context.Context, txn Txn) (int64, bool, error) {
+	if err := s.enter(ctx); err != nil {
+		return 0, false, err
+	}
+	revision, ok, err := s.n.world.store.Commit(context.WithoutCancel(ctx), txn)
+	if passErr := s.n.pass(); passErr != nil {
+		return 0, false, passErr
+	}
+	return revision, ok, err
+}
+
+// nodePeers carries messages from one node.
+type nodePeers struct{ n *node }
+
+func (p nodePeers) reach(ctx context.Context, to board.Member) (*node, error) {
+	if err := p.n.pass(); err != nil {
+		return nil, err
+	}
+	w := p.n.world
+	other := w.byName(to.Name)
+	p.n.mu.Lock()
+	side := p.n.side
+	p.n.mu.Unlock()
+	other.mu.Lock()
+	cut := other.side != side || other.killed
+	resume := other.resume
+	other.mu.Unlock()
+	if cut || w.store.chance(w.loseMessage) {
+		return nil, silence(ctx)
+	}
+	time.Sleep(4 * time.Millisecond)
+	if resume != nil {
+		select {
+		case <-resume:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return other, nil
+}
+
+func (p nodePeers) Ledger(ctx context.Context, to board.Member, req Request) (Response, error) {
+	other, err := p.reach(ctx, to)
+	if err != nil {
+		return Response{}, err
+	}
+	resp := other.keeper.Handle(ctx, req)
+	if p.n.world.store.chance(p.n.world.loseMessage) {
+		return Response{}, silence(ctx)
+	}
+	return resp, p.n.pass()
+}
+
+func (p nodePeers) Copies(ctx context.Context, to board.Member, req CopyRequest) (int, error) {
+	other, err := p.reach(ctx, to)
+	if err != nil {
+		return 0, err
+	}
+	return other.holder.Hold(req), p.n.pass()
+}
+
+// world is a fleet of nodes around one store.
+type world struct {
+	rng         *rand.Rand
+	store       *fakeStore
+	nodes       []*node
+	loseMessage int
+	ctx         context.Context
+	stop        context.CancelFunc
+}
+
+func testWindows() Windows {
+	w := DefaultWindows()
+	w.OpenLimit, w.GoneLimit = 45*time.Second, 15*time.Second
+	return w
+}
+
+func newWorld(seed uint64, nodes int) *world {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w := &world{rng: rng, store: newFakeStore(rand.New(rand.NewPCG(seed, 8)))}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	for i := range nodes {
+		n := &node{world: w, member: board.Member{
+			Name: fmt.Sprintf("i%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Generation: 1, State: board.MemberAlive,
+		}}
+		self := Origin{n.member.Name, 1}
+		n.keeper = NewKeeper(nodeStore{n}, self, &n.section,
+			WithWindows(testWindows()), WithRollup(5*time.Second, 1<<20), WithKeeperRand(rand.New(rand.NewPCG(seed, uint64(i)))))
+		n.ledger = New(self, &n.section, nodePeers{n}, n.keeper, WithRand(rand.New(rand.NewPCG(seed, uint64(100+i)))))
+		n.holder = NewHolder(n.ledger)
+		w.nodes = append(w.nodes, n)
+	}
+	w.publish()
+	for _, n := range w.nodes {
+		go n.keeper.Run(w.ctx)
+		go n.holder.Run(w.ctx)
+	}
+	return w
+}
+
+func (w *world) byName(name string) *node {
+	for _, n := range w.nodes {
+		if n.member.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// publish gives each node its view: killed nodes are gone, those of the other
+// side are suspect.
+func (w *world) publish() {
+	for _, n := range w.nodes {
+		view := &board.Members{Self: n.member.Name}
+		for _, o := range w.nodes {
+			if o.isKilled() {
+				continue
+			}
+			m := o.member
+			if o.side != n.side {
+				m.State = board.MemberSuspect
+			}
+			view.List = append(view.List, m)
+		}
+		n.section.Publish(view)
+	}
+}
+
+// end stops all nodes, so that nothing is left running.
+func (w *world) end() {
+	w.stop()
+	for _, n := range w.nodes {
+		n.ledger.Stop()
+		n.kill()
+	}
+	time.Sleep(30 * time.Second)
+}
+
+func (n *node) kill() {
+	n.mu.Lock()
+	n.killed = true
+	if n.resume != nil {
+		close(n.resume)
+		n.resume = nil
+	}
+	n.mu.Unlock()
+	n.ledger.Stop()
+}
+
+func (n *node) pause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.resume == nil && !n.killed {
+		n.resume = make(chan struct{})
+	}
+}
+
+func (n *node) unpause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.resume != nil {
+		close(n.resume)
+		n.resume = nil
+	}
+}
