--- a/internal/billing/ledger/platform.go
+++ b/internal/billing/ledger/platform.go
@@ -26,12 +26,12 @@
 }
 
 func (p platformStore) Commit(ctx context.Context, txn Txn) (int64, bool, error) {
-	var t store.Transaction
+	var t store.Txn
 	for _, c := range txn.If {
-		t.If = append(t.If, store.Condition{Key: c.Key, ModRevision: c.Revision})
+		t.If = append(t.If, store.Condition{Key: c.Key, Revision: c.Revision})
 	}
 	for _, put := range txn.Put {
-		t.Put = append(t.Put, store.Entry{Key: put.Key, Value: put.Value})
+		t.Put = append(t.Put, store.Put{Key: put.Key, Value: put.Value})
 	}
 	for _, s := range txn.Delete {
 		t.Delete = append(t.Delete, store.Span{From: s.From, To: s.To})
