--- a/internal/release/rollout/choose.go
+++ b/internal/release/rollout/choose.go
@@ -38,25 +38,29 @@
 	if m == nil {
 		return "", &call.Refusal{Reason: call.ReasonUnknownModel, Field: "model", Detail: model}
 	}
-	for _, version := range preferences(doc, m, unit) {
-		if mayRun(m, customer, version) {
+	r := doc.RolloutOf(m.Name)
+	order := preferences(m, r, r != nil && unit < r.Share())
+	for _, version := range order {
+		v := m.Version(version)
+		if v != nil && v.State == configuration.VersionActive && customer.IsAllowed(m.Name, version) {
 			return version, nil
 		}
 	}
 	return "", refuse(m, customer)
 }
 
-// preferences lists the versions of the model in the order of choice.
-func preferences(doc *configuration.Document, m *configuration.Model, unit float64) []string {
-	var order []string
-	r := doc.RolloutOf(m.Name)
-	if r != nil {
-		order = append(order, side(r, unit))
+// preferences lists the versions of the model in the order of choice, for a
+// session inside or outside the share of the roll-out. Without a roll-out r is
+// nil.
+func preferences(m *configuration.Model, r *configuration.Rollout, inside bool) []string {
+	order := make([]string, 0, len(m.Versions)+3)
+	if r != nil && inside {
+		order = append(order, r.To)
 	}
-	order = append(order, m.Default)
 	if r != nil {
 		order = append(order, r.From)
 	}
+	order = append(order, m.Default)
 	for i := len(m.Versions) - 1; i >= 0; i-- {
 		if r == nil || m.Versions[i].Name != r.To {
 			order = append(order, m.Versions[i].Name)
@@ -70,19 +74,6 @@
 	return order
 }
 
-// side returns the version on the unit's side of the roll-out's share.
-func side(r *configuration.Rollout, unit float64) string {
-	if unit < r.Share() {
-		return r.To
-	}
-	return r.From
-}
-
-func mayRun(m *configuration.Model, customer *configuration.Customer, version string) bool {
-	v := m.Version(version)
-	return v != nil && v.State == configuration.VersionActive && customer.IsAllowed(m.Name, version)
-}
-
 func refuse(m *configuration.Model, customer *configuration.Customer) error {
 	for _, v := range m.Versions {
 		if customer.IsAllowed(m.Name, v.Name) {
--- /dev/null
+++ b/internal/routing/session/pins.go
@@ -0,0 +1,226 @@
+package session
+
+import (
+	"errors"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/release/rollout"
+)
+
+const (
+	// Expiry is how long a named session may rest before it is over.
+	Expiry = 24 * time.Hour
+	// MaxPins bounds the pins that one instance keeps.
+	MaxPins = 100_000
+	// inForceLag is the longest time between a change in the document's history
+	// and its being in force everywhere, with the difference of clocks.
+	inForceLag = 5 * time.Second
+)
+
+// events counts what became of named sessions.
+var events = expvar.NewMap("SessionEvents")
+
+// Ask is a request of a named session.
+type Ask struct {
+	Customer string
+	Session  string
+	Model    string
+	// StartedAt is when the session started, zero if the caller doesn't say.
+	StartedAt time.Time
+}
+
+// Unit returns the session's side of every roll-out stage. Named sessions are
+// always placed by this unit and the document alone, so that a lost pin can be
+// recomputed.
+func (a Ask) Unit() float64 { return rollout.Unit(a.Customer, a.Session, a.Model) }
+
+func (a Ask) pin(version string, startedAt time.Time) Pin {
+	return Pin{Customer: a.Customer, Model: a.Model, Version: version, Session: a.Session, StartedAt: startedAt}
+}
+
+// Pins keeps the versions of named sessions at their keeper. It is safe for
+// concurrent use.
+type Pins struct {
+	clock  clockwork.Clock
+	expiry time.Duration
+	limit  int
+
+	mu   sync.Mutex
+	pins map[pinKey]*kept
+	// gap is the time before which sessions may have started whose pins this
+	// instance should have but doesn't.
+	gap   time.Time
+	swept time.Time
+}
+
+type pinKey struct{ customer, session, model string }
+
+type kept struct {
+	pin    Pin
+	usedAt time.Time
+}
+
+// PinsOption changes Pins.
+type PinsOption func(*Pins)
+
+// WithExpiry sets how long a session may rest.
+func WithExpiry(d time.Duration) PinsOption { return func(p *Pins) { p.expiry = d } }
+
+// WithLimit sets the number of pins kept.
+func WithLimit(n int) PinsOption { return func(p *Pins) { p.limit = n } }
+
+// NewPins returns an empty store. It has a gap from the start: an instance that
+// begins knows nothing of the sessions that it becomes keeper of.
+func NewPins(clock clockwork.Clock, options ...PinsOption) *Pins {
+	p := &Pins{clock: clock, expiry: Expiry, limit: MaxPins, pins: map[pinKey]*kept{}, gap: clock.Now()}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Gap notes that pins may have been lost, as when another instance ends without
+// handing over. Until Expiry has passed, an unknown name may be that of a
+// session in progress.
+func (p *Pins) Gap() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gap = p.clock.Now()
+}
+
+// Resolve returns the pin of a named session for its next request, and keeps it.
+// A name that is unknown is a new session, unless there is a gap; then its
+// version is recomputed if the history leaves no doubt, and refused otherwise.
+// The error is a *call.Refusal.
+func (p *Pins) Resolve(doc *configuration.Document, customer *configuration.Customer, ask Ask) (Pin, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.sweep(now)
+	key := pinKey{ask.Customer, ask.Session, ask.Model}
+	k := p.pins[key]
+	if k == nil {
+		pin, err := p.begin(doc, customer, ask, now)
+		if err != nil {
+			return Pin{}, err
+		}
+		k = &kept{pin: pin}
+	}
+	version, err := Resolve(doc, customer, k.pin)
+	if err != nil {
+		return Pin{}, err
+	}
+	if version != k.pin.Version {
+		events.Add("Moved", 1)
+	}
+	k.pin.Version = version
+	k.usedAt = now
+	p.pins[key] = k
+	return k.pin, nil
+}
+
+// begin returns the pin of a session that is not known here.
+func (p *Pins) begin(doc *configuration.Document, customer *configuration.Customer, ask Ask, now time.Time) (Pin, error) {
+	if len(p.pins) >= p.limit {
+		events.Add("Full", 1)
+		return Pin{}, &call.Refusal{Reason: call.ReasonOverloaded, Field: "Session-Id", Detail: "too many named sessions; use the token of an answer"}
+	}
+	if now.Sub(p.gap) < p.expiry {
+		return Recompute(doc, customer, ask, now.Add(-p.expiry), p.gap, now)
+	}
+	events.Add("Begun", 1)
+	version, err := rollout.Choose(doc, customer, ask.Model, ask.Unit())
+	return ask.pin(version, now), err
+}
+
+// Recompute returns the pin of a named session that may have started at any time
+// since from, without any keeper's knowledge, or a refusal if the history of the
+// roll-outs leaves more than one version. A session known to have started after
+// gap is new. A start that the caller states narrows the time.
+func Recompute(doc *configuration.Document, customer *configuration.Customer, ask Ask, from, gap, now time.Time) (Pin, error) {
+	to, started := now, now
+	if !ask.StartedAt.IsZero() && ask.StartedAt.Before(now) {
+		from, to, started = ask.StartedAt.Add(-inForceLag), ask.StartedAt.Add(inForceLag), ask.StartedAt
+	}
+	if !ask.StartedAt.IsZero() && ask.StartedAt.After(gap.Add(inForceLag)) {
+		version, err := rollout.Choose(doc, customer, ask.Model, ask.Unit())
+		return ask.pin(version, now), err
+	}
+	versions := rollout.Versions(doc, customer, ask.Model, ask.Unit(), from.Add(-inForceLag), to)
+	switch len(versions) {
+	case 1:
+		events.Add("Recomputed", 1)
+		return ask.pin(versions[0], started), nil
+	case 0:
+		_, err := rollout.Choose(doc, customer, ask.Model, ask.Unit())
+		if err != nil {
+			return Pin{}, err
+		}
+	}
+	events.Add("Lost", 1)
+	return Pin{}, &call.Refusal{
+		Reason: call.ReasonSessionInvalid,
+		Field:  "Session-Id",
+		Detail: "the version of this session can't be told; use the token of an answer, or a new name",
+	}
+}
+
+// sweep drops expired pins, at most once in a sixteenth of the expiry.
+func (p *Pins) sweep(now time.Time) {
+	if now.Sub(p.swept) < p.expiry/16 {
+		return
+	}
+	p.swept = now
+	for key, k := range p.pins {
+		if now.Sub(k.usedAt) >= p.expiry {
+			delete(p.pins, key)
+			events.Add("Expired", 1)
+		}
+	}
+}
+
+// Export returns the pins for which match is true, to hand over or to copy.
+func (p *Pins) Export(match func(customer, session string) bool) []Pin {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Pin
+	for key, k := range p.pins {
+		if match(key.customer, key.session) {
+			list = append(list, k.pin)
+		}
+	}
+	return list
+}
+
+// Import takes in pins of other instances. Of two pins for one session the one
+// that started first stays.
+func (p *Pins) Import(pins []Pin) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, pin := range pins {
+		key := pinKey{pin.Customer, pin.Session, pin.Model}
+		if k := p.pins[key]; k != nil && !pin.StartedAt.Before(k.pin.StartedAt) {
+			continue
+		}
+		if len(p.pins) >= p.limit {
+			p.gap = now
+			return errors.New("session pins: the limit is reached")
+		}
+		p.pins[key] = &kept{pin: pin, usedAt: now}
+	}
+	return nil
+}
+
+// Len returns the number of pins.
+func (p *Pins) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pins)
+}
--- /dev/null
+++ b/internal/routing/session/pins_test.go
@@ -0,0 +1,105 @@
+package session
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+var begin = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// halfway is a document whose roll-out went to half of the sessions after an
+// hour.
+func halfway() *configuration.Document {
+	return &configuration.Document{
+		Models: []configuration.Model{{Name: "m", Default: "v1", Versions: []configuration.Version{
+			{Name: "v1", State: configuration.VersionActive}, {Name: "v2", State: configuration.VersionActive},
+		}}},
+		Customers: []configuration.Customer{{Name: "c", Allowed: []configuration.Allowance{{Model: "m"}}}},
+		Rollouts: []configuration.Rollout{{
+			ID: "r", Model: "m", From: "v1", To: "v2", Stages: []float64{0.5}, State: configuration.RolloutRunning, StartedAt: begin,
+			History: []configuration.StageChange{{At: begin}, {At: begin.Add(time.Hour), Share: 0.5}},
+		}},
+	}
+}
+
+// inside and outside are names on either side of the share.
+func names() (inside, outside Ask) {
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		ask := Ask{Customer: "c", Session: name, Model: "m"}
+		if ask.Unit() < 0.5 {
+			inside = ask
+		} else {
+			outside = ask
+		}
+	}
+	return inside, outside
+}
+
+func TestLostPinsAreRecomputedOrRefused(t *testing.T) {
+	inside, outside := names()
+	starting := func(ask Ask, at time.Duration) Ask {
+		ask.StartedAt = begin.Add(at)
+		return ask
+	}
+	for _, c := range []struct {
+		name    string
+		ask     Ask
+		version string
+	}{
+		{"outside every share", outside, "v1"},
+		{"inside, start unknown", inside, ""},
+		{"inside, started before the stage", starting(inside, 30*time.Minute), "v1"},
+		{"inside, started in the stage", starting(inside, 90*time.Minute), "v2"},
+		{"inside, started while the stage spread", starting(inside, time.Hour+time.Second), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClockAt(begin.Add(2 * time.Hour))
+			doc := halfway()
+			pin, err := NewPins(clock).Resolve(doc, &doc.Customers[0], c.ask)
+			is.Equal(pin.Version, c.version)
+			var refusal *call.Refusal
+			is.Equal(errors.As(err, &refusal), c.version == "")
+			if refusal != nil {
+				is.Equal(refusal.Reason, call.ReasonSessionInvalid)
+				is.Equal(refusal.State, call.NotRun)
+			}
+		})
+	}
+}
+
+func TestPinsAreBoundedAndHandedOver(t *testing.T) {
+	is := is.New(t)
+	inside, outside := names()
+	clock := clockwork.NewFakeClockAt(begin)
+	doc := halfway()
+	customer := &doc.Customers[0]
+	first, second := NewPins(clock, WithLimit(1)), NewPins(clock)
+	clock.Advance(Expiry)
+	pin, err := first.Resolve(doc, customer, inside)
+	is.NoErr(err)
+	is.Equal(pin.Version, "v2")
+	_, err = first.Resolve(doc, customer, outside)
+	var refusal *call.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Reason, call.ReasonOverloaded)
+
+	is.NoErr(second.Import(first.Export(func(string, string) bool { return true })))
+	second.Gap()
+	doc.Rollouts[0].State = configuration.RolloutHalted
+	pin, err = second.Resolve(doc, customer, inside)
+	is.NoErr(err)
+	is.Equal(pin.Version, "v2") // kept, though new sessions get v1
+
+	clock.Advance(Expiry)
+	_, err = first.Resolve(doc, customer, outside)
+	is.NoErr(err) // the expired pin made room
+	is.Equal(first.Len(), 1)
+}
--- a/internal/routing/session/resolve.go
+++ b/internal/routing/session/resolve.go
@@ -1,13 +1,19 @@
 package session
 
 import (
+	"errors"
 	"fmt"
+	"time"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/release/rollout"
 )
 
+// keeperLag is how soon a request is worth repeating whose keeper had not seen a
+// withdrawal yet.
+const keeperLag = time.Second
+
 // establishedUnit is outside the share of every stage that is not complete.
 const establishedUnit = 1
 
@@ -45,3 +51,18 @@
 		Detail: fmt.Sprintf("%s@%s is withdrawn; start a new session", m.Name, pin.Version),
 	}
 }
+
+// Confirm checks a pin that the keeper of a named session returned against this
+// instance's own document. Only the keeper moves a named session; if this
+// instance knows of a withdrawal before the keeper does, the request is refused
+// and may be repeated soon. The error is a *call.Refusal.
+func Confirm(doc *configuration.Document, customer *configuration.Customer, pin Pin) error {
+	fixed := *customer
+	fixed.OnWithdrawal = configuration.WithdrawalRefuse
+	_, err := Resolve(doc, &fixed, pin)
+	var refusal *call.Refusal
+	if errors.As(err, &refusal) && refusal.Reason == call.ReasonSessionVersionWithdrawn && customer.OnWithdrawal == configuration.WithdrawalMove {
+		refusal.RetryAfter = keeperLag
+	}
+	return err
+}
