Put the request path, the operators' API, the instance and the command line together

Change: front (callers' HTTP), pipeline, affinity (sessions), feedback (ratings), operator API and client, typed configuration changes, the instance with its planned stop, and the kingcupyard commands. Cold-start keepers are chosen from the platform's list, not from heartbeats: with heartbeats alone no keeper ever came into office (ListedAt was not set) and nothing was answered.

--- /dev/null
+++ b/internal/fleet/instance/accounts.go
@@ -0,0 +1,130 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/kingcupyard/kingcupyard/internal/billing/ledger"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/member"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+	"github.com/kingcupyard/kingcupyard/internal/platform/store"
+)
+
+// ledgerStore keeps the ledger in the platform's store.
+type ledgerStore struct {
+	client *store.Client
+}
+
+// Range implements ledger.Store.
+func (s ledgerStore) Range(ctx context.Context, span ledger.Span, limit int) ([]ledger.Pair, error) {
+	entries, err := s.client.RangeSpan(ctx, store.Ledger, store.Span(span), limit)
+	if err != nil {
+		return nil, err
+	}
+	return lo.Map(entries, func(e store.Entry, _ int) ledger.Pair {
+		return ledger.Pair{Key: e.Key, Value: e.Value, Revision: e.ModRevision}
+	}), nil
+}
+
+// Commit implements ledger.Store.
+func (s ledgerStore) Commit(ctx context.Context, t ledger.Txn) (int64, bool, error) {
+	committed, revision, err := s.client.Commit(ctx, store.Ledger, store.Txn{
+		If:     lo.Map(t.If, func(c ledger.Condition, _ int) store.Condition { return store.Condition(c) }),
+		Put:    lo.Map(t.Put, func(p ledger.Pair, _ int) store.Put { return store.Put{Key: p.Key, Value: p.Value} }),
+		Delete: lo.Map(t.Delete, func(s ledger.Span, _ int) store.Span { return store.Span(s) }),
+	})
+	return revision, committed, err
+}
+
+// ledgerPeers carries records to other instances.
+type ledgerPeers struct {
+	client *peer.Client
+}
+
+// Ledger implements ledger.Peers.
+func (p ledgerPeers) Ledger(ctx context.Context, to board.Member, req ledger.Request) (ledger.Response, error) {
+	message, err := req.ToPeer()
+	if err != nil {
+		return ledger.Response{}, err
+	}
+	resp, err := p.client.Ledger(ctx, to.PeerAddress, message)
+	if err != nil {
+		return ledger.Response{}, err
+	}
+	return ledger.ResponseFromPeer(resp)
+}
+
+// Copies implements ledger.Peers.
+func (p ledgerPeers) Copies(ctx context.Context, to board.Member, req ledger.CopyRequest) (int, error) {
+	message, err := req.ToPeer()
+	if err != nil {
+		return 0, err
+	}
+	resp, err := p.client.Copies(ctx, to.PeerAddress, message)
+	if err != nil {
+		return 0, err
+	}
+	return int(resp.Held), nil
+}
+
+// accounts is the part of an instance that keeps bills and claims. It answers
+// the ledger's calls of other instances.
+type accounts struct {
+	ledger *ledger.Ledger
+	keeper *ledger.Keeper
+	holder *ledger.Holder
+	store  ledgerStore
+}
+
+func newAccounts(in do.Injector) (*accounts, error) {
+	s, b := settingsOf(in), get[*board.Board](in)
+	self := ledger.Origin{Instance: s.Name, Generation: get[*member.Controller](in).Generation()}
+	st := ledgerStore{get[*store.Client](in)}
+	keeper := ledger.NewKeeper(st, self, &b.Members, ledger.WithKeeperClock(clockOf(in)))
+	l := ledger.New(self, &b.Members, ledgerPeers{get[*peer.Client](in)}, keeper, ledger.WithClock(clockOf(in)))
+	return &accounts{l, keeper, ledger.NewHolder(l), st}, nil
+}
+
+// Ledger implements peer.LedgerKeeper.
+func (a *accounts) Ledger(ctx context.Context, message *peer.LedgerRequest) (*peer.LedgerResponse, error) {
+	req, err := ledger.RequestFromPeer(message)
+	if err != nil {
+		return nil, err
+	}
+	return a.keeper.Handle(ctx, req).ToPeer(req)
+}
+
+// Copies implements peer.CopyHolder.
+func (a *accounts) Copies(_ context.Context, message *peer.CopiesRequest) (*peer.CopiesResponse, error) {
+	req, err := ledger.CopyRequestFromPeer(message)
+	if err != nil {
+		return nil, err
+	}
+	return &peer.CopiesResponse{Held: int32(a.holder.Hold(req))}, nil
+}
+
+// Audit implements operator.Accounts.
+func (a *accounts) Audit(ctx context.Context) (ledger.Audit, error) {
+	return ledger.ReadAudit(ctx, a.store, ledger.DefaultWindows())
+}
+
+// flush hands the shards over and waits until nothing is pending.
+func (a *accounts) flush(ctx context.Context) error {
+	if err := a.keeper.Drain(ctx); err != nil {
+		return err
+	}
+	return a.ledger.Flush(ctx)
+}
+
+func (a *accounts) runKeeper(ctx context.Context) error {
+	a.keeper.Run(ctx)
+	return nil
+}
+
+func (a *accounts) runHolder(ctx context.Context) error {
+	a.holder.Run(ctx)
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/instance/instance.go
@@ -0,0 +1,167 @@
+// Package instance puts one instance together: it builds every part from the
+// settings, binds the listeners, runs the controllers and carries out a planned
+// stop. Every instance carries every role.
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/console/operator"
+	"github.com/kingcupyard/kingcupyard/internal/console/settings"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+	"github.com/kingcupyard/kingcupyard/internal/relay/front"
+)
+
+// Instance is one running instance. Build it with New.
+type Instance struct {
+	settings *settings.Settings
+	injector do.Injector
+	clock    clockwork.Clock
+	log      *zap.Logger
+
+	listeners listeners
+	peers     *http.Server
+	// work ends when requests may be cut; control when controllers stop.
+	work        context.Context
+	endWork     context.CancelFunc
+	control     context.Context
+	endControl  context.CancelFunc
+	controllers sync.WaitGroup
+	serving     sync.WaitGroup
+}
+
+// listeners are the three sockets of an instance.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+}
+
+// Addresses are where a running instance listens.
+type Addresses struct {
+	Callers   string
+	Operators string
+	Peers     string
+}
+
+// Option changes an Instance under construction.
+type Option func(*Instance)
+
+// WithClock sets the clock.
+func WithClock(c clockwork.Clock) Option { return func(i *Instance) { i.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l *zap.Logger) Option { return func(i *Instance) { i.log = l } }
+
+// New builds an instance; nothing runs before Start.
+func New(s *settings.Settings, opts ...Option) *Instance {
+	i := &Instance{settings: s, clock: clockwork.NewRealClock(), log: zap.NewNop()}
+	for _, opt := range opts {
+		opt(i)
+	}
+	i.work, i.endWork = context.WithCancel(context.Background())
+	i.control, i.endControl = context.WithCancel(context.Background())
+	return i
+}
+
+// Start binds the listeners, runs the controllers and serves. On an error
+// nothing is left running.
+func (i *Instance) Start() error {
+	if err := i.bind(); err != nil {
+		return err
+	}
+	i.injector = i.provide()
+	server, err := do.Invoke[*peer.Server](i.injector)
+	if err != nil {
+		i.listeners.close()
+		return fmt.Errorf("build instance %s: %w", i.settings.Name, err)
+	}
+	i.peers = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}
+	i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
+	i.runControllers()
+	i.serveHTTP(do.MustInvoke[*operator.API](i.injector).App(), i.listeners.operators)
+	i.serveHTTP(do.MustInvoke[*front.Front](i.injector).App(), i.listeners.callers)
+	a := i.Addresses()
+	i.log.Info("Started", zap.String("Instance", i.settings.Name), zap.String("DataCentre", i.settings.DataCentre),
+		zap.String("Callers", a.Callers), zap.String("Operators", a.Operators), zap.String("Peers", a.Peers))
+	return nil
+}
+
+const headerTimeout = 5 * time.Second
+
+// Addresses returns where the instance listens.
+func (i *Instance) Addresses() Addresses {
+	return Addresses{
+		Callers:   i.listeners.callers.Addr().String(),
+		Operators: i.listeners.operators.Addr().String(),
+		Peers:     i.listeners.peers.Addr().String(),
+	}
+}
+
+func (i *Instance) bind() error {
+	var err error
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{i.settings.Callers, &i.listeners.callers},
+		{i.settings.Operators, &i.listeners.operators},
+		{i.settings.Peers, &i.listeners.peers},
+	} {
+		if *l.to, err = net.Listen("tcp", l.address); err != nil {
+			i.listeners.close()
+			return fmt.Errorf("listen: %w", err)
+		}
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func (i *Instance) serve(f func() error) {
+	i.serving.Go(func() {
+		if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			i.log.Error("ListenerFailed", zap.Error(err))
+		}
+	})
+}
+
+func (i *Instance) serveHTTP(app *fiber.App, l net.Listener) {
+	i.serve(func() error {
+		return app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+}
+
+// runControllers starts every controller; each runs until control ends.
+func (i *Instance) runControllers() {
+	for _, c := range controllers(i.injector) {
+		i.controllers.Go(func() {
+			if err := c.run(i.control); err != nil && i.control.Err() == nil {
+				i.log.Error("ControllerFailed", zap.String("Controller", c.name), zap.Error(err))
+			}
+		})
+	}
+}
+
+// controller is one loop of the instance.
+type controller struct {
+	name string
+	run  func(ctx context.Context) error
+}
--- /dev/null
+++ b/internal/fleet/instance/status.go
@@ -0,0 +1,201 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/kingcupyard/kingcupyard/internal/console/operator"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/distribution"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/member"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+	"github.com/kingcupyard/kingcupyard/internal/platform/store"
+	"github.com/kingcupyard/kingcupyard/internal/relay/explanation"
+)
+
+// teller tells the state of this instance, and asks the others for theirs.
+type teller struct {
+	in do.Injector
+}
+
+// askTimeout bounds one question to another instance.
+const askTimeout = time.Second
+
+// Self implements operator.Fleet.
+func (t teller) Self(context.Context) operator.Status {
+	s, b, now := settingsOf(t.in), get[*board.Board](t.in), clockOf(t.in).Now()
+	status := operator.Status{
+		Instance: s.Name, DataCentre: s.DataCentre, Region: s.Region, At: now,
+		Generation: get[*member.Controller](t.in).Generation(), Reason: "no confirmed configuration",
+		Refusals: counters("Refusals"), Retries: counters("Retries"), StoreCalls: map[string]int64{},
+	}
+	if c := b.Confirmation.Get(); c != nil {
+		status.Ready, status.Reason, status.Revision = c.Allows(now), c.Reason, c.Revision
+		status.ConfirmedAge = now.Sub(c.At)
+	}
+	if reason := get[*lifecycle](t.in).unready(b); reason != "" {
+		status.Ready, status.Reason = false, reason
+	}
+	if doc := b.Configuration.Get(); doc != nil {
+		status.Preset = doc.Preset
+	}
+	for _, calls := range get[*store.Client](t.in).Calls() {
+		status.StoreCalls[calls.Purpose] = calls.Reads + calls.Writes + calls.Watches
+	}
+	status.Members = memberStatuses(b.Members.Get())
+	status.Servers = serverStatus(b.Servers.Get())
+	return status
+}
+
+func memberStatuses(m *board.Members) []operator.MemberStatus {
+	if m == nil {
+		return nil
+	}
+	return lo.Map(m.List, func(m board.Member, _ int) operator.MemberStatus {
+		return operator.MemberStatus{Name: m.Name, DataCentre: m.DataCentre, State: string(m.State)}
+	})
+}
+
+func serverStatus(s *board.Servers) operator.ServerStatus {
+	var status operator.ServerStatus
+	if s == nil {
+		return status
+	}
+	for i := range s.List {
+		if s.List[i].State == board.ServerLeaving {
+			status.Leaving++
+			continue
+		}
+		status.Live++
+		if s.List[i].Report.Cold {
+			status.Cold++
+		}
+	}
+	return status
+}
+
+// counters reads an expvar map of the process.
+func counters(name string) map[string]int64 {
+	values := map[string]int64{}
+	if m, ok := expvar.Get(name).(*expvar.Map); ok {
+		m.Do(func(kv expvar.KeyValue) {
+			if n, ok := kv.Value.(*expvar.Int); ok {
+				values[kv.Key] = n.Value()
+			}
+		})
+	}
+	return values
+}
+
+// Statuses implements operator.Fleet: this instance's state and that of every
+// other one that answers.
+func (t teller) Statuses(ctx context.Context) []operator.Status {
+	own := t.Self(ctx)
+	others := askAll(ctx, t, func(ctx context.Context, c *peer.Client, m board.Member) (operator.Status, error) {
+		resp, err := c.Status(ctx, m.PeerAddress, &peer.StatusRequest{})
+		if err != nil {
+			return operator.Status{Instance: m.Name, DataCentre: m.DataCentre, Reason: "not reached: " + err.Error()}, nil
+		}
+		var s operator.Status
+		return s, json.Unmarshal(resp.Status, &s)
+	})
+	return append([]operator.Status{own}, others...)
+}
+
+// InForce implements operator.Fleet.
+func (t teller) InForce(ctx context.Context, revision int64) []operator.InForce {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	list := get[*distribution.Editor](t.in).InForce(ctx, revision)
+	return lo.Map(list, func(i distribution.InstanceInForce, _ int) operator.InForce {
+		return operator.InForce{Instance: i.Name, Revision: i.Revision, Err: i.Error}
+	})
+}
+
+// Explain implements operator.Fleet: the records of all instances that took
+// part in the request.
+func (t teller) Explain(ctx context.Context, requestID string) []explanation.Record {
+	var records []explanation.Record
+	if own := get[*explanation.Ring](t.in).Find(requestID); own != nil {
+		records = append(records, *own)
+	}
+	others := askAll(ctx, t, func(ctx context.Context, c *peer.Client, m board.Member) ([]explanation.Record, error) {
+		resp, err := c.Explain(ctx, m.PeerAddress, &peer.ExplainRequest{RequestId: requestID})
+		if err != nil {
+			return nil, err
+		}
+		var list []explanation.Record
+		for _, raw := range resp.Records {
+			var r explanation.Record
+			if err := json.Unmarshal(raw, &r); err != nil {
+				return nil, err
+			}
+			list = append(list, r)
+		}
+		return list, nil
+	})
+	return append(records, lo.Flatten(others)...)
+}
+
+// askAll asks every other member at once and returns the answers that came.
+func askAll[T any](ctx context.Context, t teller, ask func(context.Context, *peer.Client, board.Member) (T, error)) []T {
+	members := get[*board.Board](t.in).Members.Get()
+	if members == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	client := get[*peer.Client](t.in)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var answers []T
+	for _, m := range members.List {
+		if m.Name == members.Self {
+			continue
+		}
+		wg.Go(func() {
+			answer, err := ask(ctx, client, m)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, answer)
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// tellerService answers the peers' questions.
+type tellerService struct {
+	teller
+}
+
+// Status implements peer.StatusTeller.
+func (t tellerService) Status(ctx context.Context, _ *peer.StatusRequest) (*peer.StatusResponse, error) {
+	raw, err := json.Marshal(t.Self(ctx))
+	if err != nil {
+		return nil, err
+	}
+	return &peer.StatusResponse{Status: raw}, nil
+}
+
+// Explain implements peer.Explainer.
+func (t tellerService) Explain(_ context.Context, req *peer.ExplainRequest) (*peer.ExplainResponse, error) {
+	own := get[*explanation.Ring](t.in).Find(req.RequestId)
+	if own == nil {
+		return &peer.ExplainResponse{}, nil
+	}
+	raw, err := json.Marshal(own)
+	if err != nil {
+		return nil, err
+	}
+	return &peer.ExplainResponse{Records: [][]byte{raw}}, nil
+}
--- a/internal/platform/roster/controller.go
+++ b/internal/platform/roster/controller.go
@@ -111,17 +111,19 @@
 // readList asks for the instance list and takes it in if it is plausible.
 func (c *Controller) readList(ctx context.Context) {
 	var resp listResponse
+	asked := c.clock.Now()
 	if err := c.http.Get(ctx, "http://"+c.listAddress+"/instances", &resp); err != nil {
 		counts.Add("ListFailed", 1)
 		return
 	}
-	c.takeList(resp)
+	c.takeList(resp, asked)
 }
 
-func (c *Controller) takeList(resp listResponse) {
+// takeList takes in a list that was asked for at a time.
+func (c *Controller) takeList(resp listResponse, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
+	now := asked
 	if resp.Sequence < c.sequence {
 		counts.Add("ListOutOfOrder", 1)
 		return
--- /dev/null
+++ b/internal/relay/affinity/affinity.go
@@ -0,0 +1,197 @@
+// Package affinity finds the version of each model that a request's session
+// keeps: from the sealed token that the caller echoes, from the pin under a
+// name that the caller brings, or by choice for a new session.
+package affinity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
+	"github.com/kingcupyard/kingcupyard/internal/release/rollout"
+	"github.com/kingcupyard/kingcupyard/internal/routing/session"
+)
+
+// Pins keeps the versions of sessions that callers name.
+type Pins interface {
+	// Pin returns the pin kept for the model of a named session, and makes the
+	// proposed one that pin if there is none.
+	Pin(ctx context.Context, proposed session.Pin) (kept session.Pin, found bool, err error)
+}
+
+// retryAfter is what a caller waits when a pin can't be read.
+const retryAfter = time.Second
+
+// Resolver implements pipeline.Sessions. It is safe for concurrent use.
+type Resolver struct {
+	pins   Pins
+	sealer atomic.Pointer[keyedSealer]
+}
+
+// keyedSealer is the sealer for the keys of one revision.
+type keyedSealer struct {
+	revision int64
+	sealer   *session.Sealer
+}
+
+// New returns a Resolver that keeps named sessions in pins.
+func New(pins Pins) *Resolver {
+	return &Resolver{pins: pins}
+}
+
+// Resolve implements pipeline.Sessions. The error is a *call.Refusal.
+func (r *Resolver) Resolve(ctx context.Context, q pipeline.SessionQuery) (pipeline.Session, error) {
+	if q.Identifier != "" && !session.IsToken(q.Identifier) {
+		return r.resolveNamed(ctx, q)
+	}
+	sealer, err := r.sealerFor(q.Document)
+	if err != nil {
+		return pipeline.Session{}, &call.Refusal{Reason: call.ReasonNotReady, Detail: err.Error()}
+	}
+	pin, err := openPin(sealer, q)
+	if err != nil {
+		return pipeline.Session{}, err
+	}
+	s := pipeline.Session{Versions: map[string]string{}, InProgress: q.Identifier != ""}
+	pin, err = fill(&s, pin, q)
+	if err != nil {
+		return pipeline.Session{}, err
+	}
+	s.Identifier, err = sealer.Seal(pin)
+	if err != nil {
+		return pipeline.Session{}, &call.Refusal{Reason: call.ReasonNotReady, Detail: err.Error()}
+	}
+	return s, nil
+}
+
+func (r *Resolver) sealerFor(doc *configuration.Document) (*session.Sealer, error) {
+	if k := r.sealer.Load(); k != nil && k.revision == doc.Revision {
+		return k.sealer, nil
+	}
+	s, err := session.NewSealer(doc.SessionKeys)
+	if err != nil {
+		return nil, fmt.Errorf("session keys: %w", err)
+	}
+	r.sealer.Store(&keyedSealer{doc.Revision, s})
+	return s, nil
+}
+
+// openPin returns the pin in the caller's token, or one for a new session.
+func openPin(sealer *session.Sealer, q pipeline.SessionQuery) (session.Pin, error) {
+	if q.Identifier == "" {
+		return session.Pin{Customer: q.Customer.Name, Session: uuid.NewString(), StartedAt: q.Now}, nil
+	}
+	pin, err := sealer.Open(q.Customer.Name, q.Identifier)
+	if err != nil {
+		return session.Pin{}, &call.Refusal{Reason: call.ReasonSessionInvalid, Field: "Session-Id", Detail: err.Error()}
+	}
+	return pin, nil
+}
+
+// fill finds the version of each model and adds it to the pin. A model without
+// a version is left out unless the session had one, or none is left.
+func fill(s *pipeline.Session, pin session.Pin, q pipeline.SessionQuery) (session.Pin, error) {
+	var first error
+	for _, model := range q.Models {
+		version, err := versionOf(pin, model, q)
+		if err != nil {
+			if _, pinned := pin.Of(model); pinned {
+				return pin, err
+			}
+			first = errors.Join(first, err)
+			continue
+		}
+		pin = pin.With(model, version)
+		s.Versions[model] = version
+	}
+	if len(s.Versions) == 0 {
+		return pin, firstRefusal(first)
+	}
+	return pin, nil
+}
+
+// versionOf returns the pinned version of the model, or chooses one.
+func versionOf(pin session.Pin, model string, q pipeline.SessionQuery) (string, error) {
+	pinned, ok := pin.Of(model)
+	if !ok {
+		return choose(pin.Session, model, q)
+	}
+	version, err := session.Resolve(q.Document, q.Customer, pinned)
+	if err != nil {
+		return "", err
+	}
+	return version, checkExact(model, version, q)
+}
+
+func choose(name, model string, q pipeline.SessionQuery) (string, error) {
+	if q.Exact != "" {
+		return q.Exact, nil
+	}
+	return rollout.Choose(q.Document, q.Customer, model, rollout.Unit(q.Customer.Name, name, model))
+}
+
+// checkExact refuses a caller that names another version than its session has.
+func checkExact(model, version string, q pipeline.SessionQuery) error {
+	if q.Exact == "" || q.Exact == version {
+		return nil
+	}
+	return &call.Refusal{Reason: call.ReasonSessionInvalid, Field: "model", Detail: "the session keeps " + model + "@" + version}
+}
+
+// resolveNamed reads the pins of a session under the caller's own name.
+func (r *Resolver) resolveNamed(ctx context.Context, q pipeline.SessionQuery) (pipeline.Session, error) {
+	s := pipeline.Session{Identifier: q.Identifier, Versions: map[string]string{}}
+	var first error
+	for _, model := range q.Models {
+		version, found, err := r.namedVersion(ctx, model, q)
+		if err != nil {
+			if found {
+				return pipeline.Session{}, err
+			}
+			first = errors.Join(first, err)
+			continue
+		}
+		s.InProgress = s.InProgress || found
+		s.Versions[model] = version
+	}
+	if len(s.Versions) == 0 {
+		return pipeline.Session{}, firstRefusal(first)
+	}
+	return s, nil
+}
+
+func (r *Resolver) namedVersion(ctx context.Context, model string, q pipeline.SessionQuery) (string, bool, error) {
+	proposed, err := choose(q.Identifier, model, q)
+	if err != nil {
+		proposed = ""
+	}
+	pin := session.Pin{Customer: q.Customer.Name, Session: q.Identifier, Model: model, Version: proposed, StartedAt: q.Now}
+	kept, found, perr := r.pins.Pin(ctx, pin)
+	if perr != nil {
+		return "", true, &call.Refusal{Reason: call.ReasonNotReady, Field: "Session-Id", Detail: perr.Error(), RetryAfter: retryAfter}
+	}
+	if !found && proposed == "" {
+		return "", false, err
+	}
+	version, err := session.Resolve(q.Document, q.Customer, kept)
+	if err != nil {
+		return "", true, err
+	}
+	return version, found, checkExact(model, version, q)
+}
+
+// firstRefusal returns the first refusal among joined errors.
+func firstRefusal(err error) error {
+	var refusal *call.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &call.Refusal{Reason: call.ReasonUnknownModel, Field: "model", Detail: "no model to run on"}
+}
--- /dev/null
+++ b/internal/relay/pipeline/pipeline.go
@@ -0,0 +1,222 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/billing/ledger"
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/relay/explanation"
+	"github.com/kingcupyard/kingcupyard/internal/release/rollout"
+	"github.com/kingcupyard/kingcupyard/internal/routing/admission"
+	"github.com/kingcupyard/kingcupyard/internal/routing/capacity"
+	"github.com/kingcupyard/kingcupyard/internal/routing/cascade"
+	"github.com/kingcupyard/kingcupyard/internal/routing/placement"
+)
+
+// Gate admits requests or refuses them under overload.
+type Gate interface {
+	Admit(ctx context.Context, ask admission.Ask) (*admission.Ticket, error)
+}
+
+// Budget bounds retries to a share of first attempts.
+type Budget interface {
+	Deposit()
+	Withdraw() bool
+}
+
+// Placer chooses a backend server and checks the choice again.
+type Placer interface {
+	Choose(q *placement.Query, rnd placement.Rand) (placement.Choice, error)
+	Recheck(q *placement.Query, server string) error
+}
+
+// Limiter grants the right to start work at a backend server.
+type Limiter interface {
+	Acquire(server string, now time.Time) (*capacity.Permit, bool)
+	Observe(server string, firstToken time.Duration, now time.Time)
+}
+
+// Health learns which backend servers fail.
+type Health interface {
+	Record(server string, ok bool, pool int, now time.Time)
+}
+
+// Attempts carries single attempts to backend servers.
+type Attempts interface {
+	Chat(ctx context.Context, target attempt.Target, chat attempt.Chat, sink func(attempt.Chunk) error) (attempt.Answer, error)
+	Plain(ctx context.Context, target attempt.Target, plain attempt.Plain) (attempt.PlainAnswer, error)
+}
+
+// Ledger keeps bills and the claims of requests that must run at most once.
+type Ledger interface {
+	Open(b ledger.Bill)
+	Close(ctx context.Context, b ledger.Bill) (ledger.Closed, error)
+	Claim(ctx context.Context, id, customer string, bodyHash uint64) (ledger.ClaimResult, error)
+	Finish(t ledger.Ticket, outcome call.RunState, answer []byte)
+}
+
+// Cascade plans which models to ask.
+type Cascade interface {
+	Decide(q cascade.Query, rnd *rand.Rand) cascade.Plan
+	Observe(o cascade.Outcome)
+}
+
+// Sessions finds and keeps the versions of a session.
+type Sessions interface {
+	Resolve(ctx context.Context, q SessionQuery) (Session, error)
+}
+
+// Judge says whether an answer is good enough.
+type Judge interface {
+	Judge(ctx context.Context, q Judgement) (bool, error)
+}
+
+// Raters send delivered answers to be rated. Submit does not block.
+type Raters interface {
+	Submit(a RatedAnswer)
+}
+
+// Evidence records outcomes of versions under roll-out.
+type Evidence interface {
+	Record(o rollout.Observation)
+}
+
+// Journal keeps decision records.
+type Journal interface {
+	Add(r *explanation.Record)
+}
+
+// Parts is what a pipeline is built from. Judge and Raters may be nil.
+type Parts struct {
+	Instance   string
+	DataCentre string
+	Board      *board.Board
+	Gate       Gate
+	Budget     Budget
+	Placer     Placer
+	Limiter    Limiter
+	Health     Health
+	Attempts   Attempts
+	Ledger     Ledger
+	Cascade    Cascade
+	Sessions   Sessions
+	Judge      Judge
+	Raters     Raters
+	Evidence   Evidence
+	Journal    Journal
+	Clock      clockwork.Clock
+	Log        *zap.Logger
+	Seed       uint64
+}
+
+// Pipeline runs requests. Build it with New.
+type Pipeline struct {
+	Parts
+	rands sync.Pool
+}
+
+var retries = expvar.NewMap("Retries")
+
+// New returns a Pipeline.
+func New(parts Parts) *Pipeline {
+	p := &Pipeline{Parts: parts}
+	var mu sync.Mutex
+	seed := rand.New(rand.NewPCG(parts.Seed, parts.Seed^0x9e3779b97f4a7c15))
+	p.rands.New = func() any {
+		mu.Lock()
+		defer mu.Unlock()
+		return rand.New(rand.NewPCG(seed.Uint64(), seed.Uint64()))
+	}
+	return p
+}
+
+// flight is one request under way.
+type flight struct {
+	request  *call.Request
+	doc      *configuration.Document
+	customer *configuration.Customer
+	preset   *configuration.Preset
+	record   *explanation.Record
+	rnd      *rand.Rand
+	// attempts counts those that sent a byte, or tried to.
+	attempts int
+	// state is the furthest that any attempt can have run.
+	state call.RunState
+}
+
+// begin fixes the configuration that the request is planned under.
+func (p *Pipeline) begin(r *call.Request) (*flight, error) {
+	doc := p.Board.Configuration.Get()
+	if doc == nil {
+		return nil, &call.Refusal{Reason: call.ReasonNotReady, Detail: "no configuration", RetryAfter: time.Second}
+	}
+	customer := doc.Customer(r.Customer)
+	if customer == nil {
+		return nil, &call.Refusal{Reason: call.ReasonNotAllowed, Detail: "the customer is not configured any more"}
+	}
+	return &flight{
+		request: r, doc: doc, customer: customer, preset: doc.PresetInForce(),
+		rnd: p.rands.Get().(*rand.Rand),
+		record: &explanation.Record{
+			RequestID: r.ID, Trace: r.Trace, Instance: p.Instance, Customer: r.Customer, Model: r.Model,
+			Class: r.Class, Session: r.Session, Revision: doc.Revision, Preset: doc.Preset, ArrivedAt: r.Arrived,
+		},
+	}, nil
+}
+
+// end files the decision record and gives the refusal its run state.
+func (p *Pipeline) end(f *flight, err error) error {
+	p.rands.Put(f.rnd)
+	f.record.Elapsed = p.Clock.Since(f.request.Arrived)
+	f.record.RunState = f.state.String()
+	var r *call.Refusal
+	if errors.As(err, &r) {
+		r.State = max(r.State, f.state)
+		f.record.Reason = string(r.Reason)
+		f.record.RunState = r.State.String()
+	}
+	p.Journal.Add(f.record)
+	p.log(f, err)
+	return err
+}
+
+func (p *Pipeline) log(f *flight, err error) {
+	fields := []zap.Field{
+		zap.String("RequestId", f.request.ID), zap.String("Customer", f.request.Customer), zap.String("Model", f.request.Model),
+		zap.Int("Attempts", f.attempts), zap.String("RunState", f.record.RunState), zap.Duration("Elapsed", f.record.Elapsed),
+	}
+	if err != nil {
+		p.Log.Info("RequestEnded", append(fields, zap.Error(err))...)
+		return
+	}
+	p.Log.Debug("RequestAnswered", fields...)
+}
+
+// admit passes the request through the gate of the service it needs.
+func (p *Pipeline) admit(ctx context.Context, f *flight, service string, inSession bool) (*admission.Ticket, error) {
+	return p.Gate.Admit(ctx, admission.Ask{
+		Customer: f.request.Customer, Priority: f.request.Priority, Session: inSession, Deadline: f.request.Deadline, Kind: service,
+	})
+}
+
+// outcomeOf sorts how a request ended for the gate.
+func outcomeOf(f *flight, err error) admission.Outcome {
+	switch {
+	case err == nil:
+		return admission.Answered
+	case f.state == call.NotRun:
+		return admission.Abandoned
+	}
+	return admission.Failed
+}
--- /dev/null
+++ b/internal/relay/pipeline/plain.go
@@ -0,0 +1,149 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	"github.com/kingcupyard/kingcupyard/internal/billing/ledger"
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+// Plain runs one call of a plain service. A call that may not be repeated is
+// claimed first and runs at most once under its ID.
+func (p *Pipeline) Plain(ctx context.Context, c *Plain) (answer *PlainAnswer, err error) {
+	f, err := p.begin(c.Request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = p.end(f, err) }()
+	ticket, err := p.admit(ctx, f, c.Service, c.Request.Session != "")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { ticket.Done(outcomeOf(f, err)) }()
+	var claimed ledger.Ticket
+	if !c.Request.Idempotent {
+		kept, t, err := p.claim(ctx, f)
+		if kept != nil || err != nil {
+			return kept, err
+		}
+		claimed = t
+	}
+	answer, err = p.runPlain(ctx, f, c)
+	if !c.Request.Idempotent {
+		p.Ledger.Finish(claimed, f.state, encodeAnswer(answer))
+	}
+	return answer, err
+}
+
+// claim commits the request's claim. It returns the kept answer of an earlier
+// request with the same ID, or a refusal with that one's run state.
+func (p *Pipeline) claim(ctx context.Context, f *flight) (*PlainAnswer, ledger.Ticket, error) {
+	result, err := p.Ledger.Claim(ctx, f.request.ID, f.request.Customer, f.request.BodyHash)
+	if err != nil {
+		return nil, ledger.Ticket{}, &call.Refusal{Reason: call.ReasonClaimUnavailable, Detail: err.Error(), RetryAfter: retryAfter}
+	}
+	switch result.State {
+	case ledger.ClaimGranted:
+		return nil, result.Ticket, nil
+	case ledger.ClaimMismatch:
+		return nil, ledger.Ticket{}, &call.Refusal{Reason: call.ReasonBodyMismatch, Field: "Idempotency-Key", Detail: "the key was used for another body"}
+	}
+	f.record.Plan = "repeat of a claimed request"
+	f.state = result.Existing.State
+	if kept := decodeAnswer(result.Existing.Answer); kept != nil {
+		kept.RequestID, kept.Repeated = f.request.ID, true
+		return kept, ledger.Ticket{}, nil
+	}
+	return nil, ledger.Ticket{}, &call.Refusal{
+		Reason: call.ReasonDuplicate, State: result.Existing.State, Field: "Idempotency-Key",
+		Detail: "the first request with this key is not answered, or its answer is not kept any more",
+	}
+}
+
+// keptAnswer is the form in which an answer is kept for repeats.
+type keptAnswer struct {
+	Status int
+	Header []Header
+	Body   []byte
+}
+
+func encodeAnswer(a *PlainAnswer) []byte {
+	if a == nil {
+		return nil
+	}
+	raw, err := json.Marshal(keptAnswer{a.Status, a.Header, a.Body})
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// decodeAnswer returns the kept answer, or nil if there is none.
+func decodeAnswer(raw []byte) *PlainAnswer {
+	var kept keptAnswer
+	if len(raw) == 0 || json.Unmarshal(raw, &kept) != nil {
+		return nil
+	}
+	return &PlainAnswer{Status: kept.Status, Header: kept.Header, Body: kept.Body}
+}
+
+// runPlain tries backend servers until one answers or no more may be tried.
+func (p *Pipeline) runPlain(ctx context.Context, f *flight, c *Plain) (*PlainAnswer, error) {
+	r := p.newRoute(c.Service, c.Service, "", nil)
+	bill := ledger.Bill{ID: f.request.ID, Customer: f.request.Customer, Service: c.Service, OpenedAt: p.Clock.Now(), Steps: 1}
+	p.Budget.Deposit()
+	for {
+		answer, err := p.attemptPlain(ctx, f, c, r)
+		if err != nil && p.mayRetry(f, err) {
+			continue
+		}
+		bill.Attempts = f.attempts
+		if f.state == call.Ran {
+			p.closeBill(ctx, bill)
+		}
+		if err != nil {
+			return nil, refuseAttempt(f, err, false)
+		}
+		return &PlainAnswer{RequestID: f.request.ID, Status: answer.Status, Header: headerList(answer.Header), Body: answer.Body}, nil
+	}
+}
+
+func (p *Pipeline) attemptPlain(ctx context.Context, f *flight, c *Plain, r *route) (attempt.PlainAnswer, error) {
+	at, err := p.place(ctx, f, r)
+	if err != nil {
+		return attempt.PlainAnswer{}, err
+	}
+	f.attempts++
+	id := uuid.NewString()
+	answer, err := p.Attempts.Plain(ctx, attempt.Target{Server: at.server.Name, Address: at.server.Address, DataCentre: at.server.DataCentre}, attempt.Plain{
+		AttemptID: id, RequestID: f.request.ID, Customer: f.request.Customer, Method: c.Method, Path: c.Path, Query: c.Query,
+		Header: httpHeader(c.Header), Body: f.request.Body, Idempotent: f.request.Idempotent, Progress: new(call.Progress),
+		BeforeWrite: func() error { return p.check(f, r, at) },
+	})
+	p.settle(at, attempt.Answer{}, err)
+	p.resolve(f, r, at, id, err)
+	return answer, err
+}
+
+func httpHeader(list []Header) http.Header {
+	h := http.Header{}
+	for _, v := range list {
+		h.Add(v.Name, v.Value)
+	}
+	return h
+}
+
+func headerList(h http.Header) []Header {
+	var list []Header
+	for name, values := range h {
+		for _, v := range values {
+			list = append(list, Header{name, v})
+		}
+	}
+	return list
+}
--- a/internal/routing/capacity/controller.go
+++ b/internal/routing/capacity/controller.go
@@ -23,6 +23,7 @@
 	bank    *Bank
 
 	mu       sync.Mutex
+	roll     roll
 	sequence uint64
 	asking   map[string]uint64 // keeper to the sequence of the request on its way
 }
@@ -72,7 +73,7 @@
 // limiter and the bank.
 func (c *Controller) Refresh() {
 	now := c.clock.Now()
-	members, doc := c.board.Members.Get(), c.board.Configuration.Get()
+	members, doc := c.members(), c.board.Configuration.Get()
 	c.office.Update(members, now)
 	c.limiter.Update(c.board.Servers.Get(), doc, members, now)
 	for _, v := range c.limiter.views() {
@@ -80,6 +81,12 @@
 	}
 }
 
+func (c *Controller) members() *board.Members {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roll.of(c.board)
+}
+
 // Plan is one request for credits, bound for one keeper.
 type Plan struct {
 	Keeper  board.Member
@@ -91,7 +98,7 @@
 // Plan gives back what this instance has no use for and returns the requests
 // to send, one for each keeper that has none on its way.
 func (c *Controller) Plan() []Plan {
-	members := c.board.Members.Get()
+	members := c.members()
 	if members == nil {
 		return nil
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -92,7 +92,7 @@
 	}
 	e.restart(now, now)
 	if e.settings.StartsWarm {
-		e.warmAt = now
+		e.startedAt, e.warmAt = now.Add(-warmUptime), now
 	}
 	e.report = e.measure(now)
 	e.mu.Unlock()
@@ -103,6 +103,9 @@
 	return bound, err
 }
 
+// warmUptime is how long an engine that starts warm reports to have run.
+const warmUptime = time.Hour
+
 // Close breaks every connection and stops the engine.
 func (e *Engine) Close() { e.host.Close() }
 
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -72,6 +72,9 @@
 	Count     int
 }
 
+// uptime is how long a server reports to have run when it starts.
+const uptime = time.Hour
+
 // Server is one server of a plain service.
 type Server struct {
 	settings Settings
@@ -111,7 +114,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.startedAt = s.clock.Now()
+	s.startedAt = s.clock.Now().Add(-uptime)
 	s.faults.OnChange = func(f *Faults) {
 		s.host.SetHang(f.Hang)
 		if f.Silence {
