--- a/cmd/kingcupyard/standin.go
+++ b/cmd/kingcupyard/standin.go
@@ -16,6 +16,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/console/line"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
+	"github.com/kingcupyard/kingcupyard/internal/measure/demo"
 	"github.com/kingcupyard/kingcupyard/internal/standin/engine"
 	"github.com/kingcupyard/kingcupyard/internal/standin/plain"
 	"github.com/kingcupyard/kingcupyard/internal/standin/rating"
@@ -155,6 +156,53 @@
 	return nil
 }
 
-func (c *standinCommand) runDeployment(context.Context) subcommands.ExitStatus {
-	return c.fail(&operator.Problem{Kind: operator.ProblemBadInput, Field: "Deployment"})
+// Where the stand-ins of a deployment listen; the example settings name them.
+const (
+	storeAddress  = "127.0.0.1:2379"
+	listAddress   = "127.0.0.1:2400"
+	ratingAddress = "127.0.0.1:2401"
+	weightAddress = "127.0.0.1:2402"
+	peersAddress  = "127.0.0.1:8082"
+)
+
+// runDeployment runs everything outside of a deployment, with an initial
+// configuration in the store.
+func (c *standinCommand) runDeployment(ctx context.Context) subcommands.ExitStatus {
+	d, err := demo.FindDeployment(c.deployment)
+	if err != nil {
+		return c.fail(&operator.Problem{Kind: operator.ProblemBadInput, Field: "Deployment", Value: c.deployment, Allowed: "Pottyround or Csatornakep"})
+	}
+	if len(c.instances) == 0 {
+		c.instances = listFlag{"entry-1@" + peersAddress + "@" + d.DataCentres[0]}
+	}
+	p, err := demo.StartPlatform(d, 1, demo.Addresses{Store: storeAddress, InstanceList: listAddress, Rating: ratingAddress, Weights: weightAddress})
+	if err != nil {
+		return c.fail(err)
+	}
+	defer p.Close()
+	for _, text := range c.instances {
+		entry, err := parseInstance(text, d.Region)
+		if err != nil {
+			return c.fail(err)
+		}
+		p.Roster.Put(entry)
+	}
+	a := p.Addresses()
+	c.printer().Event("StandIns", line.Pair{Key: "Deployment", Value: d.Name}, line.Pair{Key: "Store", Value: a.Store},
+		line.Pair{Key: "InstanceList", Value: a.InstanceList}, line.Pair{Key: "Rating", Value: a.Rating}, line.Pair{Key: "Weights", Value: a.Weights},
+		line.Pair{Key: "Engines", Value: len(p.Engines)}, line.Pair{Key: "Plain", Value: len(p.Plain)})
+	<-ctx.Done()
+	return subcommands.ExitSuccess
+}
+
+// parseInstance reads NAME@PEERADDRESS@DATACENTRE.
+func parseInstance(text, region string) (roster.Instance, error) {
+	parts := strings.Split(text, "@")
+	if len(parts) != 3 {
+		return roster.Instance{}, &operator.Problem{Kind: operator.ProblemBadInput, Field: "Instances", Value: text, Allowed: "NAME@PEERADDRESS@DATACENTRE"}
+	}
+	return roster.Instance{
+		Name: parts[0], PeerAddress: parts[1], DataCentre: parts[2], Region: region,
+		Service: "kingcupyard", State: roster.StateLive, Generation: 1,
+	}, nil
 }
