Keep the ledger on its own adapter of the store

Cause: the adapter stood twice after the ledger landed with one of its own. Change: the instance uses the ledger's. Conclusion: one place.

--- a/internal/fleet/instance/accounts.go
+++ b/internal/fleet/instance/accounts.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/samber/do/v2"
-	"github.com/samber/lo"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/ledger"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
@@ -13,32 +12,6 @@
 	"github.com/kingcupyard/kingcupyard/internal/platform/store"
 )
 
-// ledgerStore keeps the ledger in the platform's store.
-type ledgerStore struct {
-	client *store.Client
-}
-
-// Range implements ledger.Store.
-func (s ledgerStore) Range(ctx context.Context, span ledger.Span, limit int) ([]ledger.Pair, error) {
-	entries, err := s.client.RangeSpan(ctx, store.Ledger, store.Span(span), limit)
-	if err != nil {
-		return nil, err
-	}
-	return lo.Map(entries, func(e store.Entry, _ int) ledger.Pair {
-		return ledger.Pair{Key: e.Key, Value: e.Value, Revision: e.ModRevision}
-	}), nil
-}
-
-// Commit implements ledger.Store.
-func (s ledgerStore) Commit(ctx context.Context, t ledger.Txn) (int64, bool, error) {
-	committed, revision, err := s.client.Commit(ctx, store.Ledger, store.Txn{
-		If:     lo.Map(t.If, func(c ledger.Condition, _ int) store.Condition { return store.Condition(c) }),
-		Put:    lo.Map(t.Put, func(p ledger.Pair, _ int) store.Put { return store.Put{Key: p.Key, Value: p.Value} }),
-		Delete: lo.Map(t.Delete, func(s ledger.Span, _ int) store.Span { return store.Span(s) }),
-	})
-	return revision, committed, err
-}
-
 // ledgerPeers carries records to other instances.
 type ledgerPeers struct {
 	client *peer.Client
@@ -76,13 +49,13 @@
 	ledger *ledger.Ledger
 	keeper *ledger.Keeper
 	holder *ledger.Holder
-	store  ledgerStore
+	store  ledger.Store
 }
 
 func newAccounts(in do.Injector) (*accounts, error) {
 	s, b := settingsOf(in), get[*board.Board](in)
 	self := ledger.Origin{Instance: s.Name, Generation: get[*member.Controller](in).Generation()}
-	st := ledgerStore{get[*store.Client](in)}
+	st := ledger.OnStore(get[*store.Client](in))
 	keeper := ledger.NewKeeper(st, self, &b.Members, ledger.WithKeeperClock(clockOf(in)))
 	l := ledger.New(self, &b.Members, ledgerPeers{get[*peer.Client](in)}, keeper, ledger.WithClock(clockOf(in)))
 	return &accounts{l, keeper, ledger.NewHolder(l), st}, nil
