--- a/internal/relay/attempt/fake_test.go
+++ b/internal/relay/attempt/fake_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // fakeServer answers each request by a script: one step after another.
@@ -24,11 +26,14 @@
 //	done           send the end marker and end the body
 //	comment        send a comment line
 //	whole          answer whole
+//	late           answer whole under another attempt ID
 //	part           answer with half of a whole body, then close
 //	unframed       answer without a length, then close
 //	close          close the connection
 //	silent         read on without ever answering
 //	hold           wait until the test ends the server
+//	sleep D        wait for a time
+//	flood          send tokens without end
 type fakeServer struct {
 	t      *testing.T
 	ln     net.Listener
@@ -39,9 +44,16 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	accepted int
+	flooded  int
 	open     map[net.Conn]bool
 }
 
+// newPipedServer is a server without a listener; connections are pipes, so
+// that it works under synctest.
+func newPipedServer(t *testing.T, script ...string) *fakeServer {
+	return &fakeServer{t: t, script: script, held: make(chan struct{}), open: map[net.Conn]bool{}}
+}
+
 func newFakeServer(t *testing.T, script ...string) *fakeServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,7 +71,9 @@
 }
 
 func (f *fakeServer) stop() {
-	f.ln.Close()
+	if f.ln != nil {
+		f.ln.Close()
+	}
 	close(f.held)
 	f.mu.Lock()
 	for nc := range f.open {
@@ -75,14 +89,18 @@
 		if err != nil {
 			return
 		}
-		f.mu.Lock()
-		f.accepted++
-		f.open[nc] = true
-		f.mu.Unlock()
-		f.wg.Go(func() { f.serve(nc) })
+		f.take(nc)
 	}
 }
 
+func (f *fakeServer) take(nc net.Conn) {
+	f.mu.Lock()
+	f.accepted++
+	f.open[nc] = true
+	f.mu.Unlock()
+	f.wg.Go(func() { f.serve(nc) })
+}
+
 func (f *fakeServer) serve(nc net.Conn) {
 	defer nc.Close()
 	br := bufio.NewReader(nc)
@@ -110,6 +128,8 @@
 	nc net.Conn
 	br *bufio.Reader
 	id string
+	// failed is set once the client is gone.
+	failed bool
 }
 
 func (s *session) step(step string) bool {
@@ -143,8 +163,22 @@
 		s.send("0\r\n\r\n")
 	case "whole", "part", "unframed":
 		s.whole(word)
+	case "late":
+		s.id = "late"
+		s.whole("whole")
 	case "close":
 		return false
+	case "sleep":
+		d, _ := time.ParseDuration(arg)
+		time.Sleep(d)
+	case "flood":
+		for i := 1; !s.failed; i++ {
+			s.event(s.id, strconv.Itoa(i), "null")
+			s.f.mu.Lock()
+			s.f.flooded = i
+			s.f.mu.Unlock()
+		}
+		return false
 	case "silent", "hold":
 		<-s.f.held
 		return false
@@ -176,7 +210,11 @@
 	return true
 }
 
-func (s *session) send(format string, args ...any) { fmt.Fprintf(s.nc, format, args...) }
+func (s *session) send(format string, args ...any) {
+	if _, err := fmt.Fprintf(s.nc, format, args...); err != nil {
+		s.failed = true
+	}
+}
 
 func (s *session) chunk(payload string) { s.send("%x\r\n%s\r\n", len(payload), payload) }
 
