Let the scripts wait until both instances know each other

Cause: in its first 4 s an instance that was alone turns back to Joining when a second one appears, until it has heard from it; the script asked in between. Ruled out: an instance that has been up longer does not fall back. Change: the set-up waits until each instance lists both and is ready. Conclusion: a test's matter.

--- a/cmd/kingcupyard/main_test.go
+++ b/cmd/kingcupyard/main_test.go
@@ -10,9 +10,11 @@
 
 	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/internal/measure/demo"
 	"github.com/kingcupyard/kingcupyard/internal/standin/roster"
 )
@@ -83,24 +85,23 @@
 		}
 		env.Defer(func() { _ = in.Stop(context.Background()) })
 		p.Roster.Put(roster.Instance{Name: name, Address: in.Callers, PeerAddress: in.Peers, Service: "kingcupyard", DataCentre: d.DataCentres[0], Region: d.Region, Generation: 1})
-		awaitReady("http://" + in.Operators + "/readyz")
 		env.Setenv("KINGCUPYARD_OPERATORS", "http://"+in.Operators)
 		env.Setenv("CALLERS", "http://"+in.Callers)
 	}
+	awaitFleet(operator.NewClient(env.Getenv("KINGCUPYARD_OPERATORS"), testKey), 2)
 	env.Setenv("KINGCUPYARD_OPERATOR_KEY", testKey)
 	env.Setenv("STORE", "http://"+a.Store)
 	return nil
 }
 
-// awaitReady polls until the instance is ready; the test's own timeout ends it.
-func awaitReady(url string) {
+// awaitFleet polls until every instance is ready and knows all others; the
+// test's own timeout ends it.
+func awaitFleet(c *operator.Client, size int) {
+	isUp := func(s operator.Status) bool { return s.Ready && len(s.Members) == size }
 	for {
-		resp, err := http.Get(url)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return
-			}
+		list, err := c.Statuses(context.Background())
+		if err == nil && len(list) == size && lo.EveryBy(list, isUp) {
+			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
