Keep the store's budget apart for duties and for what every instance writes

360 instances that start at once wrote 496 times in the first second (limit 400): each had a burst of its own for statistics. Writes of duties now share one part of the rate among at most 8 holders; all other writes share the rest among all members, from buckets that start partly empty. After an outage the pauses of duties stay within a second, those of other calls within ten.

--- a/internal/fleet/distribution/world_test.go
+++ b/internal/fleet/distribution/world_test.go
@@ -32,6 +32,9 @@
 	return fired
 }
 
+// nodeSet holds one bit for each instance.
+type nodeSet [2]uint64
+
 // version is one value of the simulated store's key.
 type version struct {
 	value []byte
@@ -53,6 +56,9 @@
 	storeDown bool
 	loss      float64
 	lose      float64
+	// slow is how late the store's answers and events come.
+	slow  time.Duration
+	reads int
 
 	mu       sync.Mutex
 	sent     map[string]uint64
@@ -82,7 +88,7 @@
 	// isolated means that neither the store nor any other is reached.
 	isolated    bool
 	seenMod     int64
-	seenMembers uint64
+	seenMembers nodeSet
 	highest     int64
 	phase       int
 }
@@ -120,7 +126,7 @@
 	n.stableSince = n.world.clock.Now()
 	n.startedAt = n.stableSince
 	n.reachedAt = n.stableSince
-	n.highest, n.seenMod, n.seenMembers = 0, 0, 0
+	n.highest, n.seenMod, n.seenMembers = 0, 0, nodeSet{}
 	n.silent = n.world.rng.IntN(4) == 0
 }
 
@@ -192,7 +198,23 @@
 	if !n.reachesStore() || n.world.isLost(n.name+">store", n.world.loss) {
 		return nil, 0, false, n.fail(false)
 	}
-	return n.world.current.value, n.world.current.mod, n.world.current.mod > 0, nil
+	n.world.reads++
+	seen := n.world.visible()
+	return seen.value, seen.mod, seen.mod > 0, nil
+}
+
+// visible is what a slow store's answers show now.
+func (w *world) visible() version {
+	if w.slow == 0 {
+		return w.current
+	}
+	limit := w.clock.Now().Add(-w.slow)
+	for i := len(w.history) - 1; i > 0; i-- {
+		if !w.history[i].at.After(limit) {
+			return w.history[i]
+		}
+	}
+	return w.history[0]
 }
 
 // Revision reads the revision of the simulated store's key.
@@ -260,9 +282,9 @@
 	if second && (c.isWatcher() || c.isAlone()) {
 		_ = c.poll(ctx)
 	}
-	if c.isWatcher() && n.reachesStore() && !n.silent && n.seenMod != n.world.current.mod {
-		n.seenMod = n.world.current.mod
-		c.seen(store.Event{Entry: store.Entry{Value: n.world.current.value, ModRevision: n.world.current.mod}})
+	if v := n.world.visible(); c.isWatcher() && n.reachesStore() && !n.silent && n.seenMod != v.mod {
+		n.seenMod = v.mod
+		c.seen(store.Event{Entry: store.Entry{Value: v.value, ModRevision: v.mod}})
 	}
 	if second {
 		n.heartbeats()
@@ -283,20 +305,20 @@
 
 // listed is the set of all instances, without those that were down for longer
 // than the lag.
-func (w *world) listed() (mask uint64) {
+func (w *world) listed() (mask nodeSet) {
 	now := w.clock.Now()
 	for i, n := range w.instances {
 		if !now.Before(n.downUntil) || now.Sub(n.startedAt) < listLag {
-			mask |= 1 << i
+			mask[i/64] |= 1 << (i % 64)
 		}
 	}
 	return mask
 }
 
-func (n *node) members(mask uint64) *board.Members {
+func (n *node) members(mask nodeSet) *board.Members {
 	m := &board.Members{Self: n.name}
 	for i, o := range n.world.instances {
-		if mask&(1<<i) != 0 {
+		if mask[i/64]&(1<<(i%64)) != 0 {
 			m.List = append(m.List, board.Member{Name: o.name, PeerAddress: o.name, DataCentre: o.dataCentre, State: board.MemberAlive})
 		}
 	}
@@ -315,7 +337,11 @@
 		if to == n || !n.reaches(to) || n.world.isLost(n.name+">"+to.name, n.world.loss) {
 			continue
 		}
-		latest.List = append(latest.List, board.Sighting{Name: to.name, PeerAddress: to.name, Revision: to.controller.revision(), At: now})
+		seen := board.Sighting{Name: to.name, PeerAddress: to.name, Revision: to.controller.revision(), At: now}
+		if c := to.board.Confirmation.Get(); c != nil {
+			seen.ConfirmedAt = c.StoreAt
+		}
+		latest.List = append(latest.List, seen)
 		back := &board.Sightings{List: []board.Sighting{{Name: n.name, PeerAddress: n.name, Revision: n.controller.revision()}}}
 		to.board.Sightings.Publish(back)
 	}
--- a/internal/platform/store/budget.go
+++ b/internal/platform/store/budget.go
@@ -2,37 +2,43 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 )
 
-// Budget is what this instance may ask of the service.
+// Budget is what one instance may ask of the service, in calls a second.
 type Budget struct {
-	ReadsPerSecond  float64
-	WritesPerSecond float64
-	// BurstSeconds is how many seconds of unused budget may be saved up.
-	BurstSeconds float64
+	Reads float64
+	// DutyWrites are writes of duties that few instances hold at a time.
+	DutyWrites float64
+	// OtherWrites are writes that every instance makes.
+	OtherWrites float64
 }
 
 // Limits are the rates of the service that the whole fleet shares.
 type Limits struct {
 	ReadsPerSecond  float64
 	WritesPerSecond float64
+	// DutyShare is the share of the writes that is kept for duties, 0 to 1.
+	DutyShare float64
 	// Writers bounds how many instances hold duties that write all the time,
-	// such as ledger shards; the write rate is shared among so many at most.
+	// such as ledger shards; the writes for duties are shared among so many.
 	Writers int
 }
 
-// DefaultLimits stays at half of what the platform's service takes.
-var DefaultLimits = Limits{ReadsPerSecond: 1000, WritesPerSecond: 200, Writers: 8}
-
-// defaultBurstSeconds lets an instance start without waiting.
-const defaultBurstSeconds = 4
+// DefaultLimits leave room for bursts below what the platform's service takes.
+var DefaultLimits = Limits{ReadsPerSecond: 1000, WritesPerSecond: 280, DutyShare: 0.85, Writers: 8}
 
-// minBurst is the smallest bucket, in calls.
-const minBurst = 4
+// Sizes of the buckets.
+const (
+	readBurstSeconds = 4
+	dutyBurstSeconds = 0.5
+	// minBurst lets an instance start without waiting, in calls.
+	minBurst = 4
+)
 
 // ShareOf returns one instance's budget in a fleet of so many members.
 func (l Limits) ShareOf(members int) Budget {
@@ -42,10 +48,58 @@
 		writers = min(members, l.Writers)
 	}
 	return Budget{
-		ReadsPerSecond:  l.ReadsPerSecond / float64(members),
-		WritesPerSecond: l.WritesPerSecond / float64(writers),
-		BurstSeconds:    defaultBurstSeconds,
+		Reads:       l.ReadsPerSecond / float64(members),
+		DutyWrites:  l.WritesPerSecond * l.DutyShare / float64(writers),
+		OtherWrites: l.WritesPerSecond * (1 - l.DutyShare) / float64(members),
+	}
+}
+
+// isDuty reports whether writes of this purpose come from a duty.
+func (p Purpose) isDuty() bool { return p < Evidence }
+
+// budget is the buckets of one instance.
+type budget struct {
+	reads  *bucket
+	duties *bucket
+	others *bucket
+}
+
+// newBudget returns buckets of which those for duties and reads are full. The
+// one for other writes holds a random part of a call, so that instances that
+// start together do not write together.
+func newBudget(share Budget, clock clockwork.Clock, rng *rand.Rand) *budget {
+	b := &budget{
+		reads:  newBucket(share.Reads, burst(share.Reads, readBurstSeconds), clock),
+		duties: newBucket(share.DutyWrites, burst(share.DutyWrites, dutyBurstSeconds), clock),
+		others: newBucket(share.OtherWrites, 1, clock),
 	}
+	if share.OtherWrites > 0 {
+		age := time.Duration(rng.Float64() / share.OtherWrites * float64(time.Second))
+		b.others.limiter.AllowN(clock.Now().Add(-age), 1)
+	}
+	return b
+}
+
+func (b *budget) set(share Budget) {
+	b.reads.set(share.Reads, burst(share.Reads, readBurstSeconds))
+	b.duties.set(share.DutyWrites, burst(share.DutyWrites, dutyBurstSeconds))
+	b.others.set(share.OtherWrites, 1)
+}
+
+// of returns the bucket that a call draws from. A waiting watch counts as a
+// read.
+func (b *budget) of(k kind, p Purpose) *bucket {
+	switch {
+	case k != write:
+		return b.reads
+	case p.isDuty():
+		return b.duties
+	}
+	return b.others
+}
+
+func burst(perSecond, seconds float64) int {
+	return max(minBurst, int(perSecond*seconds))
 }
 
 // bucket is a token bucket that keeps a reserve for important purposes.
@@ -54,18 +108,14 @@
 	clock   clockwork.Clock
 }
 
-func newBucket(perSecond, burstSeconds float64, clock clockwork.Clock) *bucket {
-	return &bucket{limiter: rate.NewLimiter(rate.Limit(perSecond), burst(perSecond, burstSeconds)), clock: clock}
-}
-
-func burst(perSecond, burstSeconds float64) int {
-	return max(minBurst, int(perSecond*burstSeconds))
+func newBucket(perSecond float64, burst int, clock clockwork.Clock) *bucket {
+	return &bucket{limiter: rate.NewLimiter(rate.Limit(perSecond), burst), clock: clock}
 }
 
-func (b *bucket) set(perSecond, burstSeconds float64) {
+func (b *bucket) set(perSecond float64, burst int) {
 	now := b.clock.Now()
 	b.limiter.SetLimitAt(now, rate.Limit(perSecond))
-	b.limiter.SetBurstAt(now, burst(perSecond, burstSeconds))
+	b.limiter.SetBurstAt(now, burst)
 }
 
 // take draws one token, or returns how long until it may be tried again.
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -36,8 +36,7 @@
 	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	members   func() int
 	sharedBy  atomic.Int64
-	reads     *bucket
-	writes    *bucket
+	budget    *budget
 	hold      *hold
 	transport *http.Transport
 	counters  *counters
@@ -85,9 +84,7 @@
 	}
 	members := c.members()
 	c.sharedBy.Store(int64(members))
-	share := c.limits.ShareOf(members)
-	c.reads = newBucket(share.ReadsPerSecond, share.BurstSeconds, c.clock)
-	c.writes = newBucket(share.WritesPerSecond, share.BurstSeconds, c.clock)
+	c.budget = newBudget(c.limits.ShareOf(members), c.clock, c.rng)
 	c.hold = &hold{clock: c.clock, rng: c.rng}
 	c.counters = newCounters()
 	c.transport = &http.Transport{
@@ -106,9 +103,7 @@
 	if c.sharedBy.Swap(int64(members)) == int64(members) {
 		return
 	}
-	share := c.limits.ShareOf(members)
-	c.reads.set(share.ReadsPerSecond, share.BurstSeconds)
-	c.writes.set(share.WritesPerSecond, share.BurstSeconds)
+	c.budget.set(c.limits.ShareOf(members))
 }
 
 // Close closes idle connections.
@@ -130,11 +125,7 @@
 		return &UnavailableError{Purpose: p, Err: &HoldError{}}
 	}
 	c.share()
-	b := c.reads
-	if k == write {
-		b = c.writes
-	}
-	if !b.wait(ctx, p) {
+	if !c.budget.of(k, p).wait(ctx, p) {
 		c.counters.refused(p, "Budget")
 		return &UnavailableError{Purpose: p, Err: &BudgetError{Write: k == write}}
 	}
--- a/internal/platform/store/client_test.go
+++ b/internal/platform/store/client_test.go
@@ -125,8 +125,7 @@
 // TestNotListening calls an address where nobody listens: no effect for sure.
 func TestNotListening(t *testing.T) {
 	is := is.New(t)
-	c, s := start(t)
-	s.Close()
+	c := New("127.0.0.1:1")
 	_, _, err := c.Create(context.Background(), Claim, "k", []byte("v"))
 	var unavailable *UnavailableError
 	is.True(errors.As(err, &unavailable))
@@ -142,7 +141,7 @@
 func TestPriorities(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	b := newBucket(10, 4, clock)
+	b := newBucket(10, 40, clock)
 	taken := func(p Purpose) (n int) {
 		for ok := true; ok; n++ {
 			_, ok = b.take(p)
@@ -164,8 +163,9 @@
 	is := is.New(t)
 	for _, members := range []int{0, 1, 9, 72, 360} {
 		share := DefaultLimits.ShareOf(members)
-		is.True(share.ReadsPerSecond*float64(members) <= DefaultLimits.ReadsPerSecond+1e-9)
-		is.True(share.WritesPerSecond*float64(min(members, DefaultLimits.Writers)) <= DefaultLimits.WritesPerSecond+1e-9)
+		writers := float64(min(members, DefaultLimits.Writers))
+		is.True(share.Reads*float64(members) <= DefaultLimits.ReadsPerSecond+1e-9)
+		is.True(share.DutyWrites*writers+share.OtherWrites*float64(members) <= DefaultLimits.WritesPerSecond+1e-9)
 	}
 }
 
@@ -178,12 +178,12 @@
 	for range 20 {
 		h.failed()
 		is.True(!h.open(Configuration))
-		is.True(h.pause(Configuration) <= maxConfigurationHold)
+		is.True(h.pause(Configuration) <= maxDutyHold)
 		is.True(h.pause(Statistics) <= maxHold)
 		pauses[h.pause(Statistics)] = true
 	}
 	is.True(len(pauses) > 15)
-	clock.Advance(maxConfigurationHold)
+	clock.Advance(maxDutyHold)
 	is.True(h.open(Configuration))
 	is.True(!h.open(Statistics))
 	h.succeeded()
--- a/internal/platform/store/hold.go
+++ b/internal/platform/store/hold.go
@@ -11,10 +11,11 @@
 // Bounds of the pause after a failure.
 const (
 	minHold = 100 * time.Millisecond
-	maxHold = 5 * time.Second
-	// maxConfigurationHold keeps the pause of configuration calls well under
-	// the time in which a change must be in force.
-	maxConfigurationHold = time.Second
+	// maxDutyHold keeps the pause of duties well under the time in which a
+	// change must be in force.
+	maxDutyHold = time.Second
+	// maxHold spreads the return of what every instance calls.
+	maxHold = 10 * time.Second
 )
 
 // hold is the pause that the client keeps after failures: exponential with
@@ -55,8 +56,8 @@
 
 func (h *hold) pause(p Purpose) time.Duration {
 	limit := maxHold
-	if p == Configuration || p == Fence {
-		limit = maxConfigurationHold
+	if p.isDuty() {
+		limit = maxDutyHold
 	}
 	ceiling := min(minHold<<min(h.fails, 10), limit)
 	return ceiling/2 + time.Duration(h.draw*float64(ceiling)/2)
