--- a/internal/platform/roster/controller.go
+++ b/internal/platform/roster/controller.go
@@ -110,17 +110,19 @@
 // readList asks for the instance list and takes it in if it is plausible.
 func (c *Controller) readList(ctx context.Context) {
 	var resp listResponse
+	asked := c.clock.Now()
 	if err := c.http.Get(ctx, "http://"+c.listAddress+"/instances", &resp); err != nil {
 		counts.Add("ListFailed", 1)
 		return
 	}
-	c.takeList(resp)
+	c.takeList(resp, asked)
 }
 
-func (c *Controller) takeList(resp listResponse) {
+// takeList takes in a list that was asked for at a time.
+func (c *Controller) takeList(resp listResponse, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
+	now := asked
 	if !c.judge.accept(resp.Sequence, len(resp.Instances), now) {
 		counts.Add("ListImplausible", 1)
 		c.log.Warn("instance list not taken", zap.Int("Entries", len(resp.Instances)), zap.Uint64("Sequence", resp.Sequence))
--- a/internal/platform/roster/roster_test.go
+++ b/internal/platform/roster/roster_test.go
@@ -143,13 +143,13 @@
 	is := is.New(t)
 	c := New("i", "list", &board.Board{}, web{}, WithClock(clockwork.NewFakeClock()))
 	entry := listed{Name: "s", Address: "a", Service: "llm", State: "Live"}
-	c.takeList(listResponse{Sequence: 1, Instances: []listed{entry}})
+	c.takeList(listResponse{Sequence: 1, Instances: []listed{entry}}, c.clock.Now())
 	is.Equal(c.take("s", board.Report{Sequence: 5, ReceivedAt: time.Unix(1, 0)}), taken)
 	is.Equal(c.take("t", board.Report{}), dropUnknown)
 	entry.Address = "b"
-	c.takeList(listResponse{Sequence: 2, Instances: []listed{entry}})
+	c.takeList(listResponse{Sequence: 2, Instances: []listed{entry}}, c.clock.Now())
 	is.Equal(c.servers["s"].Report.Sequence, uint64(0))
-	c.takeList(listResponse{Sequence: 1, Instances: []listed{{Name: "x"}}})
+	c.takeList(listResponse{Sequence: 1, Instances: []listed{{Name: "x"}}}, c.clock.Now())
 	is.Equal(len(c.servers), 1)
 }
 
