Learn which plan is cheapest at the quality target

Cause: a fixed order of models wastes money where the cheap one fails and delay where it passes. Change: the Decider keeps faded pass rates for each customer, class, model and way of delivery, takes the cheapest plan whose quality meets the target with two standard errors to spare, and explores only plans that may yet pay. Beliefs grow uncertain when ratings stop, which leads back to the dearest model.

--- a/internal/catalogue/preset/preset.go
+++ b/internal/catalogue/preset/preset.go
@@ -18,9 +18,9 @@
 // Defaults returns the shipped presets; Ordinary is meant to be in force first.
 func Defaults() []configuration.Preset {
 	return []configuration.Preset{
-		{Name: Ordinary, QualityTarget: 0.95, Judge: true, DelayPrice: 0.5, ShedAt: 0.9, RampSeconds: 30, RolloutPace: 1, ExploreShare: 0.02},
+		{Name: Ordinary, QualityTarget: 0.95, Judge: true, DelayPrice: 0.5, ShedAt: 0.9, RampSeconds: 30, RolloutPace: 1, ExploreShare: 0.05},
 		{Name: Peak, QualityTarget: 0.9, Judge: false, DelayPrice: 4, ShedAt: 0.8, RampSeconds: 60, RolloutPace: 0, ExploreShare: 0},
-		{Name: Maintenance, QualityTarget: 0.95, Judge: true, DelayPrice: 0.5, ShedAt: 0.75, RampSeconds: 90, RolloutPace: 0.5, ExploreShare: 0.01},
+		{Name: Maintenance, QualityTarget: 0.95, Judge: true, DelayPrice: 0.5, ShedAt: 0.75, RampSeconds: 90, RolloutPace: 0.5, ExploreShare: 0.02},
 	}
 }
 
--- a/internal/routing/cascade/decider.go
+++ b/internal/routing/cascade/decider.go
@@ -6,8 +6,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -97,27 +100,153 @@
 	At    time.Time
 }
 
-// Decider decides and learns. It is safe for concurrent use.
-type Decider struct{}
+const (
+	// maxClasses bounds the classes of one customer that are told apart; further
+	// ones share one belief.
+	maxClasses = 64
+	// maxEntries bounds the beliefs kept; the oldest go first.
+	maxEntries = 10_000
+	// otherClasses is the class of those beyond maxClasses.
+	otherClasses = "*"
+)
+
+// Decider decides and learns. It is safe for concurrent use: deciding reads an
+// immutable snapshot and takes no lock.
+type Decider struct {
+	// known is replaced when a customer or class is added.
+	known atomic.Pointer[map[key]*entry]
+	mu    sync.Mutex
+}
+
+type key struct {
+	customer string
+	class    string
+}
+
+type entry struct {
+	beliefs atomic.Pointer[beliefs]
+}
 
 // New returns a Decider that has learned nothing.
-func New() *Decider { return &Decider{} }
+func New() *Decider {
+	d := &Decider{}
+	d.known.Store(&map[key]*entry{})
+	return d
+}
 
-// Decide returns the plan for one request.
-func (d *Decider) Decide(q Query, _ *rand.Rand) Plan {
+// Decide returns the plan for one request: the cheapest that meets the quality
+// target as far as is known, the dearest model at once if none does. A share of
+// requests, no more than ExploreShare, gets a plan that little is known of.
+func (d *Decider) Decide(q Query, rnd *rand.Rand) Plan {
 	models := byPrice(q.Models)
-	if len(models) == 0 {
+	switch len(models) {
+	case 0:
 		return Plan{Why: "no model is allowed"}
+	case 1:
+		return Plan{Steps: []Step{{Model: models[0].Model}}, Why: "the only model that is allowed"}
 	}
-	cheap, dear := models[0], models[len(models)-1]
-	if len(models) == 1 || !q.Judge {
-		return Plan{Steps: []Step{{Model: dear.Model}}, Why: fmt.Sprintf("%s at once: no cheaper plan is known to meet the target", dear.Model)}
+	list := d.beliefs(q.Customer, q.Class).options(q, models)
+	o := best(list, q.QualityTarget)
+	if q.ExploreShare > 0 && rnd.Float64() < q.ExploreShare {
+		if e, ok := explore(list, o, q.QualityTarget, rnd); ok {
+			e.plan.Why = "explored " + e.String()
+			return e.plan
+		}
+	}
+	o.plan.Why = fmt.Sprintf("%s; target %.3f of %s", o.String(), q.QualityTarget, list[len(list)-1].String())
+	return o.plan
+}
+
+// explore picks one of the options that are worth knowing better: those that
+// cost less than the best one and may yet turn out to meet the target, and the
+// dearest model at once, which sets the target, if little is known of it.
+func explore(list []option, chosen option, target float64, rnd *rand.Rand) (option, bool) {
+	dear := list[len(list)-1]
+	worth := slices.DeleteFunc(slices.Clone(list), func(o option) bool {
+		if o.cost == dear.cost {
+			return o.quality.weight >= learned || chosen.cost == dear.cost
+		}
+		return o.cost >= chosen.cost || !o.mayReach(target, dear.quality)
+	})
+	if len(worth) == 0 {
+		return option{}, false
+	}
+	return worth[rnd.IntN(len(worth))], true
+}
+
+func (d *Decider) beliefs(customer, class string) beliefs {
+	known := *d.known.Load()
+	e := known[key{customer, class}]
+	if e == nil {
+		e = known[key{customer, otherClasses}]
 	}
-	return Plan{
-		Steps: []Step{{Model: cheap.Model, Judge: true}, {Model: dear.Model}},
-		Why:   fmt.Sprintf("%s judged, then %s", cheap.Model, dear.Model),
+	if e == nil {
+		return nil
 	}
+	return *e.beliefs.Load()
 }
 
 // Observe learns from one outcome.
-func (d *Decider) Observe(Outcome) {}
+func (d *Decider) Observe(o Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entry(o.Customer, o.Class)
+	next := e.beliefs.Load().with(o)
+	e.beliefs.Store(&next)
+}
+
+// Changed notes that a model runs another version from now on: what is known of
+// it counts for less, so that its plans have to prove themselves again.
+func (d *Decider) Changed(model string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range *d.known.Load() {
+		next := slices.Clone(*e.beliefs.Load())
+		for i := range next {
+			if next[i].model == model {
+				next[i] = next[i].weakened(afterChange)
+			}
+		}
+		e.beliefs.Store(&next)
+	}
+}
+
+// entry returns the entry to learn in, adding it if there is room; the caller
+// holds mu.
+func (d *Decider) entry(customer, class string) *entry {
+	known := *d.known.Load()
+	if e := known[key{customer, class}]; e != nil {
+		return e
+	}
+	classes := 0
+	for k := range known {
+		if k.customer == customer {
+			classes++
+		}
+	}
+	if classes >= maxClasses {
+		class = otherClasses
+		if e := known[key{customer, class}]; e != nil {
+			return e
+		}
+	}
+	next := maps.Clone(known)
+	if len(next) >= maxEntries {
+		dropOldest(next)
+	}
+	e := &entry{}
+	e.beliefs.Store(&beliefs{})
+	next[key{customer, class}] = e
+	d.known.Store(&next)
+	return e
+}
+
+// dropOldest makes room by an eighth, so that it is seldom needed.
+func dropOldest(known map[key]*entry) {
+	keys := slices.SortedFunc(maps.Keys(known), func(a, b key) int {
+		return known[a].beliefs.Load().latest().Compare(known[b].beliefs.Load().latest())
+	})
+	for _, k := range keys[:len(keys)/8] {
+		delete(known, k)
+	}
+}
