Strain the demo: several engines cold at once, long streams through a stop

Change: a quarter of the engines turns cold at once and stays so for 9 s; the load follows the number of engines and keeps them near their limit; streams of 600 tokens begin right before the planned stop; the balancer takes an instance out after three failed probes. NotRunTrue flagged a true refusal: a call sent twice under one key, refused at an instance that knew no server yet, then run for its second arrival at another instance.

--- a/internal/measure/demo/demo.go
+++ b/internal/measure/demo/demo.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	instances      = 3
-	requestsRate   = 60.0
+	instances = 3
+	// serverRate is the load in requests a second for each engine.
+	serverRate     = 6.0
 	duplicateShare = 0.3
 	maxTokens      = 64
 	requestTimeout = 10 * time.Second
@@ -121,7 +122,7 @@
 	r.stepsRunning.Go(func() { r.perform(ctx) })
 	d := r.settings.deployment
 	report, err := load.Run(ctx, load.Settings{
-		Callers: callers(), Rate: requestsRate, Duration: loadDuration, Seed: r.settings.Seed,
+		Callers: callers(), Rate: serverRate * float64(d.ModelServers), Duration: loadDuration, Seed: r.settings.Seed,
 		Service: d.PlainService, PlainPath: d.PlainPath, NonIdempotentPath: d.NonIdempotentPath,
 		MaxTokens: maxTokens, Timeout: requestTimeout, DuplicateShare: duplicateShare, Pick: r.fleet.pick, OnSent: r.recordSent, OnOutcome: r.recordEnded,
 	}, r.clock)
--- a/internal/measure/demo/deployment.go
+++ b/internal/measure/demo/deployment.go
@@ -73,7 +73,7 @@
 	customers    = 10
 	priceBasic   = 1
 	priceFine    = 8
-	warmLimit    = 12
+	warmLimit    = 6
 	coldLimit    = 2
 	plainLimit   = 64
 	sessionKeyID = "k1"
--- a/internal/measure/demo/fleet.go
+++ b/internal/measure/demo/fleet.go
@@ -71,6 +71,7 @@
 const (
 	probeInterval = 100 * time.Millisecond
 	probeTimeout  = time.Second
+	probesMissed  = 3
 	readyTimeout  = 15 * time.Second
 )
 
@@ -88,8 +89,10 @@
 type member struct {
 	name     string
 	instance Instance
-	ready    bool
-	stopped  bool
+	// missed counts the probes of readiness that failed in a row.
+	missed  int
+	ready   bool
+	stopped bool
 }
 
 // startFleet starts the instances, in the deployment's first data centres, and
@@ -139,13 +142,23 @@
 	for _, m := range f.list() {
 		status := f.get(ctx, m.instance.Operators, "/readyz", "")
 		f.mu.Lock()
-		m.ready = status == http.StatusOK && !m.stopped
+		m.probed(status == http.StatusOK)
 		all = all && m.ready
 		f.mu.Unlock()
 	}
 	return all
 }
 
+// probed takes in one probe of readiness. A balancer takes an instance out only
+// after several failed probes.
+func (m *member) probed(ok bool) {
+	m.missed++
+	if ok {
+		m.missed = 0
+	}
+	m.ready = !m.stopped && (ok || m.ready && m.missed < probesMissed)
+}
+
 func (f *fleet) list() []*member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/measure/demo/platform.go
+++ b/internal/measure/demo/platform.go
@@ -27,7 +27,7 @@
 	rosterLag      = 300 * time.Millisecond
 	ratingDelay    = 300 * time.Millisecond
 	judgeDuration  = 10 * time.Millisecond
-	coldDuration   = 5 * time.Second
+	coldDuration   = 9 * time.Second
 	firstToken     = 15 * time.Millisecond
 	tokenInterval  = 3 * time.Millisecond
 	anyAddress     = "127.0.0.1:0"
--- a/internal/measure/demo/step.go
+++ b/internal/measure/demo/step.go
@@ -7,6 +7,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/preset"
+	"github.com/kingcupyard/kingcupyard/internal/measure/load"
 	"github.com/kingcupyard/kingcupyard/internal/standin/engine"
 	"github.com/kingcupyard/kingcupyard/internal/standin/store"
 )
@@ -14,6 +15,17 @@
 // loadDuration is how long load is sent; the steps happen within it.
 const loadDuration = 18 * time.Second
 
+// coldShare is the inverse of the share of engines that turn cold at once.
+const coldShare = 4
+
+// The streams that a planned stop must not cut.
+const (
+	longStreamRate     = 60.0
+	longStreamArrivals = 150 * time.Millisecond
+	longStreamTokens   = 600
+	longStreamSeed     = 1 << 32
+)
+
 // faultDuration is how long a passing fault lasts.
 const faultDuration = time.Second
 
@@ -51,15 +63,16 @@
 			r.platform.Roster.Leave(fmt.Sprintf("%s-%02d", d.ModelService, 1))
 			return nil
 		}},
-		{5 * time.Second, "TurnCold", r.engineFault(2, func(f *engine.Faults) { f.TurnCold = true })},
+		{5 * time.Second, "TurnCold", r.turnCold},
 		{6 * time.Second, "BreakStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 5 })},
 		{6*time.Second + faultDuration, "MendStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 0 })},
 		{8 * time.Second, "CrossAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = true })},
 		{8*time.Second + faultDuration, "MendAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = false })},
 		{9500 * time.Millisecond, "SilenceConnections", r.engineFault(6, func(f *engine.Faults) { f.Silence = true })},
 		{11 * time.Second, "Return", func(ctx context.Context) error { return op.Return(ctx, movedOut) }},
+		{12300 * time.Millisecond, "LongStreams", r.sendLongStreams},
 		{12500 * time.Millisecond, "StopInstance", func(ctx context.Context) error {
-			r.fleet.stop(ctx, r.platform, r.fleet.list()[1])
+			r.fleet.stop(ctx, r.platform, r.stopped())
 			return nil
 		}},
 		{13 * time.Second, "ApplyPreset", func(ctx context.Context) error { return op.ApplyPreset(ctx, preset.Ordinary) }},
@@ -67,6 +80,28 @@
 	}
 }
 
+// stopped is the instance that is stopped while load runs.
+func (r *run) stopped() *member { return r.fleet.list()[1] }
+
+// turnCold turns a share of the engines cold at once, with no warning.
+func (r *run) turnCold(context.Context) error {
+	for _, e := range r.platform.Engines[2 : 2+len(r.platform.Engines)/coldShare] {
+		e.SetFaults(func(f *engine.Faults) { f.TurnCold = true })
+	}
+	return nil
+}
+
+// sendLongStreams begins streams that still run when the instance is stopped.
+func (r *run) sendLongStreams(ctx context.Context) error {
+	_, err := load.Run(ctx, load.Settings{
+		Targets: []string{r.stopped().instance.Callers}, Callers: callers()[3:4], Models: []string{modelBasic},
+		Rate: longStreamRate, Duration: longStreamArrivals, Seed: r.settings.Seed + longStreamSeed, Mix: load.Mix{Streamed: 1},
+		MinTokens: longStreamTokens, MaxTokens: longStreamTokens, Timeout: requestTimeout,
+		OnSent: r.recordSent, OnOutcome: r.recordEnded,
+	}, r.clock)
+	return err
+}
+
 func (r *run) storeFault(change func(*store.Faults)) func(context.Context) error {
 	return func(context.Context) error {
 		r.platform.Store.SetFaults(change)
--- a/internal/measure/invariant/answer.go
+++ b/internal/measure/invariant/answer.go
@@ -62,24 +62,37 @@
 	}
 }
 
-// checkNotRunTrue: what was refused as not run did not run. A request that was
-// sent twice under one key counts as run if either ran.
+// checkNotRunTrue: what was refused as not run had not run by then, and did not
+// run later unless the caller sent it again under the same key; a refused
+// duplicate does not run.
 func checkNotRunTrue(t Trace, r *Result) {
 	ran := map[string]Event{}
 	for _, e := range t.of(KindStarted) {
-		ran[e.Tag] = e
+		if _, ok := ran[e.Tag]; !ok {
+			ran[e.Tag] = e
+		}
 	}
-	for _, e := range t.of(KindEnded) {
-		if e.Result != resultRefused || e.RunState != stateNotRun {
+	ended := t.of(KindEnded)
+	mayRun := map[string]bool{}
+	for _, e := range ended {
+		if !e.isNotRun() && e.Reason != reasonDuplicate {
+			mayRun[e.Tag] = true
+		}
+	}
+	for _, e := range ended {
+		if !e.isNotRun() {
 			continue
 		}
 		r.Checked++
-		if run, ok := ran[e.Tag]; ok {
+		run, ok := ran[e.Tag]
+		if ok && (!mayRun[e.Tag] || run.At.Before(e.At)) {
 			r.violate("request %s of customer %s was refused %s as not run, and ran at %s", e.Tag, e.Customer, e.Reason, run.Server)
 		}
 	}
 }
 
+func (e Event) isNotRun() bool { return e.Result == resultRefused && e.RunState == stateNotRun }
+
 // stop is one planned stop of an instance.
 type stop struct {
 	began, ended time.Time
--- a/internal/measure/invariant/work.go
+++ b/internal/measure/invariant/work.go
@@ -13,6 +13,7 @@
 	resultCut         = "Cut"
 	resultTruncated   = "Truncated"
 	resultUnreachable = "Unreachable"
+	reasonDuplicate   = "Duplicate"
 	stateNotRun       = "NotRun"
 	stateLeaving      = "Leaving"
 	stateLive         = "Live"
