Pack old claims and measure the ledger at the target's size

Change: claims older than an hour keep a 96-bit digest, half of the body's hash, time and state; a claimed request's bill is remembered in its claim.

--- a/internal/billing/ledger/audit.go
+++ b/internal/billing/ledger/audit.go
@@ -70,7 +70,7 @@
 	s := l.state
 	a := ShardAudit{
 		Shard: shard, Last: s.next - 1, Through: s.next - 1 - uint64(l.chunks), RolledAt: l.at, Chunks: l.chunks,
-		Open: len(s.open), Settled: len(s.settled), Claims: len(s.claims), Origins: len(s.origins),
+		Open: len(s.open), Settled: len(s.settled), Claims: len(s.claims) + len(s.packed.known), Origins: len(s.origins),
 	}
 	for _, t := range s.totals {
 		a.Bills += t.Bills
--- a/internal/billing/ledger/bill.go
+++ b/internal/billing/ledger/bill.go
@@ -8,6 +8,7 @@
 package ledger
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,16 +102,15 @@
 // recordKey keeps IDs that two customers happen to share apart.
 func recordKey(customer, id string) string { return customer + "\x00" + id }
 
-// digest is a 128-bit hash of a record key; closed bills are remembered by it.
-type digest [16]byte
+// digest is a 96-bit hash of a record key; closed bills are remembered by it.
+// Among a million IDs that is one mistake in 10^22.
+type digest [12]byte
 
 func digestOf(key string) digest {
+	seeded := xxhash.NewWithSeed(1)
+	_, _ = seeded.WriteString(key)
 	var d digest
-	a, b := xxhash.Sum64String(key), xxhash.NewWithSeed(1)
-	_, _ = b.WriteString(key)
-	for i := range 8 {
-		d[i] = byte(a >> (8 * i))
-		d[8+i] = byte(b.Sum64() >> (8 * i))
-	}
+	binary.LittleEndian.PutUint64(d[:8], xxhash.Sum64String(key))
+	binary.LittleEndian.PutUint32(d[8:], uint32(seeded.Sum64()))
 	return d
 }
--- a/internal/billing/ledger/claims.go
+++ b/internal/billing/ledger/claims.go
@@ -8,11 +8,21 @@
 )
 
 func (s *state) decideClaim(r *Record, now time.Time) (Outcome, bool) {
-	if now.Sub(r.At) > s.windows.Claims-s.windows.Skew {
+	if now.Sub(r.At) > claimFull-s.windows.Skew {
 		return Outcome{State: Expired}, false
 	}
 	have := s.claims[r.key()]
+	old, packed := s.packed.get(r.key())
+	keep := s.windows.Claims + s.windows.Skew
+	packed = packed && now.Sub(old.at()) <= keep
+	if have != nil && now.Sub(have.At) > keep {
+		have = nil
+	}
 	switch {
+	case packed && old.hash != uint32(r.Claim.BodyHash):
+		return Outcome{State: Mismatch}, false
+	case packed:
+		return Outcome{State: Duplicate, Existing: old.existing()}, false
 	case have == nil:
 		return Outcome{State: Committed}, true
 	case slices.Contains(have.Given, r.Claim.Nonce):
@@ -42,6 +52,9 @@
 	}
 	have := s.claims[r.key()]
 	f := r.Finish
+	if _, packed := s.packed.get(r.key()); packed && f.Outcome == call.NotRun {
+		return Outcome{State: Expired}, false
+	}
 	if f.Outcome == call.NotRun {
 		return Outcome{State: Committed}, have == nil || !slices.Contains(have.Given, f.Nonce)
 	}
@@ -55,12 +68,16 @@
 		entry.Given = have.Given
 	}
 	s.claims[r.key()] = entry
+	delete(s.packed.known, digestOf(r.key()))
 }
 
 // applyFinish moves a claim forward. Giving up names the claim that it gives
 // up, so that it holds also when it overtakes that claim.
 func (s *state) applyFinish(r *Record) {
 	f, have := r.Finish, s.claims[r.key()]
+	if s.packed.finish(r.key(), f.Outcome) {
+		return
+	}
 	if f.Outcome != call.NotRun {
 		if have != nil && have.Nonce == f.Nonce {
 			have.State, have.Finished, have.Answer = f.Outcome, true, f.Answer
--- a/internal/billing/ledger/closed.go
+++ b/internal/billing/ledger/closed.go
@@ -26,7 +26,7 @@
 	Number uint64
 	From   time.Time
 	To     time.Time
-	// Digests are 16 bytes each.
+	// Digests lie one after another.
 	Digests []byte
 }
 
--- a/internal/billing/ledger/head.go
+++ b/internal/billing/ledger/head.go
@@ -36,7 +36,9 @@
 // claimsPage is the stored form of the claims of one span of time.
 type claimsPage struct {
 	Bucket int64
-	Claims []claimEntry
+	Claims []claimEntry `json:",omitempty"`
+	// Packed holds older claims of packedBytes each.
+	Packed []byte `json:",omitempty"`
 }
 
 func bucketOf(at time.Time) int64 { return at.UnixNano() / int64(claimBucket) }
@@ -98,6 +100,12 @@
 			byBucket[b] = append(byBucket[b], *c)
 		}
 	}
+	packed := map[int64][]byte{}
+	for d, c := range s.packed.known {
+		if b := c.bucket(); buckets[b] {
+			packed[b] = c.appendTo(packed[b], d)
+		}
+	}
 	var pages []claimsPage
 	for b := range buckets {
 		list := byBucket[b]
@@ -114,7 +122,7 @@
 				list[i].Answer = nil
 			}
 		}
-		pages = append(pages, claimsPage{Bucket: b, Claims: list})
+		pages = append(pages, claimsPage{Bucket: b, Claims: list, Packed: packed[b]})
 	}
 	return pages
 }
@@ -218,6 +226,10 @@
 			c := page.Claims[i]
 			l.state.claims[recordKey(c.Customer, c.ID)] = &c
 		}
+		for b := page.Packed; len(b) >= packedBytes; b = b[packedBytes:] {
+			d, c := unpackClaim(b)
+			l.state.packed.known[d] = c
+		}
 		return nil
 	}
 	var page closedPage
@@ -254,20 +266,29 @@
 // apply folds a chunk that is in the store.
 func (l *loaded) apply(c *Chunk, size int) {
 	for i := range c.Records {
-		r := &c.Records[i]
-		if r.Claim == nil && r.Finish == nil {
-			continue
-		}
-		l.changed[bucketOf(r.At)] = true
-		if have := l.state.claims[r.key()]; have != nil {
-			l.changed[bucketOf(have.At)] = true
-		}
+		l.touch(&c.Records[i])
 	}
 	l.state.applyChunk(c)
 	l.chunks++
 	l.bytes += size
 }
 
+// touch notes the pages of claims that a record changes.
+func (l *loaded) touch(r *Record) {
+	if r.Claim != nil || r.Finish != nil {
+		l.changed[bucketOf(r.At)] = true
+	}
+	if r.Kind == KindOpen || r.Kind == KindSkip {
+		return
+	}
+	if have := l.state.claims[r.key()]; have != nil {
+		l.changed[bucketOf(have.At)] = true
+	}
+	if old, packed := l.state.packed.get(r.key()); packed {
+		l.changed[old.bucket()] = true
+	}
+}
+
 // GapError reports a log with a chunk missing, which a roll-up in the middle
 // of reading can show.
 type GapError struct {
--- a/internal/billing/ledger/ledger.go
+++ b/internal/billing/ledger/ledger.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
@@ -121,6 +122,7 @@
 func (l *Ledger) Close(ctx context.Context, b Bill) (Closed, error) {
 	now := l.clock.Now()
 	b.State, b.Instance, b.ClosedAt = BillClosed, l.self.Instance, now
+	b.Keyed = b.Keyed || !isMadeHere(b.ID)
 	if b.OpenedAt.IsZero() {
 		b.OpenedAt = now
 	}
@@ -146,6 +148,16 @@
 	}
 }
 
+// isMadeHere reports whether an ID has the form that instances make, which
+// cannot arrive twice.
+func isMadeHere(id string) bool {
+	parsed, err := uuid.Parse(id)
+	return err == nil && parsed.Version() == madeVersion
+}
+
+// madeVersion is the version of the UUIDs that instances make.
+const madeVersion = 7
+
 func closedBy(b Bill, o Outcome) (Closed, error) {
 	if o.State == Expired {
 		return Closed{}, &UnbilledError{ID: b.ID, Expired: true}
--- a/internal/billing/ledger/ledger_test.go
+++ b/internal/billing/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,6 +122,15 @@
 	})
 }
 
+// sameShard returns another ID of the same shard.
+func sameShard(id string) string {
+	for i := 0; ; i++ {
+		if other := strconv.Itoa(i); ShardOf("c", other) == ShardOf("c", id) {
+			return other
+		}
+	}
+}
+
 // TestRecordsSentAgain has a sender repeat records long after they took effect.
 func TestRecordsSentAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -153,5 +163,14 @@
 		is.Equal(ask(claim("two")), Committed)
 		is.Equal(ask(claim("two")), Committed) // the same claim, sent again
 		is.Equal(ask(claim("three")), Duplicate)
+		time.Sleep(3 * time.Hour)
+		is.Equal(ask(Record{Kind: KindOpen, Origin: self, At: time.Now(), Bill: &Bill{ID: sameShard("b1"), Customer: "c", OpenedAt: time.Now()}}), Committed)
+		time.Sleep(time.Minute) // rolled up, so that the claim is packed
+		is.Equal(ask(claim("four")), Duplicate)
+		other := claim("five")
+		other.Claim.BodyHash = 5
+		is.Equal(ask(other), Mismatch)
+		time.Sleep(24 * time.Hour)
+		is.Equal(ask(claim("six")), Committed) // the window is over
 	})
 }
--- a/internal/billing/ledger/rollup.go
+++ b/internal/billing/ledger/rollup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 // effect.
 func (l *loaded) prepare(shard int, now time.Time) (*rollup, error) {
 	l.state.expire(now)
+	maps.Copy(l.changed, l.state.pack(now))
 	r := &rollup{
 		txn:    Txn{If: []Condition{{Key: headKey(shard), Revision: l.revision}}},
 		stored: map[int64]bool{},
--- a/internal/billing/ledger/state.go
+++ b/internal/billing/ledger/state.go
@@ -1,10 +1,6 @@
 package ledger
 
-import (
-	"time"
-
-	"github.com/kingcupyard/kingcupyard/internal/relay/call"
-)
+import "time"
 
 // Windows are how long a shard remembers.
 type Windows struct {
@@ -31,7 +27,9 @@
 	settled map[string]*Bill
 	closed  *closedSet
 	keyed   *closedSet
-	claims  map[string]*claimEntry
+	// claims are the recent claims, packed the older ones.
+	claims map[string]*claimEntry
+	packed *packedClaims
 }
 
 func newState(w Windows) *state {
@@ -45,6 +43,7 @@
 		closed:  newClosedSet(w.Bills / closedPages),
 		keyed:   newClosedSet(w.Claims / closedPages),
 		claims:  map[string]*claimEntry{},
+		packed:  newPackedClaims(),
 	}
 }
 
@@ -101,7 +100,7 @@
 		}
 		delete(s.open, key)
 		s.total(r.Bill, 1)
-		s.closedSet(r.Bill).add(digestOf(key))
+		s.remember(r.Bill, key)
 	case KindSkip:
 		s.mark(r, at)
 	case KindSettle:
@@ -117,14 +116,23 @@
 
 func (s *state) isClosed(key string) bool {
 	d := digestOf(key)
-	return s.closed.has(d) || s.keyed.has(d)
+	if c := s.claims[key]; c != nil && c.Billed {
+		return true
+	}
+	return s.closed.has(d) || s.keyed.has(d) || s.packed.isBilled(d)
 }
 
-func (s *state) closedSet(b *Bill) *closedSet {
-	if b.Keyed {
-		return s.keyed
+// remember keeps the ID of a closed bill, in its claim if it has one.
+func (s *state) remember(b *Bill, key string) {
+	switch c := s.claims[key]; {
+	case c != nil:
+		c.Billed = true
+	case s.packed.bill(digestOf(key)):
+	case b.Keyed:
+		s.keyed.add(digestOf(key))
+	default:
+		s.closed.add(digestOf(key))
 	}
-	return s.closed
 }
 
 func (s *state) mark(r *Record, at time.Time) {
@@ -168,11 +176,7 @@
 			delete(s.settled, key)
 		}
 	}
-	for key, c := range s.claims {
-		if now.Sub(c.At) > keep {
-			delete(s.claims, key)
-		}
-	}
+	s.packed.expire(bucketOf(now.Add(-keep)))
 	s.closed.expire(now.Add(-s.windows.Bills - s.windows.Skew))
 	s.keyed.expire(now.Add(-keep))
 }
@@ -192,16 +196,3 @@
 	}
 	return out
 }
-
-// claimEntry is what a shard knows of one claimed ID.
-type claimEntry struct {
-	Claim
-	Instance string
-	At       time.Time
-	Free     bool
-	State    call.RunState
-	Finished bool
-	Answer   []byte `json:",omitempty"`
-	// Given lists the claims given up by their maker.
-	Given []string `json:",omitempty"`
-}
--- a/internal/billing/ledger/world_test.go
+++ b/internal/billing/ledger/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
@@ -209,6 +210,9 @@
 	return revision, ok, err
 }
 
+// hop is the delay one way between two nodes.
+const hop = 4 * time.Millisecond
+
 // nodePeers carries messages from one node.
 type nodePeers struct{ n *node }
 
@@ -217,6 +221,7 @@
 		return nil, err
 	}
 	w := p.n.world
+	w.messages.Add(1)
 	other := w.byName(to.Name)
 	p.n.mu.Lock()
 	side := p.n.side
@@ -228,7 +233,7 @@
 	if cut || w.store.chance(w.loseMessage) {
 		return nil, silence(ctx)
 	}
-	time.Sleep(4 * time.Millisecond)
+	time.Sleep(hop)
 	if resume != nil {
 		select {
 		case <-resume:
@@ -245,6 +250,7 @@
 		return Response{}, err
 	}
 	resp := other.keeper.Handle(ctx, req)
+	time.Sleep(hop)
 	if p.n.world.store.chance(p.n.world.loseMessage) {
 		return Response{}, silence(ctx)
 	}
@@ -261,10 +267,14 @@
 
 // world is a fleet of nodes around one store.
 type world struct {
+	seed        uint64
 	rng         *rand.Rand
+	rollup      time.Duration
 	store       *fakeStore
 	nodes       []*node
+	names       map[string]*node
 	loseMessage int
+	messages    atomic.Int64
 	ctx         context.Context
 	stop        context.CancelFunc
 }
@@ -277,53 +287,65 @@
 
 func newWorld(seed uint64, nodes int) *world {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	w := &world{rng: rng, store: newFakeStore(rand.New(rand.NewPCG(seed, 8)))}
+	w := &world{seed: seed, rng: rng, rollup: 5 * time.Second, names: map[string]*node{}, store: newFakeStore(rand.New(rand.NewPCG(seed, 8)))}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	for i := range nodes {
-		n := &node{world: w, member: board.Member{
-			Name: fmt.Sprintf("i%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Generation: 1, State: board.MemberAlive,
-		}}
-		self := Origin{n.member.Name, 1}
-		n.keeper = NewKeeper(nodeStore{n}, self, &n.section,
-			WithWindows(testWindows()), WithRollup(5*time.Second, 1<<20), WithKeeperRand(rand.New(rand.NewPCG(seed, uint64(i)))))
-		n.ledger = New(self, &n.section, nodePeers{n}, n.keeper, WithRand(rand.New(rand.NewPCG(seed, uint64(100+i)))))
-		n.holder = NewHolder(n.ledger)
+		n := w.newNode(i, 1)
 		w.nodes = append(w.nodes, n)
+		w.names[n.member.Name] = n
 	}
 	w.publish()
 	for _, n := range w.nodes {
-		go n.keeper.Run(w.ctx)
-		go n.holder.Run(w.ctx)
+		n.start()
 	}
 	return w
 }
 
-func (w *world) byName(name string) *node {
-	for _, n := range w.nodes {
-		if n.member.Name == name {
-			return n
-		}
-	}
-	return nil
+func (w *world) newNode(i int, generation uint64) *node {
+	n := &node{world: w, member: board.Member{
+		Name: fmt.Sprintf("i%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Generation: generation, State: board.MemberAlive,
+	}}
+	self := Origin{n.member.Name, generation}
+	source := func(k uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, 1000*generation+2*uint64(i)+k)) }
+	n.keeper = NewKeeper(nodeStore{n}, self, &n.section,
+		WithWindows(testWindows()), WithRollup(w.rollup, 1<<20), WithKeeperRand(source(0)))
+	n.ledger = New(self, &n.section, nodePeers{n}, n.keeper, WithRand(source(1)))
+	n.holder = NewHolder(n.ledger)
+	return n
+}
+
+func (n *node) start() {
+	go n.keeper.Run(n.world.ctx)
+	go n.holder.Run(n.world.ctx)
 }
 
+func (w *world) byName(name string) *node { return w.names[name] }
+
 // publish gives each node its view: killed nodes are gone, those of the other
 // side are suspect.
 func (w *world) publish() {
+	views := map[int]*board.Members{}
 	for _, n := range w.nodes {
-		view := &board.Members{Self: n.member.Name}
-		for _, o := range w.nodes {
-			if o.isKilled() {
-				continue
-			}
-			m := o.member
-			if o.side != n.side {
-				m.State = board.MemberSuspect
-			}
-			view.List = append(view.List, m)
+		if views[n.side] == nil {
+			views[n.side] = w.viewFrom(n.side)
+		}
+		n.section.Publish(views[n.side])
+	}
+}
+
+func (w *world) viewFrom(side int) *board.Members {
+	view := new(board.Members)
+	for _, o := range w.nodes {
+		if o.isKilled() {
+			continue
+		}
+		m := o.member
+		if o.side != side {
+			m.State = board.MemberSuspect
 		}
-		n.section.Publish(view)
+		view.List = append(view.List, m)
 	}
+	return view
 }
 
 // end stops all nodes, so that nothing is left running.
