--- a/internal/billing/ledger/measure_test.go
+++ b/internal/billing/ledger/measure_test.go
@@ -121,6 +121,7 @@
 // TestWritesAtTarget measures the store's writes and what the ledger makes
 // requests wait, at the target's load on 9 to 360 nodes.
 func TestWritesAtTarget(t *testing.T) {
+	t.Parallel()
 	bounds := readBounds(t)
 	var first, last figures
 	for _, nodes := range []int{9, 36, 120, 360} {
@@ -147,6 +148,7 @@
 // gets with a window of two hours, at two rates, and takes the store's size at
 // the target with the full window from the slopes.
 func TestStoreAfterADay(t *testing.T) {
+	t.Parallel()
 	bounds := readBounds(t)
 	const rates = 2 // requests a second
 	w := DefaultWindows()
@@ -225,6 +227,7 @@
 // TestRollingRestart stops and replaces nine nodes one after another while
 // requests go on. None is cut, and every bill is in the ledger once.
 func TestRollingRestart(t *testing.T) {
+	t.Parallel()
 	bounds := readBounds(t)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- /dev/null
+++ b/internal/billing/ledger/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package ledger
+
+const defaultSchedules = 1000
