--- a/internal/fleet/board/listing.go
+++ b/internal/fleet/board/listing.go
@@ -8,6 +8,8 @@
 	// Stamp orders lists; it grows with each change that the platform shows.
 	Stamp    int64
 	Sequence uint64
-	At       time.Time
-	List     []Member
+	// At is when the list was last known to be the platform's, counted from
+	// when it was asked for.
+	At   time.Time
+	List []Member
 }
--- a/internal/platform/roster/controller.go
+++ b/internal/platform/roster/controller.go
@@ -24,10 +24,12 @@
 	clock       clockwork.Clock
 	log         *zap.Logger
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	judge   listJudge
-	held    held
+	mu    sync.Mutex
+	rng   *rand.Rand
+	judge listJudge
+	held  held
+	// listAt is when the list held was last known to be the platform's.
+	listAt  time.Time
 	servers map[string]*board.Server
 	// fresh names the servers whose report this instance polled and has not
 	// yet sent to others.
--- a/internal/platform/roster/doc.go
+++ b/internal/platform/roster/doc.go
@@ -20,10 +20,12 @@
 
 // Times and numbers of the roster.
 const (
-	// fleetListReads is how often a second all instances together read the
-	// platform's list; minListInterval bounds how often one does.
-	fleetListReads  = 2
 	minListInterval = time.Second
+	// listEntryInterval stretches the interval with the number of entries:
+	// at 200 bytes an entry, reading costs 8 KB a second.
+	listEntryInterval = 25 * time.Millisecond
+	// confirmInterval is how often the time of the list is published.
+	confirmInterval = 250 * time.Millisecond
 	// listFanOut is how many members a change of the list is passed on to.
 	listFanOut      = 4
 	listTimeout     = time.Second
--- a/internal/platform/roster/held.go
+++ b/internal/platform/roster/held.go
@@ -12,8 +12,7 @@
 // keptChanges is how many recent changes of the list are kept for peers.
 const keptChanges = 64
 
-// change leads from any list with a stamp in [from, to) to the list with the
-// stamp to.
+// change leads from the list with the stamp from to the one with the stamp to.
 type change struct {
 	from     int64
 	to       int64
@@ -43,7 +42,7 @@
 // read compares a list of the platform with the one held, and applies the
 // difference. It returns nil if there is none.
 func (h *held) read(sequence uint64, at time.Time, list []listed) *change {
-	c := change{from: h.stamp, to: max(stampOf(sequence, at), h.stamp+1), sequence: sequence}
+	c := change{from: h.stamp, to: max(stampOf(sequence, at), h.stamp+1), sequence: sequence, full: h.stamp == 0}
 	names := make(map[string]struct{}, len(list))
 	for _, l := range list {
 		names[l.Name] = struct{}{}
@@ -67,7 +66,7 @@
 // apply takes over a change that leads on from the list held, and reports
 // whether it does.
 func (h *held) apply(c change) bool {
-	if c.to <= h.stamp || !c.full && c.from > h.stamp {
+	if c.to <= h.stamp || !c.full && c.from != h.stamp {
 		return false
 	}
 	if h.entries == nil || c.full {
@@ -92,8 +91,8 @@
 // recent changes joined, or the whole list when they do not reach back.
 func (h *held) since(stamp int64) change {
 	joined := change{from: stamp, to: h.stamp, sequence: h.sequence}
-	first := slices.IndexFunc(h.changes, func(c change) bool { return c.to > stamp })
-	if first < 0 || h.changes[first].from > stamp || stamp == 0 {
+	first := slices.IndexFunc(h.changes, func(c change) bool { return c.from == stamp })
+	if first < 0 {
 		joined.full = true
 		joined.changed = lo.Values(h.entries)
 		return joined
--- a/internal/platform/roster/listing.go
+++ b/internal/platform/roster/listing.go
@@ -12,14 +12,16 @@
 )
 
 // listInterval is how long an instance waits between two reads of the
-// platform's list. All instances together read it a few times a second,
-// whatever their number; changes reach the others through peers.
+// platform's list: the longer, the larger the list, so that reading it costs an
+// instance the same at any size. Changes and the time of the latest read also
+// reach an instance through its peers.
 func (c *Controller) listInterval() time.Duration {
-	members := c.board.Members.Get()
-	if c.peers == nil || members == nil {
+	if c.peers == nil {
 		return minListInterval
 	}
-	return max(minListInterval, time.Duration(len(members.List))*time.Second/fleetListReads)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(minListInterval, time.Duration(len(c.held.entries))*listEntryInterval)
 }
 
 // runList reads the list, at times that drift apart from those of instances
@@ -43,17 +45,19 @@
 // pushes what has changed.
 func (c *Controller) readList(ctx context.Context) {
 	var resp listResponse
+	asked := c.clock.Now()
 	if err := c.http.Get(ctx, "http://"+c.listAddress+"/instances", &resp); err != nil {
 		counts.Add("ListFailed", 1)
 		return
 	}
 	counts.Add("ListRead", 1)
-	if changed := c.takeList(resp); changed != nil {
+	if changed := c.takeList(resp, asked); changed != nil && !changed.full {
 		c.pushList(ctx, *changed)
 	}
 }
 
-func (c *Controller) takeList(resp listResponse) *change {
+// takeList takes in a list that was asked for at a time.
+func (c *Controller) takeList(resp listResponse, asked time.Time) *change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.judge.accept(stampOf(resp.Sequence, resp.At), c.held.stamp, len(resp.Instances), len(c.held.entries), c.clock.Now()) {
@@ -62,12 +66,27 @@
 		return nil
 	}
 	changed := c.held.read(resp.Sequence, resp.At, resp.Instances)
+	c.confirmList(asked)
 	if changed != nil {
 		c.listChanged(*changed)
 	}
 	return changed
 }
 
+// confirmList notes that the list held was the platform's at this time, and
+// publishes it now and then. The caller holds the lock.
+func (c *Controller) confirmList(at time.Time) {
+	if !at.After(c.listAt) {
+		return
+	}
+	c.listAt = at
+	if last := c.board.Listing.Get(); last != nil && at.Sub(last.At) >= confirmInterval {
+		next := *last
+		next.At = at
+		c.board.Listing.Publish(&next)
+	}
+}
+
 // listChanged brings the servers up to date with the list held, and publishes
 // the listing. The caller holds the lock.
 func (c *Controller) listChanged(changed change) {
@@ -82,7 +101,7 @@
 			delete(c.fresh, name)
 		}
 	}
-	listing := &board.Listing{Stamp: c.held.stamp, Sequence: c.held.sequence, At: c.clock.Now()}
+	listing := &board.Listing{Stamp: c.held.stamp, Sequence: c.held.sequence, At: c.listAt}
 	for _, l := range c.held.entries {
 		if l.Service == OwnService {
 			listing.List = append(listing.List, l.member())
@@ -188,15 +207,24 @@
 }
 
 func (c *Controller) followSightings(ctx context.Context) {
+	if highest := c.confirmBySightings(); highest.Name != "" {
+		c.exchangeList(ctx, highest.PeerAddress, nil)
+	}
+}
+
+// confirmBySightings takes the time of the latest read from peers that hold the
+// same list, and returns the peer with the latest list, if one is later.
+func (c *Controller) confirmBySightings() board.Sighting {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	highest := board.Sighting{ListingStamp: c.held.stamp}
-	c.mu.Unlock()
 	for _, s := range c.board.Sightings.Get().List {
+		if s.ListingStamp == c.held.stamp {
+			c.confirmList(s.ListedAt)
+		}
 		if s.ListingStamp > highest.ListingStamp {
 			highest = s
 		}
 	}
-	if highest.Name != "" {
-		c.exchangeList(ctx, highest.PeerAddress, nil)
-	}
+	return highest
 }
