Let instances learn plans from each other's outcomes

Cause: nine instances that learn alone need nine times as many requests before a plan is known well enough, 360 forty times as many. Change: Exchange gives out grow-only counters of an hour's outcomes and learns by how much those of others have grown; each outcome counts once however often, late or out of order it is reported.

--- a/internal/routing/cascade/belief.go
+++ b/internal/routing/cascade/belief.go
@@ -29,16 +29,14 @@
 	at    time.Time
 }
 
-// observe adds one outcome.
-func (b *belief) observe(pass bool, at time.Time) {
-	if b.total >= memory {
-		b.good *= (memory - 1) / b.total
-		b.total = memory - 1
-	}
-	b.total++
-	if pass {
-		b.good++
+// observe adds outcomes; what is known already fades to make room for them.
+func (b *belief) observe(good, total float64, at time.Time) {
+	if total > memory {
+		good, total = good*memory/total, memory
 	}
+	*b = b.weakened(memory - total)
+	b.good += good
+	b.total += total
 	if at.After(b.at) {
 		b.at = at
 	}
--- a/internal/routing/cascade/cost_test.go
+++ b/internal/routing/cascade/cost_test.go
@@ -85,7 +85,6 @@
 	now      time.Time
 	ratings  []dueRating
 	stopped  bool // no rating arrives
-	lose     float64
 	judgeOut bool
 	explored int
 }
@@ -155,7 +154,7 @@
 			cost += more
 		}
 	}
-	if !t.stopped && t.rnd.Float64() >= t.lose {
+	if !t.stopped {
 		t.ratings = append(t.ratings, dueRating{t.now.Add(ratingDelay), Outcome{"c", task.class, kind, first.Model, pass, t.now}})
 	}
 	return cost, pass
@@ -265,10 +264,10 @@
 func TestExplorationIsBounded(t *testing.T) {
 	is := is.New(t)
 	trial := newTrial(1, withoutFeatures, nil)
-	trial.lose = 0.5
+	trial.stopped = true // nothing is ever learnt
 	trial.run(learning)
 	is.True(trial.explored <= 0.055*learning)
-	is.True(trial.explored > 0)
+	is.True(trial.explored >= 0.045*learning)
 }
 
 func BenchmarkCostAtQuality(b *testing.B) {
--- a/internal/routing/cascade/decider.go
+++ b/internal/routing/cascade/decider.go
@@ -89,6 +89,8 @@
 	Judgement Kind = "Judgement"
 )
 
+var kinds = []Kind{Direct, Accepted, Escalated, Judgement}
+
 // Outcome is one rating or judgement.
 type Outcome struct {
 	Customer string
@@ -116,6 +118,8 @@
 	// known is replaced when a customer or class is added.
 	known atomic.Pointer[map[key]*entry]
 	mu    sync.Mutex
+	// exchange counts own outcomes for other instances, if set.
+	exchange *Exchange
 }
 
 type key struct {
@@ -190,8 +194,20 @@
 func (d *Decider) Observe(o Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	good := 0.0
+	if o.Pass {
+		good = 1
+	}
+	d.learn(o, good, 1)
+	if d.exchange != nil {
+		d.exchange.count(o)
+	}
+}
+
+// learn adds outcomes of one kind, of which good passed; the caller holds mu.
+func (d *Decider) learn(o Outcome, good, total float64) {
 	e := d.entry(o.Customer, o.Class)
-	next := e.beliefs.Load().with(o)
+	next := e.beliefs.Load().with(o, good, total)
 	e.beliefs.Store(&next)
 }
 
--- a/internal/routing/cascade/plan.go
+++ b/internal/routing/cascade/plan.go
@@ -109,15 +109,15 @@
 	return belief{model: model, kind: kind}
 }
 
-// with returns the beliefs after one more outcome.
-func (b beliefs) with(o Outcome) beliefs {
+// with returns the beliefs after more outcomes of one kind.
+func (b beliefs) with(o Outcome, good, total float64) beliefs {
 	next := slices.Clone(b)
 	i := slices.IndexFunc(next, func(x belief) bool { return x.model == o.Model && x.kind == o.Kind })
 	if i < 0 {
 		next = append(next, belief{model: o.Model, kind: o.Kind})
 		i = len(next) - 1
 	}
-	next[i].observe(o.Pass, o.At)
+	next[i].observe(good, total, o.At)
 	return next
 }
 
--- /dev/null
+++ b/internal/routing/cascade/wire.go
@@ -0,0 +1,35 @@
+package cascade
+
+import "github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+
+// Message returns the form of the counter in the protocol between instances,
+// which it shares with the counters of roll-outs.
+func (c *Counter) Message() *peer.Counter {
+	return &peer.Counter{
+		Member:     c.Member,
+		Generation: c.Generation,
+		Epoch:      c.Epoch,
+		Customer:   c.Customer,
+		Class:      c.Class,
+		Model:      c.Model,
+		Kind:       string(c.Kind),
+		Rated:      c.Total,
+		Passed:     c.Good,
+	}
+}
+
+// CounterOf returns the counter in a message of another instance, and whether it
+// is one that cascades learn from.
+func CounterOf(m *peer.Counter) (Counter, bool) {
+	return Counter{
+		Member:     m.GetMember(),
+		Generation: m.GetGeneration(),
+		Epoch:      m.GetEpoch(),
+		Customer:   m.GetCustomer(),
+		Class:      m.GetClass(),
+		Model:      m.GetModel(),
+		Kind:       Kind(m.GetKind()),
+		Good:       m.GetPassed(),
+		Total:      m.GetRated(),
+	}, m.GetKind() != ""
+}
