Bound named sessions in rest and age, and let a hand-over close the gap

Complete ends the gap when former keepers have handed over. Resolve says whether the pin was known, and takes a version that the caller names. Conclusion: refusals last an hour at most, and only after a loss.

--- a/internal/release/rollout/schedule_test.go
+++ b/internal/release/rollout/schedule_test.go
@@ -401,7 +401,7 @@
 		return "", errors.New("keeper not reached")
 	}
 	known := keeper.board.Configuration.Get()
-	pin, err := keeper.pins.Resolve(known, known.Customer(c.customer), session.Ask{Customer: c.customer, Session: c.name, Model: "m"})
+	pin, _, err := keeper.pins.Resolve(known, known.Customer(c.customer), session.Ask{Customer: c.customer, Session: c.name, Model: "m"})
 	if err != nil {
 		n.w.lost++
 		return "", err
--- a/internal/routing/session/pins.go
+++ b/internal/routing/session/pins.go
@@ -15,7 +15,10 @@
 
 const (
 	// Expiry is how long a named session may rest before it is over.
-	Expiry = 24 * time.Hour
+	Expiry = time.Hour
+	// MaxAge is how long a named session lasts at most; its name begins a new
+	// one after that. It bounds how far back a lost pin is recomputed.
+	MaxAge = 24 * time.Hour
 	// MaxPins bounds the pins that one instance keeps.
 	MaxPins = 100_000
 	// inForceLag is the longest time between a change in the document's history
@@ -31,6 +34,9 @@
 	Customer string
 	Session  string
 	Model    string
+	// Exact is the version that the caller names with the model, if it does; a
+	// new session gets it.
+	Exact string
 	// StartedAt is when the session started, zero if the caller doesn't say.
 	StartedAt time.Time
 }
@@ -76,7 +82,8 @@
 func WithLimit(n int) PinsOption { return func(p *Pins) { p.limit = n } }
 
 // NewPins returns an empty store. It has a gap from the start: an instance that
-// begins knows nothing of the sessions that it becomes keeper of.
+// begins knows nothing of the sessions that it becomes keeper of, until Complete
+// says that it has been told.
 func NewPins(clock clockwork.Clock, options ...PinsOption) *Pins {
 	p := &Pins{clock: clock, expiry: Expiry, limit: MaxPins, pins: map[pinKey]*kept{}, gap: clock.Now()}
 	for _, o := range options {
@@ -94,27 +101,45 @@
 	p.gap = p.clock.Now()
 }
 
+// Complete notes that former keepers have handed over all their pins, but for
+// what they may have lost before gap themselves; zero is no loss.
+func (p *Pins) Complete(gap time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gap = gap
+}
+
+// LastGap returns the time of the latest loss, to pass on with a hand-over.
+func (p *Pins) LastGap() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gap
+}
+
 // Resolve returns the pin of a named session for its next request, and keeps it.
 // A name that is unknown is a new session, unless there is a gap; then its
 // version is recomputed if the history leaves no doubt, and refused otherwise.
-// The error is a *call.Refusal.
-func (p *Pins) Resolve(doc *configuration.Document, customer *configuration.Customer, ask Ask) (Pin, error) {
+// Found is false for a session that begins. The error is a *call.Refusal.
+func (p *Pins) Resolve(doc *configuration.Document, customer *configuration.Customer, ask Ask) (pin Pin, found bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	p.sweep(now)
 	key := pinKey{ask.Customer, ask.Session, ask.Model}
-	k := p.pins[key]
-	if k == nil {
-		pin, err := p.begin(doc, customer, ask, now)
+	k, found := p.pins[key]
+	if found && now.Sub(k.pin.StartedAt) >= MaxAge {
+		found = false
+	}
+	if !found {
+		pin, err := p.begin(doc, customer, ask, now, k != nil)
 		if err != nil {
-			return Pin{}, err
+			return Pin{}, false, err
 		}
 		k = &kept{pin: pin}
 	}
 	version, err := Resolve(doc, customer, k.pin)
 	if err != nil {
-		return Pin{}, err
+		return Pin{}, found, err
 	}
 	if version != k.pin.Version {
 		events.Add("Moved", 1)
@@ -122,46 +147,48 @@
 	k.pin.Version = version
 	k.usedAt = now
 	p.pins[key] = k
-	return k.pin, nil
+	return k.pin, found, nil
 }
 
-// begin returns the pin of a session that is not known here.
-func (p *Pins) begin(doc *configuration.Document, customer *configuration.Customer, ask Ask, now time.Time) (Pin, error) {
-	if len(p.pins) >= p.limit {
+// begin returns the pin of a session that is not known here, or of one that
+// begins anew since the former one under its name has reached its greatest age.
+func (p *Pins) begin(doc *configuration.Document, customer *configuration.Customer, ask Ask, now time.Time, anew bool) (Pin, error) {
+	if len(p.pins) >= p.limit && !anew {
 		events.Add("Full", 1)
 		return Pin{}, &call.Refusal{Reason: call.ReasonOverloaded, Field: "Session-Id", Detail: "too many named sessions; use the token of an answer"}
 	}
-	if now.Sub(p.gap) < p.expiry {
-		return Recompute(doc, customer, ask, now.Add(-p.expiry), p.gap, now)
+	if ask.Exact != "" {
+		return ask.pin(ask.Exact, now), nil // the caller names it each time
+	}
+	if !anew && now.Sub(p.gap) < p.expiry {
+		return Recompute(doc, customer, ask, p.gap, now)
 	}
 	events.Add("Begun", 1)
 	version, err := rollout.Choose(doc, customer, ask.Model, ask.Unit())
 	return ask.pin(version, now), err
 }
 
-// Recompute returns the pin of a named session that may have started at any time
-// since from, without any keeper's knowledge, or a refusal if the history of the
-// roll-outs leaves more than one version. A session known to have started after
-// gap is new. A start that the caller states narrows the time.
-func Recompute(doc *configuration.Document, customer *configuration.Customer, ask Ask, from, gap, now time.Time) (Pin, error) {
-	to, started := now, now
+// Recompute returns the pin of a named session without any keeper's knowledge,
+// or a refusal if the history of the roll-outs leaves more than one version for
+// a session that may have started at any time within MaxAge. A start that the
+// caller states narrows that; one after gap is a new session.
+func Recompute(doc *configuration.Document, customer *configuration.Customer, ask Ask, gap, now time.Time) (Pin, error) {
+	from, to, started := now.Add(-MaxAge-inForceLag), now, now
 	if !ask.StartedAt.IsZero() && ask.StartedAt.Before(now) {
+		if ask.StartedAt.After(gap.Add(inForceLag)) {
+			version, err := rollout.Choose(doc, customer, ask.Model, ask.Unit())
+			return ask.pin(version, now), err
+		}
 		from, to, started = ask.StartedAt.Add(-inForceLag), ask.StartedAt.Add(inForceLag), ask.StartedAt
 	}
-	if !ask.StartedAt.IsZero() && ask.StartedAt.After(gap.Add(inForceLag)) {
+	versions := rollout.Versions(doc, customer, ask.Model, ask.Unit(), from, to)
+	switch len(versions) {
+	case 0:
 		version, err := rollout.Choose(doc, customer, ask.Model, ask.Unit())
 		return ask.pin(version, now), err
-	}
-	versions := rollout.Versions(doc, customer, ask.Model, ask.Unit(), from.Add(-inForceLag), to)
-	switch len(versions) {
 	case 1:
 		events.Add("Recomputed", 1)
 		return ask.pin(versions[0], started), nil
-	case 0:
-		_, err := rollout.Choose(doc, customer, ask.Model, ask.Unit())
-		if err != nil {
-			return Pin{}, err
-		}
 	}
 	events.Add("Lost", 1)
 	return Pin{}, &call.Refusal{
@@ -206,6 +233,9 @@
 	now := p.clock.Now()
 	for _, pin := range pins {
 		key := pinKey{pin.Customer, pin.Session, pin.Model}
+		if now.Sub(pin.StartedAt) >= MaxAge {
+			continue
+		}
 		if k := p.pins[key]; k != nil && !pin.StartedAt.Before(k.pin.StartedAt) {
 			continue
 		}
--- a/internal/routing/session/pins_test.go
+++ b/internal/routing/session/pins_test.go
@@ -63,7 +63,7 @@
 			is := is.New(t)
 			clock := clockwork.NewFakeClockAt(begin.Add(2 * time.Hour))
 			doc := halfway()
-			pin, err := NewPins(clock).Resolve(doc, &doc.Customers[0], c.ask)
+			pin, _, err := NewPins(clock).Resolve(doc, &doc.Customers[0], c.ask)
 			is.Equal(pin.Version, c.version)
 			var refusal *call.Refusal
 			is.Equal(errors.As(err, &refusal), c.version == "")
@@ -83,23 +83,36 @@
 	customer := &doc.Customers[0]
 	first, second := NewPins(clock, WithLimit(1)), NewPins(clock)
 	clock.Advance(Expiry)
-	pin, err := first.Resolve(doc, customer, inside)
+	pin, found, err := first.Resolve(doc, customer, inside)
 	is.NoErr(err)
 	is.Equal(pin.Version, "v2")
-	_, err = first.Resolve(doc, customer, outside)
+	is.True(!found)
+	_, _, err = first.Resolve(doc, customer, outside)
 	var refusal *call.Refusal
 	is.True(errors.As(err, &refusal))
 	is.Equal(refusal.Reason, call.ReasonOverloaded)
 
 	is.NoErr(second.Import(first.Export(func(string, string) bool { return true })))
 	second.Gap()
+	clock.Advance(Expiry / 2)
 	doc.Rollouts[0].State = configuration.RolloutHalted
-	pin, err = second.Resolve(doc, customer, inside)
+	pin, found, err = second.Resolve(doc, customer, inside)
 	is.NoErr(err)
+	is.True(found)
 	is.Equal(pin.Version, "v2") // kept, though new sessions get v1
 
 	clock.Advance(Expiry)
-	_, err = first.Resolve(doc, customer, outside)
+	_, _, err = first.Resolve(doc, customer, outside)
 	is.NoErr(err) // the expired pin made room
+	for range 24 {
+		clock.Advance(Expiry - 1)
+		_, found, err = first.Resolve(doc, customer, outside)
+		is.NoErr(err)
+	}
+	is.True(found)
+	clock.Advance(Expiry - 1)
+	_, found, err = first.Resolve(doc, customer, outside)
+	is.NoErr(err)
+	is.True(!found) // the name begins a new session
 	is.Equal(first.Len(), 1)
 }
