Release a judged answer before its bill is committed, but for the last event

Cause: a judged answer waited for its bill before its first token; a bill may only delay the last byte. Change: all held events but the last go out, then the bill, then the last.

--- a/internal/relay/pipeline/chat.go
+++ b/internal/relay/pipeline/chat.go
@@ -166,9 +166,13 @@
 	if !p.judge(ctx, f, model, text) {
 		return false, nil
 	}
+	gone := d.release()
 	p.closeBill(ctx, f.bill)
 	p.submit(f, model, text, RatedAnswer{Plan: PlanAccepted, First: model})
-	return true, d.release(answer)
+	if gone != nil {
+		return true, gone
+	}
+	return true, d.finish(answer)
 }
 
 // judge asks whether the answer may be delivered. An answer that can't be
--- a/internal/relay/pipeline/delivery.go
+++ b/internal/relay/pipeline/delivery.go
@@ -78,15 +78,16 @@
 	return d.f.out.Chunk(d.last)
 }
 
-// release delivers an answer that was held.
-func (d *delivery) release(answer attempt.Answer) error {
+// release delivers what was held, but for the last event.
+func (d *delivery) release() error {
 	if err := d.begin(); err != nil {
 		return err
 	}
-	if !d.f.request.Stream {
-		return d.f.out.Whole(answer.Body)
+	if len(d.held) == 0 {
+		return nil
 	}
-	for _, payload := range d.held {
+	d.last = d.held[len(d.held)-1]
+	for _, payload := range d.held[:len(d.held)-1] {
 		if err := d.f.out.Chunk(payload); err != nil {
 			return err
 		}
