Drive roll-outs and keep named sessions over the fleet

Cause: the driver had no lease, orders or evidence of other instances, and pins of named sessions were kept nowhere. Change: a leased duty in the store with a fencing number; evidence collected by the driver and, in a small fleet, handed to all; pins of named sessions held by three members, copied anew on changes, handed over on a planned stop and filled on joining. Conclusion: sessions survive the loss of instances without a write to the store.

--- a/internal/fleet/instance/parts.go
+++ b/internal/fleet/instance/parts.go
@@ -15,6 +15,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/distribution"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/member"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/pinning"
 	"github.com/kingcupyard/kingcupyard/internal/platform/rating"
 	"github.com/kingcupyard/kingcupyard/internal/platform/request"
 	"github.com/kingcupyard/kingcupyard/internal/platform/roster"
@@ -30,6 +31,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/routing/capacity"
 	"github.com/kingcupyard/kingcupyard/internal/routing/cascade"
 	"github.com/kingcupyard/kingcupyard/internal/routing/placement"
+	"github.com/kingcupyard/kingcupyard/internal/routing/session"
 )
 
 const (
@@ -122,7 +124,9 @@
 		peer.WithReporter(get[*roster.Controller](in)),
 		peer.WithLedgerKeeper(get[*accounts](in)),
 		peer.WithCopyHolder(get[*accounts](in)),
-		peer.WithPinner((&pinPeers{in}).service()),
+		peer.WithEvidenceExchanger(get[*evidenceExchange](in)),
+		peer.WithPinner(get[*pinning.Service](in)),
+		peer.WithPinHolder(get[*pinning.Service](in)),
 		peer.WithCreditor(creditKeeper{get[*capacity.Controller](in)}),
 		peer.WithExplainer(tellerService{teller{in}}),
 		peer.WithStatusTeller(tellerService{teller{in}}),
@@ -167,7 +171,16 @@
 		})), nil
 	})
 	do.Provide(in, func(in do.Injector) (*affinity.Resolver, error) {
-		return affinity.New(&pinPeers{in}), nil
+		return affinity.New(get[*pinning.Service](in), get[*rollout.Guard](in)), nil
+	})
+	do.Provide(in, newDriverLease)
+	do.Provide(in, newDriver)
+	do.Provide(in, newEvidenceExchange)
+	do.Provide(in, func(in do.Injector) (*rollout.Guard, error) {
+		return rollout.NewGuard(get[*board.Board](in), get[*rollout.Evidence](in), clockOf(in)), nil
+	})
+	do.Provide(in, func(in do.Injector) (*pinning.Service, error) {
+		return pinning.New(get[*board.Board](in), session.NewPins(clockOf(in)), get[*peer.Client](in), get[*store.Client](in), clockOf(in), get[*zap.Logger](in)), nil
 	})
 	do.Provide(in, newAccounts)
 	do.Provide(in, func(in do.Injector) (*feedback.Collector, error) {
@@ -217,6 +230,10 @@
 		{"distribution", get[*distribution.Controller](in).Run},
 		{"placement", get[*placement.Placer](in).Run},
 		{"capacity", get[*capacity.Controller](in).Run},
+		{"rollout driver", get[*rollout.Driver](in).Run},
+		{"rollout guard", get[*rollout.Guard](in).Run},
+		{"evidence", get[*evidenceExchange](in).Run},
+		{"pinning", get[*pinning.Service](in).Run},
 		{"ledger keeper", get[*accounts](in).runKeeper},
 		{"ledger holder", get[*accounts](in).runHolder},
 		{"admission", func(ctx context.Context) error { return gate.Run(ctx, b) }},
--- a/internal/fleet/instance/status.go
+++ b/internal/fleet/instance/status.go
@@ -33,7 +33,7 @@
 	status := operator.Status{
 		Instance: s.Name, DataCentre: s.DataCentre, Region: s.Region, At: now,
 		Generation: get[*member.Controller](t.in).Generation(), Reason: "no confirmed configuration",
-		Refusals: counters("Refusals"), Retries: counters("Retries"), StoreCalls: map[string]int64{},
+		Refusals: counterValues("Refusals"), Retries: counterValues("Retries"), StoreCalls: map[string]int64{},
 	}
 	if c := b.Confirmation.Get(); c != nil {
 		status.Ready, status.Reason, status.Revision = c.Allows(now), c.Reason, c.Revision
@@ -80,8 +80,8 @@
 	return status
 }
 
-// counters reads an expvar map of the process.
-func counters(name string) map[string]int64 {
+// counterValues reads an expvar map of the process.
+func counterValues(name string) map[string]int64 {
 	values := map[string]int64{}
 	if m, ok := expvar.Get(name).(*expvar.Map); ok {
 		m.Do(func(kv expvar.KeyValue) {
--- a/internal/fleet/instance/stop.go
+++ b/internal/fleet/instance/stop.go
@@ -14,6 +14,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/member"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/pinning"
 	"github.com/kingcupyard/kingcupyard/internal/platform/request"
 	"github.com/kingcupyard/kingcupyard/internal/platform/store"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
@@ -77,6 +78,9 @@
 	if err != nil {
 		err = fmt.Errorf("stop %s: flush the ledger: %w", i.settings.Name, err)
 	}
+	if pins := get[*pinning.Service](i.injector).HandOver(ctx); pins != nil {
+		err = errors.Join(err, fmt.Errorf("stop %s: hand sessions over: %w", i.settings.Name, pins))
+	}
 	get[*member.Controller](i.injector).Leave(ctx)
 	return err
 }
--- a/internal/fleet/peer/calls.go
+++ b/internal/fleet/peer/calls.go
@@ -22,6 +22,11 @@
 	return invoke(ctx, c, "Pin", address, req, PeerClient.Pin)
 }
 
+// Pins exchanges pins of named sessions.
+func (c *Client) Pins(ctx context.Context, address string, req *PinsRequest) (*PinsResponse, error) {
+	return invoke(ctx, c, "Pins", address, req, PeerClient.Pins)
+}
+
 // Ledger sends records to a shard's keeper.
 func (c *Client) Ledger(ctx context.Context, address string, req *LedgerRequest) (*LedgerResponse, error) {
 	return invoke(ctx, c, "Ledger", address, req, PeerClient.Ledger)
--- a/internal/fleet/peer/peer.connect.go
+++ b/internal/fleet/peer/peer.connect.go
@@ -40,6 +40,8 @@
 	PeerCreditProcedure = "/kingcupyard.peer.Peer/Credit"
 	// PeerPinProcedure is the fully-qualified name of the Peer's Pin RPC.
 	PeerPinProcedure = "/kingcupyard.peer.Peer/Pin"
+	// PeerPinsProcedure is the fully-qualified name of the Peer's Pins RPC.
+	PeerPinsProcedure = "/kingcupyard.peer.Peer/Pins"
 	// PeerLedgerProcedure is the fully-qualified name of the Peer's Ledger RPC.
 	PeerLedgerProcedure = "/kingcupyard.peer.Peer/Ledger"
 	// PeerCopiesProcedure is the fully-qualified name of the Peer's Copies RPC.
@@ -64,6 +66,8 @@
 	Credit(context.Context, *connect.Request[CreditRequest]) (*connect.Response[CreditResponse], error)
 	// Pin reads or writes the version of a named session at its keeper.
 	Pin(context.Context, *connect.Request[PinRequest]) (*connect.Response[PinResponse], error)
+	// Pins hands pins of named sessions over, or asks for those to keep.
+	Pins(context.Context, *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error)
 	// Ledger sends bill and claim records to the keeper of their shard.
 	Ledger(context.Context, *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error)
 	// Copies leaves copies of records with a peer while the store is out.
@@ -113,6 +117,12 @@
 			connect.WithSchema(peerMethods.ByName("Pin")),
 			connect.WithClientOptions(opts...),
 		),
+		pins: connect.NewClient[PinsRequest, PinsResponse](
+			httpClient,
+			baseURL+PeerPinsProcedure,
+			connect.WithSchema(peerMethods.ByName("Pins")),
+			connect.WithClientOptions(opts...),
+		),
 		ledger: connect.NewClient[LedgerRequest, LedgerResponse](
 			httpClient,
 			baseURL+PeerLedgerProcedure,
@@ -158,6 +168,7 @@
 	configuration *connect.Client[ConfigurationRequest, ConfigurationResponse]
 	credit        *connect.Client[CreditRequest, CreditResponse]
 	pin           *connect.Client[PinRequest, PinResponse]
+	pins          *connect.Client[PinsRequest, PinsResponse]
 	ledger        *connect.Client[LedgerRequest, LedgerResponse]
 	copies        *connect.Client[CopiesRequest, CopiesResponse]
 	evidence      *connect.Client[EvidenceRequest, EvidenceResponse]
@@ -186,6 +197,11 @@
 	return c.pin.CallUnary(ctx, req)
 }
 
+// Pins calls kingcupyard.peer.Peer.Pins.
+func (c *peerClient) Pins(ctx context.Context, req *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error) {
+	return c.pins.CallUnary(ctx, req)
+}
+
 // Ledger calls kingcupyard.peer.Peer.Ledger.
 func (c *peerClient) Ledger(ctx context.Context, req *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error) {
 	return c.ledger.CallUnary(ctx, req)
@@ -226,6 +242,8 @@
 	Credit(context.Context, *connect.Request[CreditRequest]) (*connect.Response[CreditResponse], error)
 	// Pin reads or writes the version of a named session at its keeper.
 	Pin(context.Context, *connect.Request[PinRequest]) (*connect.Response[PinResponse], error)
+	// Pins hands pins of named sessions over, or asks for those to keep.
+	Pins(context.Context, *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error)
 	// Ledger sends bill and claim records to the keeper of their shard.
 	Ledger(context.Context, *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error)
 	// Copies leaves copies of records with a peer while the store is out.
@@ -271,6 +289,12 @@
 		connect.WithSchema(peerMethods.ByName("Pin")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerPinsHandler := connect.NewUnaryHandler(
+		PeerPinsProcedure,
+		svc.Pins,
+		connect.WithSchema(peerMethods.ByName("Pins")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerLedgerHandler := connect.NewUnaryHandler(
 		PeerLedgerProcedure,
 		svc.Ledger,
@@ -317,6 +341,8 @@
 			peerCreditHandler.ServeHTTP(w, r)
 		case PeerPinProcedure:
 			peerPinHandler.ServeHTTP(w, r)
+		case PeerPinsProcedure:
+			peerPinsHandler.ServeHTTP(w, r)
 		case PeerLedgerProcedure:
 			peerLedgerHandler.ServeHTTP(w, r)
 		case PeerCopiesProcedure:
@@ -354,6 +380,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Pin is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Pins(context.Context, *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Pins is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Ledger(context.Context, *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Ledger is not implemented"))
 }
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -40,6 +40,11 @@
 	Pin(ctx context.Context, req *PinRequest) (*PinResponse, error)
 }
 
+// PinHolder exchanges pins of named sessions.
+type PinHolder interface {
+	Pins(ctx context.Context, req *PinsRequest) (*PinsResponse, error)
+}
+
 // LedgerKeeper commits bill and claim records.
 type LedgerKeeper interface {
 	Ledger(ctx context.Context, req *LedgerRequest) (*LedgerResponse, error)
@@ -78,6 +83,7 @@
 	configuration Configurer
 	credit        Creditor
 	pin           Pinner
+	pins          PinHolder
 	ledger        LedgerKeeper
 	copies        CopyHolder
 	evidence      EvidenceExchanger
@@ -104,6 +110,9 @@
 // WithPinner sets who keeps pins.
 func WithPinner(h Pinner) ServerOption { return func(s *Server) { s.pin = h } }
 
+// WithPinHolder sets who exchanges pins.
+func WithPinHolder(h PinHolder) ServerOption { return func(s *Server) { s.pins = h } }
+
 // WithLedgerKeeper sets who commits records.
 func WithLedgerKeeper(h LedgerKeeper) ServerOption { return func(s *Server) { s.ledger = h } }
 
@@ -176,6 +185,10 @@
 	return answer(ctx, s.Server, req, s.pin, s.pin != nil, Pinner.Pin)
 }
 
+func (s *service) Pins(ctx context.Context, req *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error) {
+	return answer(ctx, s.Server, req, s.pins, s.pins != nil, PinHolder.Pins)
+}
+
 func (s *service) Ledger(ctx context.Context, req *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error) {
 	return answer(ctx, s.Server, req, s.ledger, s.ledger != nil, LedgerKeeper.Ledger)
 }
--- /dev/null
+++ b/internal/platform/lease/lease_test.go
@@ -0,0 +1,151 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/platform/store"
+)
+
+var errOut = errors.New("store is out")
+
+// fakeStore holds one leased key on a fake clock.
+type fakeStore struct {
+	mu         sync.Mutex
+	clock      *clockwork.FakeClock
+	value      []byte
+	rev        int64
+	holder     int64
+	leases     map[int64]time.Time
+	out        bool
+	loseAnswer bool
+}
+
+func (s *fakeStore) expire() {
+	if at, ok := s.leases[s.holder]; ok && !s.clock.Now().Before(at) {
+		delete(s.leases, s.holder)
+		s.value = nil
+	}
+}
+
+func (s *fakeStore) Get(context.Context, store.Purpose, string) ([]byte, int64, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return nil, 0, false, errOut
+	}
+	s.expire()
+	return s.value, s.rev, s.value != nil, nil
+}
+
+func (s *fakeStore) GrantLease(context.Context, store.Purpose, time.Duration) (store.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := int64(len(s.leases) + int(s.rev) + 1)
+	s.leases[id] = s.clock.Now().Add(TTL)
+	return store.Lease{ID: id, Until: s.leases[id]}, nil
+}
+
+func (s *fakeStore) KeepAlive(_ context.Context, _ store.Purpose, id int64) (store.Lease, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return store.Lease{}, false, errOut
+	}
+	s.expire()
+	if _, ok := s.leases[id]; !ok {
+		return store.Lease{}, false, nil
+	}
+	s.leases[id] = s.clock.Now().Add(TTL)
+	return store.Lease{ID: id, Until: s.leases[id]}, true, nil
+}
+
+func (s *fakeStore) Revoke(_ context.Context, _ store.Purpose, id int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out {
+		return errOut
+	}
+	delete(s.leases, id)
+	if s.holder == id {
+		s.value = nil
+	}
+	return nil
+}
+
+func (s *fakeStore) CreateWithLease(_ context.Context, _ store.Purpose, _ string, value []byte, lease int64) (bool, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.value != nil {
+		return false, s.rev, nil
+	}
+	s.rev++
+	s.value, s.holder = value, lease
+	if s.loseAnswer {
+		s.loseAnswer = false
+		return false, 0, &store.UnavailableError{MayHaveTakenEffect: true, Err: errOut}
+	}
+	return true, s.rev, nil
+}
+
+func newFake() *fakeStore {
+	return &fakeStore{clock: clockwork.NewFakeClock(), leases: map[int64]time.Time{}}
+}
+
+func TestFenceGrowsAndHolderIsExclusive(t *testing.T) {
+	is := is.New(t)
+	s := newFake()
+	a, b := New(s, "k", "a", s.clock), New(s, "k", "b", s.clock)
+	first, err := a.Acquire(context.Background())
+	is.NoErr(err)
+	none, err := b.try(context.Background())
+	is.NoErr(err)
+	is.True(none == nil)
+	first.Release()
+	second, err := b.Acquire(context.Background())
+	is.NoErr(err)
+	is.True(second.Fence > first.Fence)
+	second.Release()
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	is := is.New(t)
+	s := newFake()
+	s.loseAnswer = true
+	tenure, err := New(s, "k", "a", s.clock).Acquire(context.Background())
+	is.NoErr(err)
+	is.Equal(tenure.Fence, int64(1))
+	tenure.Release()
+}
+
+// TestPausedHolderLosesTenure stops the process past the lease: the tenure is
+// over before the holder does anything else.
+func TestPausedHolderLosesTenure(t *testing.T) {
+	is := is.New(t)
+	s := newFake()
+	tenure, err := New(s, "k", "a", s.clock).Acquire(context.Background())
+	is.NoErr(err)
+	is.NoErr(s.clock.BlockUntilContext(context.Background(), 1))
+	s.mu.Lock()
+	s.out = true // while it is paused nothing reaches the store
+	s.mu.Unlock()
+	for tenure.Held.Err() == nil {
+		s.clock.Advance(keepAliveInterval)
+	}
+	s.mu.Lock()
+	s.out = false
+	s.mu.Unlock()
+	<-tenure.done
+	s.clock.Advance(TTL)
+	next, err := New(s, "k", "b", s.clock).Acquire(context.Background())
+	is.NoErr(err)
+	is.True(next.Fence > tenure.Fence)
+	next.Release()
+}
--- a/internal/platform/order/client_test.go
+++ b/internal/platform/order/client_test.go
@@ -70,5 +70,6 @@
 	status = 404
 	_, err = c.Fetch(context.Background(), "m", "v1")
 	var missing *weights.MissingError
+	is.True(errors.As(c.Permit(context.Background(), "m", "v1"), &missing))
 	is.True(errors.As(err, &missing))
 }
--- a/internal/platform/request/request.go
+++ b/internal/platform/request/request.go
@@ -111,6 +111,11 @@
 	return body, err
 }
 
+// Head asks for the status of a document without its body.
+func (c *Client) Head(ctx context.Context, url string) error {
+	return c.exchange(ctx, fasthttp.MethodHead, url, nil, func([]byte) error { return nil })
+}
+
 func (c *Client) do(ctx context.Context, method, url string, in, out any) error {
 	var body []byte
 	if in != nil {
--- a/internal/platform/weights/client.go
+++ b/internal/platform/weights/client.go
@@ -16,6 +16,7 @@
 // Getter asks for a body over HTTP.
 type Getter interface {
 	Bytes(ctx context.Context, url string) ([]byte, error)
+	Head(ctx context.Context, url string) error
 }
 
 // RateError reports that the weight store asked to come back later.
@@ -51,16 +52,36 @@
 // Fetch returns the weights of a version. It does not retry: whoever loads a
 // version decides when to come back after a RateError.
 func (c *Client) Fetch(ctx context.Context, model, version string) ([]byte, error) {
-	body, err := c.http.Bytes(ctx, c.base+"/weights/"+url.PathEscape(model)+"/"+url.PathEscape(version))
+	body, err := c.http.Bytes(ctx, c.url(model, version))
+	if err != nil {
+		return nil, sort(err, model, version)
+	}
+	return body, nil
+}
+
+// Permit asks whether the store would serve a version now, without its weights.
+func (c *Client) Permit(ctx context.Context, model, version string) error {
+	if err := c.http.Head(ctx, c.url(model, version)); err != nil {
+		return sort(err, model, version)
+	}
+	return nil
+}
+
+func (c *Client) url(model, version string) string {
+	return c.base + "/weights/" + url.PathEscape(model) + "/" + url.PathEscape(version)
+}
+
+// sort gives the statuses that callers act on their own errors.
+func sort(err error, model, version string) error {
 	var status *request.StatusError
 	if !errors.As(err, &status) {
-		return body, err
+		return err
 	}
 	switch status.Status {
 	case http.StatusTooManyRequests:
-		return nil, &RateError{Model: model, Version: version, RetryAfter: status.RetryAfter}
+		return &RateError{Model: model, Version: version, RetryAfter: status.RetryAfter}
 	case http.StatusNotFound:
-		return nil, &MissingError{Model: model, Version: version}
+		return &MissingError{Model: model, Version: version}
 	}
-	return nil, err
+	return err
 }
--- a/internal/relay/affinity/affinity.go
+++ b/internal/relay/affinity/affinity.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -21,17 +20,21 @@
 
 // Pins keeps the versions of sessions that callers name.
 type Pins interface {
-	// Pin returns the pin kept for the model of a named session, and makes the
-	// proposed one that pin if there is none.
-	Pin(ctx context.Context, proposed session.Pin) (kept session.Pin, found bool, err error)
+	// Resolve returns the pin of one model of a named session. Found says that
+	// the session began earlier. The error is a *call.Refusal.
+	Resolve(ctx context.Context, ask session.Ask) (pin session.Pin, found bool, err error)
 }
 
-// retryAfter is what a caller waits when a pin can't be read.
-const retryAfter = time.Second
+// Guard narrows a roll-out's stage before its driver does.
+type Guard interface {
+	// Unit returns the unit to choose a version of the model with.
+	Unit(model string, unit float64) float64
+}
 
 // Resolver implements pipeline.Sessions. It is safe for concurrent use.
 type Resolver struct {
 	pins   Pins
+	guard  Guard
 	sealer atomic.Pointer[keyedSealer]
 }
 
@@ -41,9 +44,10 @@
 	sealer   *session.Sealer
 }
 
-// New returns a Resolver that keeps named sessions in pins.
-func New(pins Pins) *Resolver {
-	return &Resolver{pins: pins}
+// New returns a Resolver that keeps named sessions in pins and asks the guard
+// before a new session gets the new version of a roll-out.
+func New(pins Pins, guard Guard) *Resolver {
+	return &Resolver{pins: pins, guard: guard}
 }
 
 // Resolve implements pipeline.Sessions. The error is a *call.Refusal.
@@ -60,7 +64,7 @@
 		return pipeline.Session{}, err
 	}
 	s := pipeline.Session{Versions: map[string]string{}, InProgress: q.Identifier != ""}
-	pin, err = fill(&s, pin, q)
+	pin, err = r.fill(&s, pin, q)
 	if err != nil {
 		return pipeline.Session{}, err
 	}
@@ -97,10 +101,10 @@
 
 // fill finds the version of each model and adds it to the pin. A model without
 // a version is left out unless the session had one, or none is left.
-func fill(s *pipeline.Session, pin session.Pin, q pipeline.SessionQuery) (session.Pin, error) {
+func (r *Resolver) fill(s *pipeline.Session, pin session.Pin, q pipeline.SessionQuery) (session.Pin, error) {
 	var first error
 	for _, model := range q.Models {
-		version, err := versionOf(pin, model, q)
+		version, err := r.versionOf(pin, model, q)
 		if err != nil {
 			if _, pinned := pin.Of(model); pinned {
 				return pin, err
@@ -118,10 +122,10 @@
 }
 
 // versionOf returns the pinned version of the model, or chooses one.
-func versionOf(pin session.Pin, model string, q pipeline.SessionQuery) (string, error) {
+func (r *Resolver) versionOf(pin session.Pin, model string, q pipeline.SessionQuery) (string, error) {
 	pinned, ok := pin.Of(model)
 	if !ok {
-		return choose(pin.Session, model, q)
+		return r.choose(pin.Session, model, q)
 	}
 	version, err := session.Resolve(q.Document, q.Customer, pinned)
 	if err != nil {
@@ -130,11 +134,12 @@
 	return version, checkExact(model, version, q)
 }
 
-func choose(name, model string, q pipeline.SessionQuery) (string, error) {
+func (r *Resolver) choose(name, model string, q pipeline.SessionQuery) (string, error) {
 	if q.Exact != "" {
 		return q.Exact, nil
 	}
-	return rollout.Choose(q.Document, q.Customer, model, rollout.Unit(q.Customer.Name, name, model))
+	unit := r.guard.Unit(model, rollout.Unit(q.Customer.Name, name, model))
+	return rollout.Choose(q.Document, q.Customer, model, unit)
 }
 
 // checkExact refuses a caller that names another version than its session has.
@@ -168,23 +173,11 @@
 }
 
 func (r *Resolver) namedVersion(ctx context.Context, model string, q pipeline.SessionQuery) (string, bool, error) {
-	proposed, err := choose(q.Identifier, model, q)
-	if err != nil {
-		proposed = ""
-	}
-	pin := session.Pin{Customer: q.Customer.Name, Session: q.Identifier, Model: model, Version: proposed, StartedAt: q.Now}
-	kept, found, perr := r.pins.Pin(ctx, pin)
-	if perr != nil {
-		return "", true, &call.Refusal{Reason: call.ReasonNotReady, Field: "Session-Id", Detail: perr.Error(), RetryAfter: retryAfter}
-	}
-	if !found && proposed == "" {
-		return "", false, err
-	}
-	version, err := session.Resolve(q.Document, q.Customer, kept)
+	pin, found, err := r.pins.Resolve(ctx, session.Ask{Customer: q.Customer.Name, Session: q.Identifier, Model: model})
 	if err != nil {
-		return "", true, err
+		return "", found, err
 	}
-	return version, found, checkExact(model, version, q)
+	return pin.Version, found, checkExact(model, pin.Version, q)
 }
 
 // firstRefusal returns the first refusal among joined errors.
--- a/internal/routing/session/pins.go
+++ b/internal/routing/session/pins.go
@@ -94,6 +94,25 @@
 	p.gap = p.clock.Now()
 }
 
+// Complete notes that no pin of a session in progress is missing here any more:
+// an unknown name is a new session.
+func (p *Pins) Complete() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gap = time.Time{}
+}
+
+// Find returns the pin of a named session as it is kept.
+func (p *Pins) Find(ask Ask) (Pin, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.pins[pinKey{ask.Customer, ask.Session, ask.Model}]
+	if k == nil {
+		return Pin{}, false
+	}
+	return k.pin, true
+}
+
 // Resolve returns the pin of a named session for its next request, and keeps it.
 // A name that is unknown is a new session, unless there is a gap; then its
 // version is recomputed if the history leaves no doubt, and refused otherwise.
@@ -131,7 +150,7 @@
 		events.Add("Full", 1)
 		return Pin{}, &call.Refusal{Reason: call.ReasonOverloaded, Field: "Session-Id", Detail: "too many named sessions; use the token of an answer"}
 	}
-	if now.Sub(p.gap) < p.expiry {
+	if !p.gap.IsZero() && now.Sub(p.gap) < p.expiry {
 		return Recompute(doc, customer, ask, now.Add(-p.expiry), p.gap, now)
 	}
 	events.Add("Begun", 1)
