--- a/internal/fleet/member/controller.go
+++ b/internal/fleet/member/controller.go
@@ -177,7 +177,7 @@
 	}
 	c.view.heard(from, now)
 	c.takeUpdates(resp.Updates, now)
-	c.sight(from, resp.Revision, resp.ConfirmedAgeMilliseconds, sent, now)
+	c.sight(from, told{resp.Revision, resp.ConfirmedAgeMilliseconds, resp.ListingStamp, resp.ListingAgeMilliseconds}, sent, now)
 	c.publish()
 }
 
@@ -185,9 +185,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	revision, age := c.confirmed()
+	stamp, listed := c.listing()
 	return &peer.HeartbeatRequest{
 		From: toMessage(c.view.self), Revision: revision,
 		ConfirmedAgeMilliseconds: age, Updates: c.view.news(to, c.rng),
+		ListingStamp: stamp, ListingAgeMilliseconds: listed,
 	}
 }
 
@@ -215,18 +217,30 @@
 	from, ok := fromMessage(req.From)
 	if ok {
 		c.view.heard(from, now)
-		c.sight(from, req.Revision, unconfirmed, time.Time{}, now)
+		c.sight(from, told{req.Revision, unconfirmed, req.ListingStamp, unconfirmed}, time.Time{}, now)
 	}
 	c.takeUpdates(req.Updates, now)
 	revision, age := c.confirmed()
+	stamp, listed := c.listing()
 	resp := &peer.HeartbeatResponse{
 		From: toMessage(c.view.self), Revision: revision,
 		ConfirmedAgeMilliseconds: age, Updates: c.view.news(from.Name, c.rng),
+		ListingStamp: stamp, ListingAgeMilliseconds: listed,
 	}
 	c.publish()
 	return resp, nil
 }
 
+// listing returns the stamp of the instance list held here and how long ago it
+// was the platform's, in milliseconds.
+func (c *Controller) listing() (stamp, age int64) {
+	listing := c.board.Listing.Get()
+	if listing == nil {
+		return 0, unconfirmed
+	}
+	return listing.Stamp, c.clock.Since(listing.At).Milliseconds()
+}
+
 func (c *Controller) takeUpdates(updates []*peer.Member, now time.Time) {
 	for _, u := range updates {
 		if s, ok := fromMessage(u); ok {
@@ -237,16 +251,28 @@
 	}
 }
 
-// sight records what a peer said of its configuration; sent is zero for a
-// request of the peer's own.
-func (c *Controller) sight(from statement, revision, age int64, sent, now time.Time) {
-	s := board.Sighting{Name: from.Name, PeerAddress: from.PeerAddress, Revision: revision, At: sent, HeardAt: now}
+// told is what a peer said of its documents.
+type told struct {
+	revision     int64
+	age          int64
+	listingStamp int64
+	listingAge   int64
+}
+
+// sight records what a peer said of its documents; sent is zero for a request
+// of the peer's own.
+func (c *Controller) sight(from statement, t told, sent, now time.Time) {
+	s := board.Sighting{
+		Name: from.Name, PeerAddress: from.PeerAddress, Revision: t.revision,
+		ListingStamp: t.listingStamp, At: sent, HeardAt: now,
+	}
 	old := c.sightings[from.Name]
 	if sent.IsZero() {
 		s.At, s.ConfirmedAt = old.At, old.ConfirmedAt
 		s.Revision = max(s.Revision, old.Revision)
-	} else if age != unconfirmed {
-		s.ConfirmedAt = sent.Add(-time.Duration(age) * time.Millisecond)
+	} else {
+		s.ConfirmedAt = before(sent, t.age)
+		s.ListedAt = before(sent, t.listingAge)
 	}
 	c.sightings[from.Name] = s
 	latest := &board.Sightings{LastAnswer: c.view.lastAnswer}
@@ -260,6 +286,14 @@
 	c.board.Sightings.Publish(latest)
 }
 
+// before returns the time an age before, zero for an age that is not known.
+func before(t time.Time, ageMilliseconds int64) time.Time {
+	if ageMilliseconds < 0 {
+		return time.Time{}
+	}
+	return t.Add(-time.Duration(ageMilliseconds) * time.Millisecond)
+}
+
 // publish writes the members to the board if they have changed. The caller
 // holds the lock, or is the constructor.
 func (c *Controller) publish() {
