--- a/internal/routing/session/pins.go
+++ b/internal/routing/session/pins.go
@@ -101,26 +101,30 @@
 	p.gap = p.clock.Now()
 }
 
-// Complete notes that former keepers have handed over all their pins, but for
-// what they may have lost before gap themselves; zero is no loss.
-func (p *Pins) Complete(gap time.Time) {
+// Complete notes that no pin of a session in progress is missing here any more:
+// an unknown name is a new session.
+func (p *Pins) Complete() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gap = gap
+	p.gap = time.Time{}
 }
 
-// LastGap returns the time of the latest loss, to pass on with a hand-over.
-func (p *Pins) LastGap() time.Time {
+// Find returns the pin of a named session as it is kept.
+func (p *Pins) Find(ask Ask) (Pin, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.gap
+	k := p.pins[pinKey{ask.Customer, ask.Session, ask.Model}]
+	if k == nil {
+		return Pin{}, false
+	}
+	return k.pin, true
 }
 
 // Resolve returns the pin of a named session for its next request, and keeps it.
 // A name that is unknown is a new session, unless there is a gap; then its
 // version is recomputed if the history leaves no doubt, and refused otherwise.
-// Found is false for a session that begins. The error is a *call.Refusal.
-func (p *Pins) Resolve(doc *configuration.Document, customer *configuration.Customer, ask Ask) (pin Pin, found bool, err error) {
+// The error is a *call.Refusal.
+func (p *Pins) Resolve(doc *configuration.Document, customer *configuration.Customer, ask Ask) (Pin, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -133,13 +137,13 @@
 	if !found {
 		pin, err := p.begin(doc, customer, ask, now, k != nil)
 		if err != nil {
-			return Pin{}, false, err
+			return Pin{}, err
 		}
 		k = &kept{pin: pin}
 	}
 	version, err := Resolve(doc, customer, k.pin)
 	if err != nil {
-		return Pin{}, found, err
+		return Pin{}, err
 	}
 	if version != k.pin.Version {
 		events.Add("Moved", 1)
@@ -147,7 +151,7 @@
 	k.pin.Version = version
 	k.usedAt = now
 	p.pins[key] = k
-	return k.pin, found, nil
+	return k.pin, nil
 }
 
 // begin returns the pin of a session that is not known here, or of one that
@@ -160,7 +164,7 @@
 	if ask.Exact != "" {
 		return ask.pin(ask.Exact, now), nil // the caller names it each time
 	}
-	if !anew && now.Sub(p.gap) < p.expiry {
+	if !anew && !p.gap.IsZero() && now.Sub(p.gap) < p.expiry {
 		return Recompute(doc, customer, ask, p.gap, now)
 	}
 	events.Add("Begun", 1)
--- a/internal/routing/session/pins_test.go
+++ b/internal/routing/session/pins_test.go
@@ -63,7 +63,7 @@
 			is := is.New(t)
 			clock := clockwork.NewFakeClockAt(begin.Add(2 * time.Hour))
 			doc := halfway()
-			pin, _, err := NewPins(clock).Resolve(doc, &doc.Customers[0], c.ask)
+			pin, err := NewPins(clock).Resolve(doc, &doc.Customers[0], c.ask)
 			is.Equal(pin.Version, c.version)
 			var refusal *call.Refusal
 			is.Equal(errors.As(err, &refusal), c.version == "")
@@ -83,11 +83,10 @@
 	customer := &doc.Customers[0]
 	first, second := NewPins(clock, WithLimit(1)), NewPins(clock)
 	clock.Advance(Expiry)
-	pin, found, err := first.Resolve(doc, customer, inside)
+	pin, err := first.Resolve(doc, customer, inside)
 	is.NoErr(err)
 	is.Equal(pin.Version, "v2")
-	is.True(!found)
-	_, _, err = first.Resolve(doc, customer, outside)
+	_, err = first.Resolve(doc, customer, outside)
 	var refusal *call.Refusal
 	is.True(errors.As(err, &refusal))
 	is.Equal(refusal.Reason, call.ReasonOverloaded)
@@ -96,23 +95,22 @@
 	second.Gap()
 	clock.Advance(Expiry / 2)
 	doc.Rollouts[0].State = configuration.RolloutHalted
-	pin, found, err = second.Resolve(doc, customer, inside)
+	pin, err = second.Resolve(doc, customer, inside)
 	is.NoErr(err)
-	is.True(found)
 	is.Equal(pin.Version, "v2") // kept, though new sessions get v1
 
 	clock.Advance(Expiry)
-	_, _, err = first.Resolve(doc, customer, outside)
+	_, err = first.Resolve(doc, customer, outside)
 	is.NoErr(err) // the expired pin made room
 	for range 24 {
 		clock.Advance(Expiry - 1)
-		_, found, err = first.Resolve(doc, customer, outside)
+		pin, err = first.Resolve(doc, customer, outside)
 		is.NoErr(err)
 	}
-	is.True(found)
+	is.True(pin.StartedAt.Before(clock.Now())) // the same session
 	clock.Advance(Expiry - 1)
-	_, found, err = first.Resolve(doc, customer, outside)
+	pin, err = first.Resolve(doc, customer, outside)
 	is.NoErr(err)
-	is.True(!found) // the name begins a new session
+	is.Equal(pin.StartedAt, clock.Now()) // the name begins a new one
 	is.Equal(first.Len(), 1)
 }
