--- a/internal/billing/ledger/head.go
+++ b/internal/billing/ledger/head.go
@@ -10,7 +10,7 @@
 )
 
 // claimBucket is the span of time whose claims share a page.
-const claimBucket = 10 * time.Minute
+const claimBucket = 5 * time.Minute
 
 // answerBytes bounds the answers kept in one page of claims.
 const answerBytes = 256 << 10
--- a/internal/billing/ledger/lane.go
+++ b/internal/billing/ledger/lane.go
@@ -52,6 +52,8 @@
 	opens   map[string]*entry
 	waiting map[*entry]bool // under way
 	flights int
+	// dropped says that the queue may hold abandoned entries.
+	dropped bool
 	fails   int
 	next    time.Time
 	backoff time.Duration
@@ -71,14 +73,14 @@
 	ln.send(e)
 }
 
-// close numbers and sends a closing record. An opening record that still waits
-// is not needed any more.
+// close numbers and sends a closing record. An opening record that is still
+// here is not needed any more.
 func (ln *lane) close(r Record) *entry {
 	ln.mu.Lock()
 	ln.number++
 	r.Number = ln.number
-	if e := ln.opens[r.key()]; e != nil && !e.sent {
-		e.abandoned = true
+	if e := ln.opens[r.key()]; e != nil {
+		ln.drop(e)
 		delete(ln.opens, r.key())
 	}
 	ln.mu.Unlock()
@@ -105,10 +107,16 @@
 func (ln *lane) abandon(e *entry) bool {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	e.abandoned = true
+	ln.drop(e)
 	return e.sent
 }
 
+// drop marks an entry that needs no outcome any more.
+func (ln *lane) drop(e *entry) {
+	e.abandoned = true
+	ln.dropped = true
+}
+
 func (ln *lane) send(e *entry) {
 	ln.mu.Lock()
 	e.queued = ln.ledger.clock.Now()
@@ -150,6 +158,10 @@
 
 // compact drops abandoned entries from the queue.
 func (ln *lane) compact() {
+	if !ln.dropped {
+		return
+	}
+	ln.dropped = false
 	kept := ln.queue[:0]
 	for _, e := range ln.queue {
 		if !e.abandoned {
@@ -213,6 +225,7 @@
 		delete(ln.waiting, e)
 		if results[i].State == Unavailable {
 			again = append(again, e)
+			ln.dropped = ln.dropped || e.abandoned
 			continue
 		}
 		if e.record.Kind == KindOpen && ln.opens[e.record.key()] == e {
--- a/internal/billing/ledger/store.go
+++ b/internal/billing/ledger/store.go
@@ -83,7 +83,7 @@
 	// chunkReads is how many chunks one read of the store brings.
 	chunkReads = 256
 	// pageReads is how many pages one read brings; a page is much larger.
-	pageReads = 8
+	pageReads = 16
 )
 
 // readAll reads a span, so many pairs at a time.
