--- /dev/null
+++ b/internal/release/rollout/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package rollout_test
+
+const scheduleSeeds = 1000
--- /dev/null
+++ b/internal/routing/cascade/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package cascade
+
+const costSeeds = 6
