--- a/internal/routing/capacity/account.go
+++ b/internal/routing/capacity/account.go
@@ -30,8 +30,12 @@
 	openAt time.Time
 	// settledAt is when all work outside the account has surely started.
 	settledAt time.Time
-	limit     float64
-	grown     time.Time
+	// cold is set if the keeper's last report says that the server is cold.
+	cold bool
+	// freshTo is when that report is stale.
+	freshTo time.Time
+	limit   float64
+	grown   time.Time
 	// strangers bounds the work started outside this account: while the
 	// server was believed warm, or under an earlier keeper.
 	strangers int
@@ -68,7 +72,8 @@
 		if settled(g.until) {
 			g.bound = min(g.bound, running)
 		}
-		if g.bound == 0 && !now.Before(g.until) || now.After(g.until.Add(set.MaxRequest)) {
+		idle := g.bound == 0 && !now.Before(g.until) && now.Sub(g.askedAt) >= set.Office.CreditValid
+		if idle || now.After(g.until.Add(set.MaxRequest)) {
 			delete(a.holdings, h)
 		}
 	}
@@ -119,6 +124,7 @@
 	// The holder has taken back every right that it does not list: its
 	// requests are at most those in use, or as many as it may still start.
 	g.bound = max(ask.InUse, ask.Limit, 0)
+	g.until = latest(g.until, now)
 	if ask.Limit > 0 {
 		g.until = latest(g.until, now.Add(set.Office.CreditValid+set.Office.Margin))
 	}
--- a/internal/routing/capacity/bank.go
+++ b/internal/routing/capacity/bank.go
@@ -52,7 +52,7 @@
 	if opened := latest(term.Since, v.Belief.TurnedCold); opened.After(a.openAt) {
 		a.open(opened, latest(term.From, v.Belief.TurnedCold.Add(b.set.Quiet())), v.ColdConcurrency)
 	}
-	a.epoch = term.Epoch
+	a.epoch, a.cold, a.freshTo = term.Epoch, v.Belief.Report.Cold, v.Belief.Until
 	a.ramp(v, now)
 	if r := &v.Belief.Report; !r.ReceivedAt.IsZero() {
 		a.note(r.Running+r.Waiting, r.At, now, b.set)
@@ -104,6 +104,9 @@
 	if err != nil || now.Before(a.settledAt) {
 		return refuse(GrantQuiet)
 	}
+	if !now.Before(a.freshTo) || ask.Cold && !a.cold {
+		return refuse(GrantBehind)
+	}
 	strangers := a.unaccounted(now, b.set)
 	if strangers == unknown {
 		return refuse(GrantUnknown)
--- /dev/null
+++ b/internal/routing/capacity/bank_test.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/keeper"
+)
+
+// bankScript drives a bank by the lines of a script. Times are seconds from
+// the start; the list is refreshed and the server looked at each half second.
+type bankScript struct {
+	office *keeper.Office
+	bank   *Bank
+	start  time.Time
+	now    time.Time
+	view   View
+	seq    uint64
+	other  bool
+	blind  bool
+}
+
+func newBankScript() *bankScript {
+	start := time.Unix(1000, 0)
+	office := keeper.NewOffice(keeper.DefaultTiming())
+	s := &bankScript{office: office, bank: NewBank(office, DefaultSettings()), start: start, now: start}
+	s.view = View{Server: "s", ColdConcurrency: 4, Concurrency: 16, Belief: Belief{Phase: Cold, TurnedCold: start, Report: board.Report{Cold: true}}}
+	s.look()
+	return s
+}
+
+func (s *bankScript) look() {
+	self := "k"
+	if s.other {
+		self = "other"
+	}
+	s.office.Update(&board.Members{Self: "k", ListedAt: s.now, List: []board.Member{{Name: self, State: board.MemberAlive}}}, s.now)
+	if !s.blind {
+		s.view.Belief.Report.At, s.view.Belief.Report.ReceivedAt = s.now, s.now
+		s.view.Belief.Until = s.now.Add(3 * time.Second)
+	}
+	s.bank.Look(s.view, s.now)
+}
+
+func (s *bankScript) advance(seconds float64) {
+	end := s.start.Add(time.Duration(seconds * float64(time.Second)))
+	for s.now.Before(end) {
+		s.now = s.now.Add(500 * time.Millisecond)
+		s.look()
+	}
+}
+
+// do runs one line and returns what it printed, if anything.
+func (s *bankScript) do(line string) (string, error) {
+	var at float64
+	var verb string
+	if _, err := fmt.Sscan(line, &at, &verb); err != nil {
+		return "", fmt.Errorf("line %q: %w", line, err)
+	}
+	s.advance(at)
+	args := strings.Fields(line)[2:]
+	switch verb {
+	case "running":
+		_, err := fmt.Sscan(args[0], &s.view.Belief.Report.Running)
+		return "", err
+	case "turns-cold":
+		s.view.Belief.TurnedCold = s.now
+	case "reports-stop":
+		s.blind = true
+	case "another-keeper":
+		s.other = true
+		s.look()
+	case "keeper-again":
+		s.other = false
+		s.look()
+	case "ask":
+		ask := CreditAsk{Server: "s", Cold: true}
+		var member string
+		if _, err := fmt.Sscan(strings.Join(args, " "), &member, &ask.InUse, &ask.Limit, &ask.Wanted); err != nil {
+			return "", fmt.Errorf("line %q: %w", line, err)
+		}
+		s.seq++
+		g := s.bank.Grant(CreditRequest{Member: member, Sequence: s.seq, Asks: []CreditAsk{ask}}, s.now).Grants[0]
+		return strings.TrimSpace(fmt.Sprintf("%d %s", g.Count, g.Refusal)), nil
+	default:
+		return "", fmt.Errorf("line %q: unknown verb", line)
+	}
+	return "", nil
+}
+
+// TestBankScripts runs testdata/bank.txt: "# NAME" starts a case, "=> WANT"
+// gives the answer to the ask before it.
+func TestBankScripts(t *testing.T) {
+	data, err := os.ReadFile("testdata/bank.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range strings.Split(string(data), "\n# ")[1:] {
+		name, body, _ := strings.Cut(c, "\n")
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newBankScript()
+			for line := range strings.Lines(body) {
+				line, want, _ := strings.Cut(strings.TrimSpace(line), " => ")
+				if line == "" {
+					continue
+				}
+				got, err := s.do(line)
+				is.NoErr(err)
+				if got != want {
+					t.Errorf("%s: got %q, want %q", line, got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/routing/capacity/belief.go
+++ b/internal/routing/capacity/belief.go
@@ -34,8 +34,11 @@
 	Until time.Time
 	// ColdAt is the time of the last sign of coldness.
 	ColdAt time.Time
-	// TurnedCold is when the phase last became Cold, or the server restarted.
+	// TurnedCold is when the phase last became Cold, the reports turned cold or
+	// the server restarted. What was granted or assumed before is void.
 	TurnedCold time.Time
+	// startedAt is when the server's run began, on this instance's clock.
+	startedAt time.Time
 }
 
 // signs are what this instance noticed by itself.
@@ -44,8 +47,11 @@
 	suspectedAt time.Time
 }
 
-// next returns the belief after a look at the server's newest report.
+// next returns the belief after a look at the server's newest report. The ramp
+// is at least Quiet, so that no instance takes a server for warm on a spell too
+// short for others to see.
 func (b Belief) next(server *board.Server, sign signs, ramp time.Duration, now time.Time, set Settings) Belief {
+	ramp = max(ramp, set.Quiet())
 	n := b
 	if fresh, err := b.accept(server, now, set); err != nil {
 		countFault(err)
@@ -53,12 +59,13 @@
 		n = b.afterReport(server.Report, now)
 	}
 	n.Until = validUntil(n.Report, set)
+	young := now.Sub(n.startedAt) < min(ramp, set.SuspectFor)
 	suspected := !sign.suspectedAt.IsZero() && now.Sub(sign.suspectedAt) < set.SuspectFor
-	if suspected && sign.suspectedAt.After(n.ColdAt) {
+	if sign.suspectedAt.After(n.ColdAt) {
 		n.ColdAt = sign.suspectedAt
 	}
 	switch {
-	case n.Report.ReceivedAt.IsZero(), n.Report.Cold, suspected, !now.Before(n.Until):
+	case n.Report.ReceivedAt.IsZero(), n.Report.Cold, young, suspected, !now.Before(n.Until):
 		n.Phase = Cold
 	case now.Sub(n.ColdAt) < ramp:
 		n.Phase = Ramping
@@ -102,16 +109,22 @@
 	n := b
 	first := b.Report.ReceivedAt.IsZero()
 	restarted := !first && b.restarted(&r)
-	switch {
-	case r.Cold:
-		n.ColdAt = now
-	case restarted, first && r.StartedAt.IsZero():
-		n.ColdAt = now
-	case first:
-		n.ColdAt = now.Add(-r.At.Sub(r.StartedAt))
-	}
 	if first || restarted {
-		n.TurnedCold = now
+		n.TurnedCold, n.startedAt = now, now
+	}
+	if !now.Before(b.Until) {
+		n.TurnedCold = now // it may have been warm and cold again meanwhile
+	}
+	if first && !r.StartedAt.IsZero() {
+		n.startedAt = now.Add(-r.At.Sub(r.StartedAt))
+	}
+	if r.Cold {
+		n.ColdAt = now
+		if !b.Report.Cold {
+			n.TurnedCold = now
+		}
+	} else if n.startedAt.After(n.ColdAt) {
+		n.ColdAt = n.startedAt
 	}
 	n.Report = r
 	return n
--- a/internal/routing/capacity/controller.go
+++ b/internal/routing/capacity/controller.go
@@ -25,6 +25,8 @@
 	mu       sync.Mutex
 	sequence uint64
 	asking   map[string]uint64 // keeper to the sequence of the request on its way
+	members  *board.Members
+	ring     *keeper.Ring // of members
 }
 
 // NewController returns a controller; Run starts it.
@@ -96,14 +98,20 @@
 		return nil
 	}
 	now := c.clock.Now()
+	needing := c.limiter.needing(members, c.set.Askers)
+	if len(needing) == 0 {
+		return nil
+	}
 	self := selfOf(members)
-	ring := keeper.NewRing(members.List, keeper.WithSuspects())
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.members != members {
+		c.members, c.ring = members, keeper.NewRing(members.List, keeper.WithSuspects())
+	}
 	byKeeper := map[string]*Plan{}
 	var order []string
-	for _, name := range c.limiter.needing(members, c.set.Askers) {
-		k, ok := ring.Of(name)
+	for _, name := range needing {
+		k, ok := c.ring.Of(name)
 		if !ok || c.asking[k.Name] != 0 {
 			continue
 		}
--- a/internal/routing/capacity/credit.go
+++ b/internal/routing/capacity/credit.go
@@ -30,6 +30,10 @@
 	Wanted int
 	// Epoch is the highest epoch that it has had for the server.
 	Epoch uint64
+	// Cold is set if the member's last report says that the server is cold. A
+	// keeper whose report says otherwise has yet to learn of it and grants
+	// nothing.
+	Cold bool
 }
 
 // CreditResponse answers a CreditRequest.
@@ -58,6 +62,7 @@
 	GrantFull       GrantRefusal = "Full"
 	GrantQuiet      GrantRefusal = "Quiet"
 	GrantUnknown    GrantRefusal = "UnknownLoad"
+	GrantBehind     GrantRefusal = "KeeperBehind"
 	GrantNotKeeper  GrantRefusal = "NotKeeper"
 	GrantOutOfOrder GrantRefusal = "OutOfOrder"
 )
--- a/internal/routing/capacity/demand.go
+++ b/internal/routing/capacity/demand.go
@@ -83,7 +83,7 @@
 	s.publish(l, now)
 	return CreditAsk{
 		Server: name, Wanted: wanted, Limit: s.credit.count,
-		InUse: int(s.inFlight.Load()), Epoch: s.credit.epoch,
+		InUse: int(s.inFlight.Load()), Epoch: s.credit.epoch, Cold: s.belief.Report.Cold,
 	}
 }
 
--- /dev/null
+++ b/internal/routing/capacity/limiter_test.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func testDocument() *configuration.Document {
+	return &configuration.Document{
+		Preset: "p", Presets: []configuration.Preset{{Name: "p", RampSeconds: 20}},
+		Services: []configuration.Service{{Name: "llm", Concurrency: 8, ColdConcurrency: 2}},
+	}
+}
+
+func warmReport(at time.Time, sequence uint64) board.Report {
+	return board.Report{At: at, ReceivedAt: at, Sequence: sequence, Generation: 1, StartedAt: start.Add(-time.Hour), Concurrency: 8, ColdConcurrency: 2}
+}
+
+func update(l *Limiter, r board.Report, now time.Time) {
+	l.Update(&board.Servers{List: []board.Server{{Name: "s", Service: "llm", Report: r}}}, testDocument(), nil, now)
+}
+
+func warmLimiter() *Limiter {
+	l := NewLimiter(DefaultSettings())
+	update(l, warmReport(start, 10), start)
+	return l
+}
+
+func TestPhaseFollowsReports(t *testing.T) {
+	sec := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+	cases := map[string]struct {
+		event func(l *Limiter)
+		want  Phase
+	}{
+		"warm":         {func(l *Limiter) { update(l, warmReport(sec(1), 11), sec(1)) }, Warm},
+		"stale":        {func(l *Limiter) { update(l, warmReport(start, 10), sec(4)) }, Cold},
+		"reports cold": {func(l *Limiter) { r := warmReport(sec(1), 11); r.Cold = true; update(l, r, sec(1)) }, Cold},
+		"restarted": {func(l *Limiter) {
+			r := warmReport(sec(1), 1)
+			r.Generation, r.StartedAt = 2, sec(0)
+			update(l, r, sec(1))
+		}, Cold},
+		"start time moved":  {func(l *Limiter) { r := warmReport(sec(1), 11); r.StartedAt = start; update(l, r, sec(1)) }, Cold},
+		"broken connection": {func(l *Limiter) { l.Suspect("s", sec(1)); update(l, warmReport(sec(1), 11), sec(1)) }, Cold},
+		"suspicion over, ramping": {func(l *Limiter) {
+			l.Suspect("s", sec(1))
+			update(l, warmReport(sec(12), 22), sec(12))
+		}, Ramping},
+		"slow answers": {func(l *Limiter) {
+			for range 10 {
+				l.Observe("s", 100*time.Millisecond, start)
+			}
+			for range 5 {
+				l.Observe("s", 500*time.Millisecond, sec(1))
+			}
+			update(l, warmReport(sec(1), 11), sec(1))
+		}, Cold},
+		"few slow answers": {func(l *Limiter) {
+			for range 10 {
+				l.Observe("s", 100*time.Millisecond, start)
+			}
+			for range 4 {
+				l.Observe("s", 500*time.Millisecond, sec(1))
+			}
+			update(l, warmReport(sec(1), 11), sec(1))
+		}, Warm},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := warmLimiter()
+			is.Equal(l.Phase("s"), Warm)
+			c.event(l)
+			is.Equal(l.Phase("s"), c.want)
+		})
+	}
+}
+
+func TestBadReportsAreCountedAndChangeNothing(t *testing.T) {
+	now := start.Add(time.Second)
+	cases := map[ReportFault]func(r *board.Report){
+		FaultNegative:   func(r *board.Report) { r.Running = -5 },
+		FaultFuture:     func(r *board.Report) { r.At = now.Add(time.Hour) },
+		FaultOutOfOrder: func(r *board.Report) { r.Sequence = 9 },
+		FaultStale:      func(r *board.Report) { r.At = now.Add(-time.Minute); r.Generation = 2 },
+	}
+	for fault, spoil := range cases {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			l := NewLimiter(DefaultSettings())
+			cold := warmReport(start, 10)
+			cold.Cold = true
+			update(l, cold, start)
+			before := counters.Get(string(fault))
+			r := warmReport(now, 11)
+			spoil(&r)
+			update(l, r, now)
+			is.Equal(l.Phase("s"), Cold)
+			_, ok := l.Acquire("s", now)
+			is.True(!ok)
+			is.True(counters.Get(string(fault)) != nil && (before == nil || counters.Get(string(fault)).String() != "0"))
+		})
+	}
+	is := is.New(t)
+	_, ok := warmLimiter().Acquire("unknown", start)
+	is.True(!ok)
+}
+
+func TestCreditIsForStartsUntilItsExpiry(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter(DefaultSettings())
+	cold := warmReport(start, 10)
+	cold.Cold = true
+	update(l, cold, start)
+	grant := CreditGrant{Server: "s", Count: 1, Epoch: 5, Valid: 2 * time.Second}
+	l.credit(grant, start, start.Add(time.Second)) // answered after a second
+	first, ok := l.Acquire("s", start.Add(1900*time.Millisecond))
+	is.True(ok)
+	_, ok = l.Acquire("s", start.Add(1900*time.Millisecond))
+	is.True(!ok) // one at a time
+	is.True(first.Confirm(start.Add(1999 * time.Millisecond)))
+	is.True(!first.Confirm(start.Add(2 * time.Second))) // from when it was asked for
+	first.Release()
+	first.Release()
+	is.Equal(l.InFlight("s"), 0)
+
+	grant.Epoch = 4 // of a former keeper
+	l.credit(grant, start.Add(3*time.Second), start.Add(3*time.Second))
+	is.True(!l.Startable("s", start.Add(3*time.Second)))
+	grant.Epoch = 5
+	l.credit(grant, start.Add(3*time.Second), start.Add(3*time.Second))
+	is.True(l.Startable("s", start.Add(3*time.Second)))
+	ask := l.ask("s", start.Add(3*time.Second)) // one refusal was demand
+	is.Equal(ask.Limit, 1)
+	ask = l.ask("s", start.Add(3*time.Second)) // none since: given back
+	is.Equal(ask.Limit, 0)
+	is.True(!l.Startable("s", start.Add(3*time.Second)))
+}
--- /dev/null
+++ b/internal/routing/placement/fleet_test.go
@@ -0,0 +1,165 @@
+package placement_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+)
+
+// timeline runs events in the order of a fake time.
+type timeline struct {
+	now    time.Time
+	events events
+	count  int
+}
+
+type event struct {
+	at    int64 // Unix nanoseconds
+	order int
+	run   func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newTimeline() *timeline { return &timeline{now: epoch} }
+
+// after runs f when d has passed.
+func (t *timeline) after(d time.Duration, f func()) {
+	t.count++
+	heap.Push(&t.events, &event{t.now.Add(d).UnixNano(), t.count, f})
+}
+
+// every runs f now and then at intervals.
+func (t *timeline) every(d time.Duration, f func()) {
+	f()
+	t.after(d, func() { t.every(d, f) })
+}
+
+func (t *timeline) run(d time.Duration) {
+	end := t.now.Add(d)
+	for len(t.events) > 0 && t.events[0].at < end.UnixNano() {
+		e := heap.Pop(&t.events).(*event)
+		t.now = time.Unix(0, e.at).UTC()
+		e.run()
+	}
+	t.now = end
+}
+
+// skewed is a machine's clock on the timeline.
+type skewed struct {
+	clockwork.Clock
+	line *timeline
+	skew time.Duration
+}
+
+func (c skewed) Now() time.Time { return c.line.now.Add(c.skew) }
+
+// engine is a fake backend server. Its time to first token grows with its
+// load; in cold start it bears little and is slow.
+type engine struct {
+	board.Server
+	line      *timeline
+	skew      time.Duration
+	coldUntil time.Time
+	coldSince time.Time
+	running   int
+	waiting   []func()
+	sequence  uint64
+	started   time.Time
+	run       uint64
+	broken    bool
+}
+
+// Sizes of a fake backend server.
+const (
+	warmConcurrency = 8
+	coldConcurrency = 2
+)
+
+func (e *engine) cold() bool { return e.line.now.Before(e.coldUntil) }
+
+func (e *engine) bears() int {
+	if e.cold() {
+		return coldConcurrency
+	}
+	return warmConcurrency
+}
+
+// turnCold restarts the server, or makes it cold with no restart.
+func (e *engine) turnCold(d time.Duration, restart bool) {
+	if !e.cold() {
+		e.coldSince = e.line.now
+	}
+	e.coldUntil = e.line.now.Add(d)
+	if restart {
+		e.run++
+		e.started = e.line.now
+		e.running, e.waiting, e.sequence = 0, nil, 0
+	}
+}
+
+// report returns what the server says of itself now.
+func (e *engine) report() board.Report {
+	e.sequence++
+	at := e.line.now.Add(e.skew)
+	return board.Report{
+		At: at, Sequence: e.sequence, Generation: e.run, StartedAt: e.started.Add(e.skew), Cold: e.cold(),
+		Running: e.running, Waiting: len(e.waiting), Concurrency: warmConcurrency, ColdConcurrency: coldConcurrency,
+		FirstToken: e.firstToken(), Loaded: []board.Loaded{{Model: "m", Version: "v1"}},
+	}
+}
+
+// firstToken is the time to first token of a request that runs at once.
+func (e *engine) firstToken() time.Duration {
+	base := 80 * time.Millisecond * time.Duration(warmConcurrency+e.running) / warmConcurrency
+	if e.cold() {
+		return 3 * base
+	}
+	return base
+}
+
+// fleetDocument is the configuration of the fakes.
+func fleetDocument(ramp float64, dataCentres ...string) *configuration.Document {
+	d := &configuration.Document{
+		Preset:  "Ordinary",
+		Presets: []configuration.Preset{{Name: "Ordinary", ShedAt: 0.9, RampSeconds: ramp}},
+		Models: []configuration.Model{{Name: "m", Service: "llm", Versions: []configuration.Version{
+			{Name: "v1", State: configuration.VersionActive},
+		}}},
+		Services: []configuration.Service{{
+			Name: "llm", Kind: configuration.ServiceModel, Concurrency: warmConcurrency, ColdConcurrency: coldConcurrency,
+		}},
+	}
+	for _, name := range dataCentres {
+		d.DataCentres = append(d.DataCentres, configuration.DataCentre{Name: name, Region: "r"})
+	}
+	return d
+}
+
+// between returns a random duration in [low, high).
+func between(rnd *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rnd.Int64N(int64(high-low)))
+}
