--- a/internal/fleet/peer/peer.connect.go
+++ b/internal/fleet/peer/peer.connect.go
@@ -40,6 +40,8 @@
 	PeerCreditProcedure = "/kingcupyard.peer.Peer/Credit"
 	// PeerPinProcedure is the fully-qualified name of the Peer's Pin RPC.
 	PeerPinProcedure = "/kingcupyard.peer.Peer/Pin"
+	// PeerPinsProcedure is the fully-qualified name of the Peer's Pins RPC.
+	PeerPinsProcedure = "/kingcupyard.peer.Peer/Pins"
 	// PeerLedgerProcedure is the fully-qualified name of the Peer's Ledger RPC.
 	PeerLedgerProcedure = "/kingcupyard.peer.Peer/Ledger"
 	// PeerCopiesProcedure is the fully-qualified name of the Peer's Copies RPC.
@@ -48,6 +50,8 @@
 	PeerEvidenceProcedure = "/kingcupyard.peer.Peer/Evidence"
 	// PeerReportsProcedure is the fully-qualified name of the Peer's Reports RPC.
 	PeerReportsProcedure = "/kingcupyard.peer.Peer/Reports"
+	// PeerListingProcedure is the fully-qualified name of the Peer's Listing RPC.
+	PeerListingProcedure = "/kingcupyard.peer.Peer/Listing"
 	// PeerExplainProcedure is the fully-qualified name of the Peer's Explain RPC.
 	PeerExplainProcedure = "/kingcupyard.peer.Peer/Explain"
 	// PeerStatusProcedure is the fully-qualified name of the Peer's Status RPC.
@@ -64,6 +68,8 @@
 	Credit(context.Context, *connect.Request[CreditRequest]) (*connect.Response[CreditResponse], error)
 	// Pin reads or writes the version of a named session at its keeper.
 	Pin(context.Context, *connect.Request[PinRequest]) (*connect.Response[PinResponse], error)
+	// Pins hands pins of named sessions over, or asks for those to keep.
+	Pins(context.Context, *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error)
 	// Ledger sends bill and claim records to the keeper of their shard.
 	Ledger(context.Context, *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error)
 	// Copies leaves copies of records with a peer while the store is out.
@@ -72,6 +78,8 @@
 	Evidence(context.Context, *connect.Request[EvidenceRequest]) (*connect.Response[EvidenceResponse], error)
 	// Reports spreads backend servers' load reports from those who poll them.
 	Reports(context.Context, *connect.Request[ReportsRequest]) (*connect.Response[ReportsResponse], error)
+	// Listing spreads changes of the platform's instance list.
+	Listing(context.Context, *connect.Request[ListingRequest]) (*connect.Response[ListingResponse], error)
 	// Explain returns the decision records of one request.
 	Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error)
 	// Status returns the state of one instance.
@@ -113,6 +121,12 @@
 			connect.WithSchema(peerMethods.ByName("Pin")),
 			connect.WithClientOptions(opts...),
 		),
+		pins: connect.NewClient[PinsRequest, PinsResponse](
+			httpClient,
+			baseURL+PeerPinsProcedure,
+			connect.WithSchema(peerMethods.ByName("Pins")),
+			connect.WithClientOptions(opts...),
+		),
 		ledger: connect.NewClient[LedgerRequest, LedgerResponse](
 			httpClient,
 			baseURL+PeerLedgerProcedure,
@@ -137,6 +151,12 @@
 			connect.WithSchema(peerMethods.ByName("Reports")),
 			connect.WithClientOptions(opts...),
 		),
+		listing: connect.NewClient[ListingRequest, ListingResponse](
+			httpClient,
+			baseURL+PeerListingProcedure,
+			connect.WithSchema(peerMethods.ByName("Listing")),
+			connect.WithClientOptions(opts...),
+		),
 		explain: connect.NewClient[ExplainRequest, ExplainResponse](
 			httpClient,
 			baseURL+PeerExplainProcedure,
@@ -158,10 +178,12 @@
 	configuration *connect.Client[ConfigurationRequest, ConfigurationResponse]
 	credit        *connect.Client[CreditRequest, CreditResponse]
 	pin           *connect.Client[PinRequest, PinResponse]
+	pins          *connect.Client[PinsRequest, PinsResponse]
 	ledger        *connect.Client[LedgerRequest, LedgerResponse]
 	copies        *connect.Client[CopiesRequest, CopiesResponse]
 	evidence      *connect.Client[EvidenceRequest, EvidenceResponse]
 	reports       *connect.Client[ReportsRequest, ReportsResponse]
+	listing       *connect.Client[ListingRequest, ListingResponse]
 	explain       *connect.Client[ExplainRequest, ExplainResponse]
 	status        *connect.Client[StatusRequest, StatusResponse]
 }
@@ -186,6 +208,11 @@
 	return c.pin.CallUnary(ctx, req)
 }
 
+// Pins calls kingcupyard.peer.Peer.Pins.
+func (c *peerClient) Pins(ctx context.Context, req *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error) {
+	return c.pins.CallUnary(ctx, req)
+}
+
 // Ledger calls kingcupyard.peer.Peer.Ledger.
 func (c *peerClient) Ledger(ctx context.Context, req *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error) {
 	return c.ledger.CallUnary(ctx, req)
@@ -206,6 +233,11 @@
 	return c.reports.CallUnary(ctx, req)
 }
 
+// Listing calls kingcupyard.peer.Peer.Listing.
+func (c *peerClient) Listing(ctx context.Context, req *connect.Request[ListingRequest]) (*connect.Response[ListingResponse], error) {
+	return c.listing.CallUnary(ctx, req)
+}
+
 // Explain calls kingcupyard.peer.Peer.Explain.
 func (c *peerClient) Explain(ctx context.Context, req *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
 	return c.explain.CallUnary(ctx, req)
@@ -226,6 +258,8 @@
 	Credit(context.Context, *connect.Request[CreditRequest]) (*connect.Response[CreditResponse], error)
 	// Pin reads or writes the version of a named session at its keeper.
 	Pin(context.Context, *connect.Request[PinRequest]) (*connect.Response[PinResponse], error)
+	// Pins hands pins of named sessions over, or asks for those to keep.
+	Pins(context.Context, *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error)
 	// Ledger sends bill and claim records to the keeper of their shard.
 	Ledger(context.Context, *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error)
 	// Copies leaves copies of records with a peer while the store is out.
@@ -234,6 +268,8 @@
 	Evidence(context.Context, *connect.Request[EvidenceRequest]) (*connect.Response[EvidenceResponse], error)
 	// Reports spreads backend servers' load reports from those who poll them.
 	Reports(context.Context, *connect.Request[ReportsRequest]) (*connect.Response[ReportsResponse], error)
+	// Listing spreads changes of the platform's instance list.
+	Listing(context.Context, *connect.Request[ListingRequest]) (*connect.Response[ListingResponse], error)
 	// Explain returns the decision records of one request.
 	Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error)
 	// Status returns the state of one instance.
@@ -271,6 +307,12 @@
 		connect.WithSchema(peerMethods.ByName("Pin")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerPinsHandler := connect.NewUnaryHandler(
+		PeerPinsProcedure,
+		svc.Pins,
+		connect.WithSchema(peerMethods.ByName("Pins")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerLedgerHandler := connect.NewUnaryHandler(
 		PeerLedgerProcedure,
 		svc.Ledger,
@@ -295,6 +337,12 @@
 		connect.WithSchema(peerMethods.ByName("Reports")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerListingHandler := connect.NewUnaryHandler(
+		PeerListingProcedure,
+		svc.Listing,
+		connect.WithSchema(peerMethods.ByName("Listing")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerExplainHandler := connect.NewUnaryHandler(
 		PeerExplainProcedure,
 		svc.Explain,
@@ -317,6 +365,8 @@
 			peerCreditHandler.ServeHTTP(w, r)
 		case PeerPinProcedure:
 			peerPinHandler.ServeHTTP(w, r)
+		case PeerPinsProcedure:
+			peerPinsHandler.ServeHTTP(w, r)
 		case PeerLedgerProcedure:
 			peerLedgerHandler.ServeHTTP(w, r)
 		case PeerCopiesProcedure:
@@ -325,6 +375,8 @@
 			peerEvidenceHandler.ServeHTTP(w, r)
 		case PeerReportsProcedure:
 			peerReportsHandler.ServeHTTP(w, r)
+		case PeerListingProcedure:
+			peerListingHandler.ServeHTTP(w, r)
 		case PeerExplainProcedure:
 			peerExplainHandler.ServeHTTP(w, r)
 		case PeerStatusProcedure:
@@ -354,6 +406,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Pin is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Pins(context.Context, *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Pins is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Ledger(context.Context, *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Ledger is not implemented"))
 }
@@ -370,6 +426,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Reports is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Listing(context.Context, *connect.Request[ListingRequest]) (*connect.Response[ListingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Listing is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kingcupyard.peer.Peer.Explain is not implemented"))
 }
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -40,6 +40,11 @@
 	Pin(ctx context.Context, req *PinRequest) (*PinResponse, error)
 }
 
+// PinHolder exchanges pins of named sessions.
+type PinHolder interface {
+	Pins(ctx context.Context, req *PinsRequest) (*PinsResponse, error)
+}
+
 // LedgerKeeper commits bill and claim records.
 type LedgerKeeper interface {
 	Ledger(ctx context.Context, req *LedgerRequest) (*LedgerResponse, error)
@@ -60,6 +65,11 @@
 	Reports(ctx context.Context, req *ReportsRequest) (*ReportsResponse, error)
 }
 
+// Lister takes in and gives changes of the instance list.
+type Lister interface {
+	Listing(ctx context.Context, req *ListingRequest) (*ListingResponse, error)
+}
+
 // Explainer finds decision records.
 type Explainer interface {
 	Explain(ctx context.Context, req *ExplainRequest) (*ExplainResponse, error)
@@ -78,10 +88,12 @@
 	configuration Configurer
 	credit        Creditor
 	pin           Pinner
+	pins          PinHolder
 	ledger        LedgerKeeper
 	copies        CopyHolder
 	evidence      EvidenceExchanger
 	reports       Reporter
+	listing       Lister
 	explain       Explainer
 	status        StatusTeller
 }
@@ -104,6 +116,9 @@
 // WithPinner sets who keeps pins.
 func WithPinner(h Pinner) ServerOption { return func(s *Server) { s.pin = h } }
 
+// WithPinHolder sets who exchanges pins.
+func WithPinHolder(h PinHolder) ServerOption { return func(s *Server) { s.pins = h } }
+
 // WithLedgerKeeper sets who commits records.
 func WithLedgerKeeper(h LedgerKeeper) ServerOption { return func(s *Server) { s.ledger = h } }
 
@@ -118,6 +133,9 @@
 // WithReporter sets who takes in load reports.
 func WithReporter(h Reporter) ServerOption { return func(s *Server) { s.reports = h } }
 
+// WithLister sets who takes in and gives changes of the instance list.
+func WithLister(h Lister) ServerOption { return func(s *Server) { s.listing = h } }
+
 // WithExplainer sets who finds decision records.
 func WithExplainer(h Explainer) ServerOption { return func(s *Server) { s.explain = h } }
 
@@ -176,6 +194,10 @@
 	return answer(ctx, s.Server, req, s.pin, s.pin != nil, Pinner.Pin)
 }
 
+func (s *service) Pins(ctx context.Context, req *connect.Request[PinsRequest]) (*connect.Response[PinsResponse], error) {
+	return answer(ctx, s.Server, req, s.pins, s.pins != nil, PinHolder.Pins)
+}
+
 func (s *service) Ledger(ctx context.Context, req *connect.Request[LedgerRequest]) (*connect.Response[LedgerResponse], error) {
 	return answer(ctx, s.Server, req, s.ledger, s.ledger != nil, LedgerKeeper.Ledger)
 }
@@ -192,6 +214,10 @@
 	return answer(ctx, s.Server, req, s.reports, s.reports != nil, Reporter.Reports)
 }
 
+func (s *service) Listing(ctx context.Context, req *connect.Request[ListingRequest]) (*connect.Response[ListingResponse], error) {
+	return answer(ctx, s.Server, req, s.listing, s.listing != nil, Lister.Listing)
+}
+
 func (s *service) Explain(ctx context.Context, req *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
 	return answer(ctx, s.Server, req, s.explain, s.explain != nil, Explainer.Explain)
 }
--- a/internal/platform/request/request.go
+++ b/internal/platform/request/request.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -60,6 +61,11 @@
 // WithTimeout bounds requests whose context has no earlier deadline.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
+// WithDial sets how connections are made.
+func WithDial(dial func(address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.http.Dial = dial }
+}
+
 // New returns a client.
 func New(opts ...Option) *Client {
 	c := &Client{
@@ -71,7 +77,7 @@
 			MaxIdleConnDuration:       idleTimeout,
 			MaxResponseBodySize:       maxBodyBytes,
 			NoDefaultUserAgentHeader:  true,
-			Dial: func(address string) (conn netConn, err error) {
+			Dial: func(address string) (net.Conn, error) {
 				return fasthttp.DialTimeout(address, dialTimeout)
 			},
 		},
@@ -105,6 +111,11 @@
 	return body, err
 }
 
+// Head asks for the status of a document without its body.
+func (c *Client) Head(ctx context.Context, url string) error {
+	return c.exchange(ctx, fasthttp.MethodHead, url, nil, func([]byte) error { return nil })
+}
+
 func (c *Client) do(ctx context.Context, method, url string, in, out any) error {
 	var body []byte
 	if in != nil {
--- a/internal/platform/roster/doc.go
+++ b/internal/platform/roster/doc.go
@@ -1,8 +1,8 @@
 // Package roster learns which instances and backend servers there are, and how
 // loaded the servers are. It reads the platform's instance list, asks the
 // servers that this instance is chosen to poll for their load, and exchanges
-// load reports with the other instances, so that the number of polls does not
-// grow with the product of instances and servers.
+// both with the other instances, so that neither the number of polls nor that of
+// reads of the list grows with the product of instances and servers.
 //
 // The controller writes the board's Listing and Servers sections.
 package roster
@@ -20,7 +20,15 @@
 
 // Times and numbers of the roster.
 const (
-	listInterval    = time.Second
+	minListInterval = time.Second
+	// listEntryInterval stretches the interval with the number of entries:
+	// at 200 bytes an entry, reading costs 8 KB a second.
+	listEntryInterval = 25 * time.Millisecond
+	// confirmInterval is how often the time of the list is published.
+	confirmInterval = 250 * time.Millisecond
+	// listFanOut is how many members a change of the list is passed on to.
+	listFanOut      = 4
+	listTimeout     = time.Second
 	pollInterval    = 500 * time.Millisecond
 	pollConcurrency = 16
 	publishInterval = 100 * time.Millisecond
@@ -52,7 +60,8 @@
 	Get(ctx context.Context, url string, out any) error
 }
 
-// Peers sends reports to other instances.
+// Peers exchanges reports and changes of the list with other instances.
 type Peers interface {
 	Reports(ctx context.Context, address string, req *peer.ReportsRequest) (*peer.ReportsResponse, error)
+	Listing(ctx context.Context, address string, req *peer.ListingRequest) (*peer.ListingResponse, error)
 }
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -33,10 +33,10 @@
 	clock     clockwork.Clock
 	rng       *rand.Rand
 	limits    Limits
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	members   func() int
 	sharedBy  atomic.Int64
-	reads     *bucket
-	writes    *bucket
+	budget    *budget
 	hold      *hold
 	transport *http.Transport
 	counters  *counters
@@ -61,6 +61,11 @@
 // function says.
 func WithMembers(members func() int) Option { return func(c *Client) { c.members = members } }
 
+// WithDial sets how connections are made.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // New returns a client of the service at this IP and port.
 func New(address string, opts ...Option) *Client {
 	c := &Client{
@@ -69,6 +74,7 @@
 		clock:   clockwork.NewRealClock(),
 		limits:  DefaultLimits,
 		members: func() int { return 1 },
+		dial:    (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -78,14 +84,11 @@
 	}
 	members := c.members()
 	c.sharedBy.Store(int64(members))
-	share := c.limits.ShareOf(members)
-	c.reads = newBucket(share.ReadsPerSecond, share.BurstSeconds, c.clock)
-	c.writes = newBucket(share.WritesPerSecond, share.BurstSeconds, c.clock)
+	c.budget = newBudget(c.limits.ShareOf(members), c.clock, c.rng)
 	c.hold = &hold{clock: c.clock, rng: c.rng}
 	c.counters = newCounters()
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	c.transport = &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           c.dial,
 		MaxIdleConnsPerHost:   idlePerHost,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: c.timeout,
@@ -100,9 +103,7 @@
 	if c.sharedBy.Swap(int64(members)) == int64(members) {
 		return
 	}
-	share := c.limits.ShareOf(members)
-	c.reads.set(share.ReadsPerSecond, share.BurstSeconds)
-	c.writes.set(share.WritesPerSecond, share.BurstSeconds)
+	c.budget.set(c.limits.ShareOf(members))
 }
 
 // Close closes idle connections.
@@ -124,11 +125,7 @@
 		return &UnavailableError{Purpose: p, Err: &HoldError{}}
 	}
 	c.share()
-	b := c.reads
-	if k == write {
-		b = c.writes
-	}
-	if !b.wait(ctx, p) {
+	if !c.budget.of(k, p).wait(ctx, p) {
 		c.counters.refused(p, "Budget")
 		return &UnavailableError{Purpose: p, Err: &BudgetError{Write: k == write}}
 	}
