--- a/internal/routing/capacity/controller.go
+++ b/internal/routing/capacity/controller.go
@@ -26,8 +26,8 @@
 	roll     roll
 	sequence uint64
 	asking   map[string]uint64 // keeper to the sequence of the request on its way
-	members  *board.Members
-	ring     *keeper.Ring // of members
+	ringOf   *board.Members
+	ring     *keeper.Ring // of ringOf
 }
 
 // NewController returns a controller; Run starts it.
@@ -112,8 +112,8 @@
 	self := selfOf(members)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.members != members {
-		c.members, c.ring = members, keeper.NewRing(members.List, keeper.WithSuspects())
+	if c.ringOf != members {
+		c.ringOf, c.ring = members, keeper.NewRing(members.List, keeper.WithSuspects())
 	}
 	byKeeper := map[string]*Plan{}
 	var order []string
