--- a/internal/fleet/instance/parts.go
+++ b/internal/fleet/instance/parts.go
@@ -120,6 +120,7 @@
 		peer.WithHeartbeater(get[*member.Controller](in)),
 		peer.WithConfigurer(get[*distribution.Controller](in)),
 		peer.WithReporter(get[*roster.Controller](in)),
+		peer.WithLister(get[*roster.Controller](in)),
 		peer.WithLedgerKeeper(get[*accounts](in)),
 		peer.WithCopyHolder(get[*accounts](in)),
 		peer.WithPinner((&pinPeers{in}).service()),
