Bound what load reports cost: assignments kept, one receiver a place, paced batches

18 to 72 instances spent 30 to 34 KB/s each on exchanges between instances and 9 KB/s on polls. Each batch went to one instance of every other data centre each 75 ms a receiver; it now goes to one of each other data centre of the region and one of each other region, each 200 ms a receiver, and servers are polled each second in fleets of more than 16. The pollers of a server are worked out once for each change of members or list.

--- a/internal/measure/capacity/fleet.go
+++ b/internal/measure/capacity/fleet.go
@@ -115,7 +115,7 @@
 		names[listener.Addr().String()] = name
 		f.list.Put(standinroster.Instance{
 			Name: name, Address: listener.Addr().String(), Service: "kingcup-llm",
-			DataCentre: f.dataCentre(i), Region: "region",
+			DataCentre: f.dataCentre(i), Region: f.region(i),
 		})
 		defer func() {
 			go func() {
@@ -132,12 +132,15 @@
 // answer, in bytes.
 const httpOverhead = 250
 
+// region puts four data centres into each region.
+func (f *fleet) region(i int) string { return fmt.Sprint("region-", i%f.settings.DataCentres/4) }
+
 func (f *fleet) dataCentre(i int) string { return fmt.Sprintf("dc-%02d", i%f.settings.DataCentres) }
 
 // startAll starts every instance and lists it.
 func (f *fleet) startAll() error {
 	for i := range f.settings.Instances {
-		in, err := f.startInstance(fmt.Sprintf("instance-%03d", i), f.dataCentre(i))
+		in, err := f.startInstance(fmt.Sprintf("instance-%03d", i), f.dataCentre(i), f.region(i))
 		if err != nil {
 			return err
 		}
@@ -150,7 +153,7 @@
 func (f *fleet) listInstance(in *instance) {
 	f.list.Put(standinroster.Instance{
 		Name: in.self.Name, PeerAddress: in.self.PeerAddress, Service: roster.OwnService,
-		DataCentre: in.self.DataCentre, Region: "region",
+		DataCentre: in.self.DataCentre, Region: in.self.Region,
 	})
 }
 
@@ -158,7 +161,7 @@
 func (f *fleet) restart(i int) error {
 	old := f.instances[i]
 	old.stop()
-	in, err := f.startInstance(old.self.Name, old.self.DataCentre)
+	in, err := f.startInstance(old.self.Name, old.self.DataCentre, old.self.Region)
 	if err != nil {
 		return err
 	}
--- a/internal/measure/capacity/instance.go
+++ b/internal/measure/capacity/instance.go
@@ -27,13 +27,13 @@
 }
 
 // startInstance runs a control plane on a listener of its own.
-func (f *fleet) startInstance(name, dataCentre string) (*instance, error) {
+func (f *fleet) startInstance(name, dataCentre, region string) (*instance, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	in := &instance{
-		self:  board.Member{Name: name, DataCentre: dataCentre, PeerAddress: listener.Addr().String()},
+		self:  board.Member{Name: name, DataCentre: dataCentre, Region: region, PeerAddress: listener.Addr().String()},
 		board: &board.Board{},
 	}
 	storeClient := store.New(f.storeAddress, store.WithDial(f.storeTraffic.dialContext), store.WithMembers(func() int {
--- a/internal/platform/roster/controller.go
+++ b/internal/platform/roster/controller.go
@@ -35,6 +35,10 @@
 	// yet sent to others.
 	fresh map[string]struct{}
 	dirty bool
+	// assigned are the servers that this instance may poll, worked out for
+	// one version of the members and one stamp of the list.
+	assigned    []assignment
+	assignedFor [2]int64
 }
 
 // Option changes how a controller is built.
@@ -79,7 +83,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	wg.Go(func() { c.runList(ctx) })
-	wg.Go(func() { c.repeat(ctx, c.fixed(pollInterval), c.pollAll) })
+	wg.Go(func() { c.repeat(ctx, c.loadInterval, c.pollAll) })
 	wg.Go(func() { c.repeat(ctx, c.fixed(publishInterval), func(context.Context) { c.publish() }) })
 	if c.peers != nil {
 		wg.Go(func() { c.repeat(ctx, c.spreadInterval, c.spread) })
--- a/internal/platform/roster/doc.go
+++ b/internal/platform/roster/doc.go
@@ -22,29 +22,30 @@
 const (
 	minListInterval = time.Second
 	// listEntryInterval stretches the interval with the number of entries:
-	// at 200 bytes an entry, reading costs 8 KB a second.
-	listEntryInterval = 25 * time.Millisecond
+	// at 200 bytes an entry, reading costs 4 KB a second.
+	listEntryInterval = 50 * time.Millisecond
 	// confirmInterval is how often the time of the list is published.
 	confirmInterval = 250 * time.Millisecond
 	// listFanOut is how many members a change of the list is passed on to.
 	listFanOut      = 4
 	listTimeout     = time.Second
-	pollInterval    = 500 * time.Millisecond
 	pollConcurrency = 16
-	publishInterval = 100 * time.Millisecond
+	publishInterval = 200 * time.Millisecond
 	// smallFleet is the number of members up to which everyone exchanges
-	// reports with everyone.
-	smallFleet = 16
+	// reports with everyone, at short intervals.
+	smallFleet          = 16
+	smallPollInterval   = 500 * time.Millisecond
+	smallSpreadInterval = 500 * time.Millisecond
+	pollInterval        = time.Second
 	// spreadPerReceiver stretches the interval between two batches of reports
-	// with the number of receivers, so that an instance sends about the same
-	// number of messages a second at any size.
-	spreadPerReceiver = 75 * time.Millisecond
-	minSpreadInterval = 500 * time.Millisecond
+	// with the number of receivers, so that an instance sends the same number
+	// of messages a second at any size.
+	spreadPerReceiver = 200 * time.Millisecond
 	sendConcurrency   = 8
 	// pollers is how many instances may poll one server: the first, and each
-	// next one when there was no report for another takeOver.
-	pollers  = 3
-	takeOver = 2 * time.Second
+	// next one when reports have stayed away for longer.
+	pollers     = 3
+	minTakeOver = time.Second
 	// maxAhead is how far a server's clock may be ahead.
 	maxAhead = 5 * time.Second
 	// minKeptShare is the share of the last list that must be left, else a
--- a/internal/platform/roster/load.go
+++ b/internal/platform/roster/load.go
@@ -30,34 +30,63 @@
 	_ = group.Wait()
 }
 
-// targets returns the servers to poll now.
+// targets returns the servers to poll now: those of which this instance is the
+// first poller, and those whose reports have stayed away for so long that it is
+// its turn.
 func (c *Controller) targets() []target {
-	members := c.board.Members.Get()
+	takeOver := c.takeOver()
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.assign()
 	var targets []target
-	for _, s := range c.servers {
-		if c.peers == nil || isPoller(c.self, s, members, now) {
+	for _, a := range c.assigned {
+		s := c.servers[a.server]
+		if a.rank == 0 || now.Sub(s.Report.ReceivedAt) > time.Duration(a.rank)*takeOver {
 			targets = append(targets, target{s.Name, s.Address})
 		}
 	}
 	return targets
 }
 
-// isPoller reports whether an instance polls a server: the first that
-// rendezvous hashing chooses among the members of the server's data centre,
-// and the next ones when reports stay away.
-func isPoller(self string, s *board.Server, members *board.Members, now time.Time) bool {
-	near := members.InDataCentre(s.DataCentre)
-	if len(near) == 0 && members != nil {
-		near = members.List
+// assignment makes this instance the poller of a server, the first at rank 0.
+type assignment struct {
+	server string
+	rank   int
+}
+
+// assign works out the assignments anew when the members or the list have
+// changed. The caller holds the lock.
+func (c *Controller) assign() {
+	version := [2]int64{int64(c.board.Members.Version()), c.held.stamp}
+	if version == c.assignedFor {
+		return
+	}
+	c.assignedFor = version
+	c.assigned = c.assigned[:0]
+	members := c.board.Members.Get()
+	near := map[string][]string{}
+	for _, s := range c.servers {
+		if _, ok := near[s.DataCentre]; !ok {
+			near[s.DataCentre] = pollersOf(s.DataCentre, members)
+		}
+		rank := slices.Index(board.Rank("Load/"+s.Name, near[s.DataCentre], pollers), c.self)
+		if c.peers == nil {
+			rank = 0
+		}
+		if rank >= 0 {
+			c.assigned = append(c.assigned, assignment{s.Name, rank})
+		}
 	}
-	rank := slices.Index(board.Rank("Load/"+s.Name, board.Names(near), pollers), self)
-	if rank <= 0 {
-		return rank == 0
+}
+
+// pollersOf returns who may poll the servers of a data centre: its members, or
+// all if it has none.
+func pollersOf(dataCentre string, members *board.Members) []string {
+	if near := members.InDataCentre(dataCentre); len(near) > 0 || members == nil {
+		return board.Names(near)
 	}
-	return now.Sub(s.Report.ReceivedAt) > time.Duration(rank)*takeOver
+	return board.Names(members.List)
 }
 
 // poll asks one server for its load.
@@ -117,35 +146,59 @@
 }
 
 // receivers returns the members that get this instance's reports. In a small
-// fleet these are all. In a large one they are those of its own data centre
-// and one of each other data centre, so that work does not grow with the
-// fleet and each data centre still sees a part of every other.
+// fleet these are all. In a large one they are those of its own data centre,
+// one of each other data centre of its region, and one of each other region, so
+// that work does not grow with the fleet and each place still sees a part of
+// every other.
 func receivers(self string, members *board.Members) []board.Member {
 	own := members.Find(self)
 	if own == nil {
 		return nil
 	}
-	elsewhere := map[string][]board.Member{}
+	elsewhere := map[string][]string{}
 	var chosen []board.Member
 	for _, m := range members.List {
 		switch {
 		case m.Name == self || m.State == board.MemberLeaving:
 		case len(members.List) <= smallFleet || m.DataCentre == own.DataCentre:
 			chosen = append(chosen, m)
+		case m.Region == own.Region:
+			elsewhere[m.DataCentre] = append(elsewhere[m.DataCentre], m.Name)
 		default:
-			elsewhere[m.DataCentre] = append(elsewhere[m.DataCentre], m)
+			elsewhere[m.Region] = append(elsewhere[m.Region], m.Name)
 		}
 	}
-	for dataCentre, list := range elsewhere {
-		first := board.Rank("Reports/"+self+"/"+dataCentre, board.Names(list), 1)
+	for place, names := range elsewhere {
+		first := board.Rank("Reports/"+self+"/"+place, names, 1)
 		chosen = append(chosen, *members.Find(first[0]))
 	}
 	return chosen
 }
 
+// spreadInterval is how long an instance waits between two batches of reports.
 func (c *Controller) spreadInterval() time.Duration {
-	n := len(receivers(c.self, c.board.Members.Get()))
-	return max(minSpreadInterval, time.Duration(n)*spreadPerReceiver)
+	members := c.board.Members.Get()
+	if c.isSmall() {
+		return smallSpreadInterval
+	}
+	return max(smallSpreadInterval, time.Duration(len(receivers(c.self, members)))*spreadPerReceiver)
+}
+
+// takeOver is how long reports must stay away before the next poller polls.
+func (c *Controller) takeOver() time.Duration { return 2*c.spreadInterval() + minTakeOver }
+
+// loadInterval is how long an instance waits between two polls of a server.
+func (c *Controller) loadInterval() time.Duration {
+	if c.isSmall() {
+		return smallPollInterval
+	}
+	return pollInterval
+}
+
+// isSmall reports whether the fleet is small enough for short intervals.
+func (c *Controller) isSmall() bool {
+	members := c.board.Members.Get()
+	return members == nil || len(members.List) <= smallFleet
 }
 
 // spread sends the reports polled since the last time.
