--- a/internal/console/operator/status.go
+++ b/internal/console/operator/status.go
@@ -15,6 +15,14 @@
 	Preset     string
 	// ConfirmedAge is the time since the revision was last confirmed.
 	ConfirmedAge time.Duration
+	// StoreAge is the time since the store itself confirmed it, as far as
+	// the instance has heard; negative if it never did.
+	StoreAge time.Duration
+	// Watching is set on the watchers of the store.
+	Watching bool
+	// ListAge is the time since the platform's instance list was last known
+	// to be the one in use; negative if it never was.
+	ListAge time.Duration
 	Members      []MemberStatus
 	Servers      ServerStatus
 	// Keeper counts the keys this instance is keeper of, by duty.
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -87,7 +87,7 @@
 		i.listeners.close()
 		return fmt.Errorf("build instance %s: %w", i.settings.Name, err)
 	}
-	i.peers = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}
+	i.peers = server.HTTPServer()
 	i.serve(func() error { return i.peers.Serve(i.listeners.peers) })
 	i.runControllers()
 	i.serveHTTP(do.MustInvoke[*operator.API](i.injector).App(), i.listeners.operators)
--- a/internal/fleet/instance/status.go
+++ b/internal/fleet/instance/status.go
@@ -37,7 +37,7 @@
 	}
 	if c := b.Confirmation.Get(); c != nil {
 		status.Ready, status.Reason, status.Revision = c.Allows(now), c.Reason, c.Revision
-		status.ConfirmedAge = now.Sub(c.At)
+		status.ConfirmedAge, status.StoreAge, status.Watching = now.Sub(c.At), age(now, c.StoreAt), c.Watching
 	}
 	if reason := get[*lifecycle](t.in).unready(b); reason != "" {
 		status.Ready, status.Reason = false, reason
@@ -48,11 +48,22 @@
 	for _, calls := range get[*store.Client](t.in).Calls() {
 		status.StoreCalls[calls.Purpose] = calls.Reads + calls.Writes + calls.Watches
 	}
+	if listing := b.Listing.Get(); listing != nil {
+		status.ListAge = age(now, listing.At)
+	}
 	status.Members = memberStatuses(b.Members.Get())
 	status.Servers = serverStatus(b.Servers.Get())
 	return status
 }
 
+// age is the time since t, negative if t is not known.
+func age(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t)
+}
+
 func memberStatuses(m *board.Members) []operator.MemberStatus {
 	if m == nil {
 		return nil
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -125,6 +125,7 @@
 		MaxIdleConnsPerHost: idlePerAddress,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		Protocols:           protocols(),
 	}
 	age := c.maxAge/2 + time.Duration(c.rng.Int64N(int64(c.maxAge/2)+1))
 	httpClient := &http.Client{Transport: c.base(transport)}
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -29,7 +29,8 @@
 		t.Fatal(err)
 	}
 	conns = &counter{Listener: l}
-	server := &http.Server{Handler: handler}
+	server := NewServer().HTTPServer()
+	server.Handler = handler
 	go func() { _ = server.Serve(conns) }()
 	t.Cleanup(func() { server.Close() })
 	return l.Addr().String(), conns
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"expvar"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 )
@@ -158,6 +159,26 @@
 	return mux
 }
 
+// HTTPServer returns a server for the peer listener. It speaks HTTP/2 without
+// TLS, which compresses headers: they are most of a heartbeat.
+func (s *Server) HTTPServer() *http.Server {
+	return &http.Server{
+		Handler:           s.Handler(),
+		Protocols:         protocols(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       2 * idleTimeout,
+	}
+}
+
+// readHeaderTimeout bounds how long a request's header may take.
+const readHeaderTimeout = 5 * time.Second
+
+func protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
 // service adapts the server to the generated handler.
 type service struct{ *Server }
 
--- a/internal/measure/capacity/instance.go
+++ b/internal/measure/capacity/instance.go
@@ -53,9 +53,9 @@
 	spread := distribution.New(name, dataCentre, in.board, storeClient, peers)
 	servers := roster.New(name, f.listAddress, in.board, lists, roster.WithPeers(peers))
 	in.editor = distribution.NewEditor(spread, storeClient)
-	server := &http.Server{Handler: peer.NewServer(
+	server := peer.NewServer(
 		peer.WithHeartbeater(members), peer.WithConfigurer(spread), peer.WithReporter(servers), peer.WithLister(servers),
-	).Handler()}
+	).HTTPServer()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() {
