--- a/cmd/kingcupyard/operator.go
+++ b/cmd/kingcupyard/operator.go
@@ -154,7 +154,8 @@
 		}
 		c.printer().Event("Instance", line.Pair{Key: "Instance", Value: s.Instance}, line.Pair{Key: "DataCentre", Value: s.DataCentre},
 			line.Pair{Key: "Ready", Value: s.Ready}, line.Pair{Key: "Reason", Value: s.Reason}, line.Pair{Key: "Revision", Value: s.Revision},
-			line.Pair{Key: "ConfirmedAge", Value: s.ConfirmedAge}, line.Pair{Key: "Preset", Value: s.Preset}, line.Pair{Key: "Members", Value: members},
+			line.Pair{Key: "ConfirmedAge", Value: s.ConfirmedAge}, line.Pair{Key: "StoreAge", Value: s.StoreAge}, line.Pair{Key: "ListAge", Value: s.ListAge}, line.Pair{Key: "Watching", Value: s.Watching},
+			line.Pair{Key: "Preset", Value: s.Preset}, line.Pair{Key: "Members", Value: members},
 			line.Pair{Key: "Servers", Value: s.Servers.Live}, line.Pair{Key: "Cold", Value: s.Servers.Cold}, line.Pair{Key: "Keeper", Value: fmt.Sprint(s.Keeper)},
 			line.Pair{Key: "StoreCalls", Value: fmt.Sprint(s.StoreCalls)}, line.Pair{Key: "Refusals", Value: fmt.Sprint(s.Refusals)}, line.Pair{Key: "InFlight", Value: s.InFlight})
 	}
--- a/internal/console/operator/status.go
+++ b/internal/console/operator/status.go
@@ -23,8 +23,8 @@
 	// ListAge is the time since the platform's instance list was last known
 	// to be the one in use; negative if it never was.
 	ListAge time.Duration
-	Members      []MemberStatus
-	Servers      ServerStatus
+	Members []MemberStatus
+	Servers ServerStatus
 	// Keeper counts the keys this instance is keeper of, by duty.
 	Keeper map[string]int
 	// StoreCalls counts calls to the platform's store by purpose.
