--- a/internal/release/rollout/exposure_test.go
+++ b/internal/release/rollout/exposure_test.go
@@ -165,3 +165,25 @@
 	}
 	b.ReportMetric(took.Seconds()/float64(len(results)), "s/rollout")
 }
+
+// BenchmarkDecideRollout is the cost of one decision on ten customers.
+func BenchmarkDecideRollout(b *testing.B) {
+	doc := running(0, simStages...)
+	doc.Customers = customers()
+	e := NewEvidence("a", 1, func() *configuration.Document { return doc })
+	for i := range 20_000 {
+		o := Observation{Customer: doc.Customers[i%10].Name, Model: "m", Version: "v1"}
+		if i%7 == 0 {
+			o.Version = "v2"
+		}
+		o.FirstToken, o.Tokens = time.Duration(50+i%400)*time.Millisecond, 1+i%900
+		e.Record(o)
+		o.Rated, o.Pass = true, i%19 != 0
+		e.Record(o)
+	}
+	c := Case{Rollout: &doc.Rollouts[0], Pace: 1, Now: start}
+	for b.Loop() {
+		c.Old, c.New = e.Summaries("m", "v1"), e.Summaries("m", "v2")
+		Decide(c)
+	}
+}
