--- a/internal/routing/session/pins_test.go
+++ b/internal/routing/session/pins_test.go
@@ -93,6 +93,7 @@
 
 	is.NoErr(second.Import(first.Export(func(string, string) bool { return true })))
 	second.Gap()
+	clock.Advance(Expiry / 2)
 	doc.Rollouts[0].State = configuration.RolloutHalted
 	pin, err = second.Resolve(doc, customer, inside)
 	is.NoErr(err)
@@ -101,5 +102,15 @@
 	clock.Advance(Expiry)
 	_, err = first.Resolve(doc, customer, outside)
 	is.NoErr(err) // the expired pin made room
+	for range 24 {
+		clock.Advance(Expiry - 1)
+		pin, err = first.Resolve(doc, customer, outside)
+		is.NoErr(err)
+	}
+	is.True(pin.StartedAt.Before(clock.Now())) // the same session
+	clock.Advance(Expiry - 1)
+	pin, err = first.Resolve(doc, customer, outside)
+	is.NoErr(err)
+	is.Equal(pin.StartedAt, clock.Now()) // the name begins a new one
 	is.Equal(first.Len(), 1)
 }
