Give whole answers their own limit; turn away from a draining keeper

Cause: a chat answer that is not streamed stays silent for its whole generation, so the first token's limit would cut long ones. An instance whose keeper drained before its ledger was flushed asked its own keeper for ever. Change: Limits.Whole; a connection ended by the kernel's probes counts as silent. A draining keeper answers no record, and its senders, itself included, turn to the successor.

--- a/internal/billing/ledger/keeper.go
+++ b/internal/billing/ledger/keeper.go
@@ -104,11 +104,12 @@
 	return k
 }
 
-// Handle answers the records of a request, as the keeper of its shard.
+// Handle answers the records of a request, as the keeper of its shard. A keeper
+// that drains answers none, so that the sender turns to the successor.
 func (k *Keeper) Handle(ctx context.Context, req Request) Response {
 	select {
 	case <-k.draining:
-		return Response{Outcomes: unavailable(len(req.Records))}
+		return Response{}
 	default:
 	}
 	if req.Shard < 0 || req.Shard >= Shards {
--- a/internal/billing/ledger/lane.go
+++ b/internal/billing/ledger/lane.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 )
 
 const (
@@ -312,14 +314,18 @@
 	if !ok {
 		return nil, errNoKeeper
 	}
-	if to.Name == l.self.Instance {
-		return l.keeper.Handle(ctx, req).Outcomes, nil
-	}
-	resp, err := l.peers.Ledger(ctx, to, req)
-	if err != nil {
+	resp, err := l.askMember(ctx, to, req)
+	if err != nil || len(resp.Outcomes) != len(req.Records) {
 		sends.Add("PeerFailed", 1)
 		l.routes.avoid(to.Name, l.clock.Now())
 		return nil, err
 	}
 	return resp.Outcomes, nil
 }
+
+func (l *Ledger) askMember(ctx context.Context, to board.Member, req Request) (Response, error) {
+	if to.Name == l.self.Instance {
+		return l.keeper.Handle(ctx, req), nil
+	}
+	return l.peers.Ledger(ctx, to, req)
+}
--- a/internal/billing/ledger/measure_test.go
+++ b/internal/billing/ledger/measure_test.go
@@ -280,12 +280,14 @@
 			live.Lock()
 			old := w.nodes[i]
 			old.member.State = board.MemberLeaving
-			w.publish()
+			if i%2 == 0 { // the others learn of it only when it is gone
+				w.publish()
+			}
 			live.Unlock()
+			is.NoErr(old.keeper.Drain(w.ctx))
 			active[old].Wait()
 			old.holder.HandOver()
 			is.NoErr(old.ledger.Flush(w.ctx))
-			is.NoErr(old.keeper.Drain(w.ctx))
 			old.kill()
 			live.Lock()
 			fresh := w.newNode(i, 2)
--- a/internal/relay/attempt/attempt.go
+++ b/internal/relay/attempt/attempt.go
@@ -42,8 +42,11 @@
 	Connect time.Duration
 	Write   time.Duration
 	// FirstByte bounds the time from the end of the write to the first token
-	// of a stream, or to the first byte of a whole answer.
+	// of a stream, or to the first byte of a plain answer.
 	FirstByte time.Duration
+	// Whole takes its place for chat answers that are not streamed, which say
+	// nothing until all tokens are generated.
+	Whole time.Duration
 	// Progress bounds the time between tokens, or between bytes of a body.
 	Progress time.Duration
 	// AnswerBytes bounds the size of a whole answer.
@@ -172,6 +175,7 @@
 	defaultConnect     = 2 * time.Second
 	defaultWrite       = 5 * time.Second
 	defaultFirstByte   = 30 * time.Second
+	defaultWhole       = 3 * time.Minute
 	defaultProgress    = 5 * time.Second
 	defaultAnswerBytes = 8 << 20
 	defaultPerAddress  = 64
@@ -188,6 +192,7 @@
 			Connect:     defaultConnect,
 			Write:       defaultWrite,
 			FirstByte:   defaultFirstByte,
+			Whole:       defaultWhole,
 			Progress:    defaultProgress,
 			AnswerBytes: defaultAnswerBytes,
 		},
@@ -221,6 +226,7 @@
 	l.Connect = pick(l.Connect, def.Connect)
 	l.Write = pick(l.Write, def.Write)
 	l.FirstByte = pick(l.FirstByte, def.FirstByte)
+	l.Whole = pick(l.Whole, def.Whole)
 	l.Progress = pick(l.Progress, def.Progress)
 	if l.AnswerBytes <= 0 {
 		l.AnswerBytes = def.AnswerBytes
--- a/internal/relay/attempt/chat.go
+++ b/internal/relay/attempt/chat.go
@@ -24,6 +24,9 @@
 func (c *Client) Chat(ctx context.Context, target Target, chat Chat, sink func(Chunk) error) (Answer, error) {
 	x := c.newExchange(target, chat.AttemptID, chat.Limits, chat.Progress)
 	x.delivered, x.before = chat.ResumeFrom, chat.BeforeWrite
+	if !chat.Stream {
+		x.limits.FirstByte = x.limits.Whole
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	if err := x.encodeChat(req, chat); err != nil {
--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -142,7 +143,7 @@
 func (c *conn) silent() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	missed := c.cause == WriteTimeout || c.cause == FirstByteTimeout || c.cause == ProgressTimeout
+	missed := errors.Is(c.readErr, syscall.ETIMEDOUT) || c.cause == WriteTimeout || c.cause == FirstByteTimeout || c.cause == ProgressTimeout
 	return c.quietSince, missed && !c.provenAt.After(c.quietSince)
 }
 
@@ -152,6 +153,14 @@
 	return c.provenAt
 }
 
+// armedFor returns the limit that is running. The kernel's probes can find a
+// silent connection before it is missed.
+func (c *conn) armedFor() Kind {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kind
+}
+
 // readKind says how reading failed.
 func (c *conn) readKind() Kind {
 	switch err := c.readErr; {
@@ -159,6 +168,8 @@
 		return Malformed
 	case errors.Is(err, io.EOF):
 		return Truncated
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return c.armedFor()
 	}
 	return Reset
 }
--- a/internal/relay/attempt/schedule_test.go
+++ b/internal/relay/attempt/schedule_test.go
@@ -361,7 +361,7 @@
 		rng: rand.New(rand.NewPCG(seed, 5)), weights: weights,
 		touched: map[string]bool{}, ran: map[string]bool{}, runs: map[string]int{},
 	}
-	client := New(WithDial(c.dial), WithLimits(Limits{Connect: time.Second, Write: time.Second, FirstByte: 3 * time.Second, Progress: 2 * time.Second}))
+	client := New(WithDial(c.dial), WithLimits(Limits{Connect: time.Second, Write: time.Second, FirstByte: 3 * time.Second, Whole: 3 * time.Second, Progress: 2 * time.Second}))
 	var wg sync.WaitGroup
 	for i := range scheduleRequests {
 		time.Sleep(c.pause())
--- a/internal/relay/attempt/silence_test.go
+++ b/internal/relay/attempt/silence_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,8 +23,12 @@
 	both direction = iota
 	requestsLost
 	answersLost
+	// probed is both, found by the kernel after limit.
+	probed
 )
 
+const firstByteLimit = 5 * time.Second
+
 // network connects to piped servers by name, and can lose track of all the
 // connections that are open at a moment.
 type network struct {
@@ -49,6 +54,10 @@
 
 func (c *pipeConn) Read(p []byte) (int, error) {
 	for {
+		if c.lost(probed) {
+			time.Sleep(firstByteLimit)
+			return 0, syscall.ETIMEDOUT
+		}
 		if c.lost(answersLost) {
 			<-c.closed
 			return 0, net.ErrClosed
@@ -62,7 +71,7 @@
 }
 
 func (c *pipeConn) Write(p []byte) (int, error) {
-	if c.lost(requestsLost) {
+	if c.lost(requestsLost) || c.lost(probed) {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
@@ -139,12 +148,16 @@
 // TestBlackHoleOnPooledConnections loses track of every pooled connection. The
 // first attempts miss one limit; everything after dials anew.
 func TestBlackHoleOnPooledConnections(t *testing.T) {
-	for _, way := range []direction{both, requestsLost, answersLost} {
+	for _, way := range []direction{both, requestsLost, answersLost, probed} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			n := newNetwork(t, slowWhole, "one", "two", "three")
 			defer n.stop()
-			c := New(WithDial(n.dial), WithLimits(Limits{FirstByte: 5 * time.Second}))
+			limit := firstByteLimit
+			if way == probed {
+				limit = time.Hour
+			}
+			c := New(WithDial(n.dial), WithLimits(Limits{Whole: limit}))
 			defer c.Close()
 			for _, a := range []string{"one", "two", "three"} {
 				is.Equal(askMany(c, a, 8), 0)
@@ -156,11 +169,11 @@
 			is.True(errors.As(err, &e))
 			is.Equal(e.Kind, FirstByteTimeout)
 			is.Equal(e.State, call.MayHaveRun)
-			is.Equal(time.Since(began), 5*time.Second) // one limit
-			is.NoErr(ask(c, "one"))                    // a new connection
-			is.Equal(askMany(c, "one", 8), 0)          // the cohort is gone with it
-			is.True(ask(c, "two") != nil)              // the second server to fall silent
-			is.Equal(askMany(c, "three", 8), 0)        // condemns the data centre's
+			is.Equal(time.Since(began), firstByteLimit) // one limit
+			is.NoErr(ask(c, "one"))                     // a new connection
+			is.Equal(askMany(c, "one", 8), 0)           // the cohort is gone with it
+			is.True(ask(c, "two") != nil)               // the second server to fall silent
+			is.Equal(askMany(c, "three", 8), 0)         // condemns the data centre's
 			is.Equal(askMany(c, "two", 8), 0)
 		})
 	}
@@ -173,7 +186,7 @@
 		is := is.New(t)
 		n := newNetwork(t, slowWhole, "one")
 		defer n.stop()
-		c := New(WithDial(n.dial), WithLimits(Limits{FirstByte: 5 * time.Second}))
+		c := New(WithDial(n.dial), WithLimits(Limits{Whole: 5 * time.Second}))
 		defer c.Close()
 		is.NoErr(ask(c, "one"))
 		n.loseTrack(both)
