--- a/internal/fleet/instance/parts.go
+++ b/internal/fleet/instance/parts.go
@@ -142,9 +142,10 @@
 	do.Provide(in, func(do.Injector) (*admission.RetryBudget, error) {
 		return admission.NewRetryBudget(retryShare, retryBurst), nil
 	})
+	do.Provide(in, func(do.Injector) (*placement.Cache, error) { return new(placement.Cache), nil })
 	do.Provide(in, func(in do.Injector) (*placement.Placer, error) {
 		l := load{get[*capacity.Controller](in).Limiter(), get[*admission.Ejector](in)}
-		return placement.New(get[*board.Board](in), l, placement.WithClock(clockOf(in))), nil
+		return placement.New(get[*board.Board](in), l, placement.WithClock(clockOf(in)), placement.WithCache(get[*placement.Cache](in))), nil
 	})
 	do.Provide(in, func(do.Injector) (*cascade.Decider, error) { return cascade.New(), nil })
 	do.Provide(in, func(in do.Injector) (*rollout.Evidence, error) {
@@ -179,8 +180,9 @@
 	do.Provide(in, func(in do.Injector) (*rollout.Guard, error) {
 		return rollout.NewGuard(get[*board.Board](in), get[*rollout.Evidence](in), clockOf(in)), nil
 	})
+	do.Provide(in, func(in do.Injector) (*session.Pins, error) { return session.NewPins(clockOf(in)), nil })
 	do.Provide(in, func(in do.Injector) (*pinning.Service, error) {
-		return pinning.New(get[*board.Board](in), session.NewPins(clockOf(in)), get[*peer.Client](in), get[*store.Client](in), clockOf(in), get[*zap.Logger](in)), nil
+		return pinning.New(get[*board.Board](in), get[*session.Pins](in), get[*peer.Client](in), get[*store.Client](in), clockOf(in), get[*zap.Logger](in)), nil
 	})
 	do.Provide(in, newAccounts)
 	do.Provide(in, func(in do.Injector) (*feedback.Collector, error) {
@@ -202,7 +204,7 @@
 		Instance: s.Name, DataCentre: s.DataCentre, Board: get[*board.Board](in),
 		Gate: get[*admission.Gate](in), Budget: get[*admission.RetryBudget](in), Placer: get[*placement.Placer](in),
 		Limiter: get[*capacity.Controller](in).Limiter(), Health: get[*admission.Ejector](in),
-		Attempts: get[*attempt.Client](in), Ledger: get[*accounts](in).ledger, Cascade: get[*cascade.Decider](in),
+		Prefixes: get[*placement.Cache](in), Attempts: get[*attempt.Client](in), Ledger: get[*accounts](in).ledger, Cascade: get[*cascade.Decider](in),
 		Sessions: get[*affinity.Resolver](in), Evidence: get[*rollout.Evidence](in), Journal: get[*explanation.Ring](in),
 		Clock: clockOf(in), Log: get[*zap.Logger](in), Seed: get[*member.Controller](in).Generation(),
 	}
--- a/internal/fleet/instance/status.go
+++ b/internal/fleet/instance/status.go
@@ -13,10 +13,13 @@
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/distribution"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/keeper"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/member"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
 	"github.com/kingcupyard/kingcupyard/internal/platform/store"
 	"github.com/kingcupyard/kingcupyard/internal/relay/explanation"
+	"github.com/kingcupyard/kingcupyard/internal/relay/front"
+	"github.com/kingcupyard/kingcupyard/internal/routing/session"
 )
 
 // teller tells the state of this instance, and asks the others for theirs.
@@ -49,10 +52,31 @@
 		status.StoreCalls[calls.Purpose] = calls.Reads + calls.Writes + calls.Watches
 	}
 	status.Members = memberStatuses(b.Members.Get())
+	status.Keeper = t.duties(b)
+	status.InFlight = get[*front.Front](t.in).Active()
 	status.Servers = serverStatus(b.Servers.Get())
 	return status
 }
 
+// duties counts what this instance keeps, by kind.
+func (t teller) duties(b *board.Board) map[string]int {
+	duties := map[string]int{"Sessions": get[*session.Pins](t.in).Len(), "Copies": get[*accounts](t.in).holder.Len()}
+	members, servers := b.Members.Get(), b.Servers.Get()
+	if members == nil || servers == nil {
+		return duties
+	}
+	ring := keeper.NewRing(members.List, keeper.WithSuspects())
+	for i := range servers.List {
+		if k, ok := ring.Of(servers.List[i].Name); ok && k.Name == members.Self {
+			duties["Servers"]++
+		}
+	}
+	if get[*driverLease](t.in).holding.Load() {
+		duties["RolloutDriver"] = 1
+	}
+	return duties
+}
+
 func memberStatuses(m *board.Members) []operator.MemberStatus {
 	if m == nil {
 		return nil
--- a/internal/relay/front/chat.go
+++ b/internal/relay/front/chat.go
@@ -32,7 +32,9 @@
 	}
 	ctx, cancel := context.WithCancel(f.base)
 	s := newStream(ctx)
+	f.active.Add(1)
 	go func() {
+		defer f.active.Add(-1)
 		s.end(f.pipeline.Chat(ctx, chat, s))
 	}()
 	// Wait for the answer to begin: until then the status code is open.
--- a/internal/relay/front/front.go
+++ b/internal/relay/front/front.go
@@ -37,6 +37,7 @@
 	maxBody  int
 	timeout  time.Duration
 	stopping atomic.Bool
+	active   atomic.Int64
 	base     context.Context
 	app      *fiber.App
 }
@@ -82,6 +83,9 @@
 // App returns the HTTP application to listen with.
 func (f *Front) App() *fiber.App { return f.app }
 
+// Active returns the number of requests under way.
+func (f *Front) Active() int { return int(f.active.Load()) }
+
 // Stop refuses new requests from now on; running ones finish.
 func (f *Front) Stop() { f.stopping.Store(true) }
 
--- a/internal/relay/front/plain.go
+++ b/internal/relay/front/plain.go
@@ -32,6 +32,8 @@
 	if f.stopping.Load() {
 		return &call.Refusal{Reason: call.ReasonStopping, RetryAfter: time.Second}
 	}
+	f.active.Add(1)
+	defer f.active.Add(-1)
 	answer, err := f.pipeline.Plain(f.base, p)
 	if err != nil {
 		return err
--- a/internal/relay/pipeline/pipeline.go
+++ b/internal/relay/pipeline/pipeline.go
@@ -52,6 +52,11 @@
 	Record(server string, ok bool, pool int, now time.Time)
 }
 
+// Prefixes remembers which backend server holds a prompt's prefix.
+type Prefixes interface {
+	Stored(server string, prefix uint64)
+}
+
 // Attempts carries single attempts to backend servers.
 type Attempts interface {
 	Chat(ctx context.Context, target attempt.Target, chat attempt.Chat, sink func(attempt.Chunk) error) (attempt.Answer, error)
@@ -107,6 +112,7 @@
 	Placer     Placer
 	Limiter    Limiter
 	Health     Health
+	Prefixes   Prefixes
 	Attempts   Attempts
 	Ledger     Ledger
 	Cascade    Cascade
--- a/internal/relay/pipeline/step.go
+++ b/internal/relay/pipeline/step.go
@@ -53,7 +53,7 @@
 	}, func(c attempt.Chunk) error { return sink(id, c) })
 	p.settle(at, answer, err)
 	p.resolve(f.flight, r, at, id, err)
-	p.observe(f, r, answer, err)
+	p.observe(f, r, at, answer, err)
 	answer.Body = bytes.Replace(answer.Body, quoted(id), quoted(f.request.ID), 1)
 	return answer, err
 }
@@ -87,13 +87,17 @@
 	p.note(f, r, id, outcome, at.server)
 }
 
-// observe records how the version did, for the roll-out that it may be part of.
-func (p *Pipeline) observe(f *chatFlight, r *route, answer attempt.Answer, err error) {
+// observe records how the version did, for the roll-out that it may be part of,
+// and that the server now holds the prompt's prefix.
+func (p *Pipeline) observe(f *chatFlight, r *route, at place, answer attempt.Answer, err error) {
 	var e *attempt.Error
 	failed := errors.As(err, &e)
 	if failed && !isServerFault(e) {
 		return
 	}
+	for _, prefix := range r.query.Prefix {
+		p.Prefixes.Stored(at.server.Name, prefix)
+	}
 	p.Evidence.Record(rollout.Observation{
 		Customer: f.request.Customer, Model: r.query.Model, Version: r.query.Version,
 		Failed: failed, FirstToken: answer.FirstToken, Tokens: answer.Usage.CompletionTokens,
