--- a/cmd/kingcupyard/demo.go
+++ b/cmd/kingcupyard/demo.go
@@ -94,7 +94,7 @@
 		OperatorKeyHash: d.OperatorKeyHash, PeerKey: d.PeerKey,
 		MaxBodyBytes: 1 << 20, RequestTimeout: 10 * time.Second,
 		DrainDelay: demoDrainDelay, StopTimeout: 20 * time.Second,
-		ConnectTimeout: 500 * time.Millisecond, FirstTokenTimeout: 2 * time.Second, TokenTimeout: time.Second,
+		ConnectTimeout: 500 * time.Millisecond, FirstTokenTimeout: time.Second, TokenTimeout: time.Second,
 	}, instance.WithLogger(s.log.With(zap.String("Instance", d.Name))))
 	if err := i.Start(); err != nil {
 		return demo.Instance{}, err
--- a/internal/measure/demo/fleet.go
+++ b/internal/measure/demo/fleet.go
@@ -84,7 +84,7 @@
 	mu       sync.Mutex
 	members  []*member
 	position atomic.Uint64
-	// favoured gets every request while it is ready.
+	// favoured gets every second request while it is ready, beside its turn.
 	favoured *member
 }
 
@@ -171,7 +171,7 @@
 func (f *fleet) pick() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.favoured != nil && f.favoured.ready {
+	if f.favoured != nil && f.favoured.ready && f.position.Add(1)%2 == 0 {
 		return f.favoured.instance.Callers
 	}
 	for range f.members {
@@ -263,7 +263,7 @@
 	}
 }
 
-// burst is how long an instance gets every request before it is stopped.
+// burst is how long an instance gets more than its share of requests before it is stopped.
 const burst = 400 * time.Millisecond
 
 // stopBusy stops an instance while many requests run on it.
