--- a/internal/measure/demo/step.go
+++ b/internal/measure/demo/step.go
@@ -26,6 +26,9 @@
 	longStreamSeed     = 1 << 32
 )
 
+// outageDuration is how long the platform's store is down.
+const outageDuration = 2 * time.Second
+
 // faultDuration is how long a passing fault lasts.
 const faultDuration = time.Second
 
@@ -77,6 +80,8 @@
 		}},
 		{13 * time.Second, "ApplyPreset", func(ctx context.Context) error { return op.ApplyPreset(ctx, preset.Ordinary) }},
 		{13500 * time.Millisecond, "Disallow", func(ctx context.Context) error { return op.Disallow(ctx, probeName, modelBasic) }},
+		{14500 * time.Millisecond, "StoreDown", r.storeFault(func(f *store.Faults) { f.Down = true })},
+		{14500*time.Millisecond + outageDuration, "StoreUp", r.storeFault(func(f *store.Faults) { f.Down = false })},
 	}
 }
 
--- a/internal/measure/invariant/answer.go
+++ b/internal/measure/invariant/answer.go
@@ -99,7 +99,8 @@
 }
 
 // checkGracefulStop: a planned stop cuts no request. A request that reaches the
-// instance while it stops is answered, or refused as not run.
+// instance while it stops is answered, or refused as not run or as a duplicate
+// of one that another instance has.
 func checkGracefulStop(t Trace, r *Result) {
 	stops := map[string]*stop{}
 	for _, e := range t {
@@ -148,7 +149,7 @@
 	case resultAnswered:
 		return false
 	case resultRefused:
-		return e.RunState != stateNotRun
+		return e.RunState != stateNotRun && e.Reason != reasonDuplicate
 	case resultUnreachable:
 		return sent.Before(began.Add(balancerLag))
 	}
