Hand copies over and flush before the keeper drains

A stopping instance drained its keeper first and never sent the copies that it held for its peers, so bills whose copies were with leaving instances were lost with the last of them.

--- a/internal/fleet/instance/accounts.go
+++ b/internal/fleet/instance/accounts.go
@@ -84,12 +84,15 @@
 	return ledger.ReadAudit(ctx, a.store, ledger.DefaultWindows())
 }
 
-// flush hands the shards over and waits until nothing is pending.
+// flush sends the copies held for peers and waits until nothing is pending, and
+// only then hands the shards over: without a successor, this instance's own
+// keeper is the one that commits.
 func (a *accounts) flush(ctx context.Context) error {
-	if err := a.keeper.Drain(ctx); err != nil {
+	a.holder.HandOver()
+	if err := a.ledger.Flush(ctx); err != nil {
 		return err
 	}
-	return a.ledger.Flush(ctx)
+	return a.keeper.Drain(ctx)
 }
 
 func (a *accounts) runKeeper(ctx context.Context) error {
