Say not run of a keyed request only when the ledger has decided

The second arrival has the first one's state, and that was not known. Change: a refusal of a non-idempotent request whose ID the caller named says MayHaveRun until the claim is decided; a request without a key keeps NotRun. GracefulStop takes such a refusal as turned away.

--- a/internal/measure/invariant/answer.go
+++ b/internal/measure/invariant/answer.go
@@ -99,8 +99,7 @@
 }
 
 // checkGracefulStop: a planned stop cuts no request. A request that reaches the
-// instance while it stops is answered, or refused as not run or as a duplicate
-// of one that another instance has.
+// instance while it stops is answered, or turned away before anything starts.
 func checkGracefulStop(t Trace, r *Result) {
 	stops := map[string]*stop{}
 	for _, e := range t {
@@ -144,12 +143,16 @@
 // requestKey tells apart the sendings of one request.
 func requestKey(e Event) string { return e.Tag + "/" + e.Instance + "/" + string(rune('0'+e.Turn)) }
 
+// turnedAway are the reasons for which an instance starts nothing, although an
+// earlier arrival under the same key may have run.
+var turnedAway = []string{reasonDuplicate, "ClaimUnavailable", "Overloaded", "CustomerShare"}
+
 func isCut(e Event, sent, began time.Time) bool {
 	switch e.Result {
 	case resultAnswered:
 		return false
 	case resultRefused:
-		return e.RunState != stateNotRun && e.Reason != reasonDuplicate
+		return e.RunState != stateNotRun && !slices.Contains(turnedAway, e.Reason)
 	case resultUnreachable:
 		return sent.Before(began.Add(balancerLag))
 	}
--- a/internal/relay/pipeline/pipeline.go
+++ b/internal/relay/pipeline/pipeline.go
@@ -153,6 +153,9 @@
 	attempts int
 	// state is the furthest that any attempt can have run.
 	state call.RunState
+	// undecided says that the caller named the request's ID and the ledger has
+	// not said yet whether an earlier arrival under it ran.
+	undecided bool
 }
 
 // begin fixes the configuration that the request is planned under.
@@ -183,6 +186,9 @@
 	var r *call.Refusal
 	if errors.As(err, &r) {
 		r.State = max(r.State, f.state)
+		if f.undecided {
+			r.State = max(r.State, call.MayHaveRun)
+		}
 		f.record.Reason = string(r.Reason)
 		f.record.RunState = r.State.String()
 	}
--- a/internal/relay/pipeline/plain.go
+++ b/internal/relay/pipeline/plain.go
@@ -19,6 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.undecided = !c.Request.Idempotent && c.Request.Keyed
 	defer func() { err = p.end(f, err) }()
 	ticket, err := p.admit(ctx, f, c.Service, c.Request.Session != "")
 	if err != nil {
@@ -47,6 +48,7 @@
 	if err != nil {
 		return nil, ledger.Ticket{}, &call.Refusal{Reason: call.ReasonClaimUnavailable, Detail: err.Error(), RetryAfter: retryAfter}
 	}
+	f.undecided = false
 	switch result.State {
 	case ledger.ClaimGranted:
 		return nil, result.Ticket, nil
