--- a/internal/fleet/instance/status.go
+++ b/internal/fleet/instance/status.go
@@ -13,10 +13,13 @@
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/distribution"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/keeper"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/member"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/peer"
 	"github.com/kingcupyard/kingcupyard/internal/platform/store"
 	"github.com/kingcupyard/kingcupyard/internal/relay/explanation"
+	"github.com/kingcupyard/kingcupyard/internal/relay/front"
+	"github.com/kingcupyard/kingcupyard/internal/routing/session"
 )
 
 // teller tells the state of this instance, and asks the others for theirs.
@@ -37,7 +40,7 @@
 	}
 	if c := b.Confirmation.Get(); c != nil {
 		status.Ready, status.Reason, status.Revision = c.Allows(now), c.Reason, c.Revision
-		status.ConfirmedAge = now.Sub(c.At)
+		status.ConfirmedAge, status.StoreAge, status.Watching = now.Sub(c.At), age(now, c.StoreAt), c.Watching
 	}
 	if reason := get[*lifecycle](t.in).unready(b); reason != "" {
 		status.Ready, status.Reason = false, reason
@@ -48,11 +51,43 @@
 	for _, calls := range get[*store.Client](t.in).Calls() {
 		status.StoreCalls[calls.Purpose] = calls.Reads + calls.Writes + calls.Watches
 	}
+	if listing := b.Listing.Get(); listing != nil {
+		status.ListAge = age(now, listing.At)
+	}
 	status.Members = memberStatuses(b.Members.Get())
+	status.Keeper = t.duties(b)
+	status.InFlight = get[*front.Front](t.in).Active()
 	status.Servers = serverStatus(b.Servers.Get())
 	return status
 }
 
+// duties counts what this instance keeps, by kind.
+func (t teller) duties(b *board.Board) map[string]int {
+	duties := map[string]int{"Sessions": get[*session.Pins](t.in).Len(), "Copies": get[*accounts](t.in).holder.Len()}
+	members, servers := b.Members.Get(), b.Servers.Get()
+	if members == nil || servers == nil {
+		return duties
+	}
+	ring := keeper.NewRing(members.List, keeper.WithSuspects())
+	for i := range servers.List {
+		if k, ok := ring.Of(servers.List[i].Name); ok && k.Name == members.Self {
+			duties["Servers"]++
+		}
+	}
+	if get[*driverLease](t.in).holding.Load() {
+		duties["RolloutDriver"] = 1
+	}
+	return duties
+}
+
+// age is the time since t, negative if t is not known.
+func age(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t)
+}
+
 func memberStatuses(m *board.Members) []operator.MemberStatus {
 	if m == nil {
 		return nil
