Turn ready only with capacity to admit to; act as a balancer in load

Cause: an instance was ready once one backend server had reported, up to 250 ms before its gate had any capacity, and refused what came meanwhile. Change: ready asks for a report from servers of each service and an open gate; load can ask instances for readiness as the balancer does; operators can read the runtime's profiles. Conclusion: readiness now means that a request will be taken.

--- a/cmd/kingcupyard/load.go
+++ b/cmd/kingcupyard/load.go
@@ -24,6 +24,7 @@
 	targets  listFlag
 	models   listFlag
 	keys     listFlag
+	ready    listFlag
 	quiet    bool
 }
 
@@ -36,6 +37,7 @@
 func (c *loadCommand) SetFlags(f *flag.FlagSet) {
 	s := &c.settings
 	f.Var(&c.targets, "Target", "callers' addresses of instances, separated by commas")
+	f.Var(&c.ready, "Ready", "operators' addresses of the same instances, in the same order: only ready ones get requests")
 	f.Var(&c.keys, "Key", "API keys of customers, separated by commas")
 	f.Var(&c.models, "Models", "models to ask for, separated by commas")
 	f.Float64Var(&s.Rate, "Rate", 50, "mean arrivals a second")
@@ -64,6 +66,14 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	c.settings.Targets, c.settings.Keys, c.settings.Models = c.targets, c.keys, c.models
+	if len(c.ready) > 0 {
+		if len(c.ready) != len(c.targets) {
+			return c.fail(&operator.Problem{Kind: operator.ProblemBadInput, Field: "Ready", Value: c.ready.String(), Allowed: "one address for each target"})
+		}
+		b := newBalancer(c.targets, c.ready)
+		go b.watch(ctx)
+		c.settings.Pick = b.pick
+	}
 	if !c.quiet {
 		c.settings.Progress = os.Stderr
 	}
--- a/internal/console/operator/api.go
+++ b/internal/console/operator/api.go
@@ -8,6 +8,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"expvar"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -89,6 +90,7 @@
 	private.Post("/restore", a.restore)
 	private.Get("/explain/:id", a.explain)
 	private.Get("/ledger", a.ledger)
+	private.Get("/profile/:name", profile)
 	return app
 }
 
@@ -109,6 +111,16 @@
 	return c.SendString("ok\n")
 }
 
+// profile answers with one of the runtime's profiles, such as heap, allocs or
+// goroutine, in the format of go tool pprof.
+func profile(c fiber.Ctx) error {
+	p := pprof.Lookup(c.Params("name"))
+	if p == nil {
+		return &Problem{Kind: ProblemNotFound, Field: "Profile", Value: c.Params("name"), Message: "no such profile"}
+	}
+	return p.WriteTo(c.Response().BodyWriter(), 0)
+}
+
 func (a *API) status(c fiber.Ctx) error {
 	ctx, cancel := context.WithTimeout(c.Context(), requestLimit)
 	defer cancel()
--- a/internal/fleet/instance/status.go
+++ b/internal/fleet/instance/status.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/platform/store"
 	"github.com/kingcupyard/kingcupyard/internal/relay/explanation"
 	"github.com/kingcupyard/kingcupyard/internal/relay/front"
+	"github.com/kingcupyard/kingcupyard/internal/routing/admission"
 	"github.com/kingcupyard/kingcupyard/internal/routing/session"
 )
 
@@ -42,7 +43,7 @@
 		status.Ready, status.Reason, status.Revision = c.Allows(now), c.Reason, c.Revision
 		status.ConfirmedAge, status.StoreAge, status.Watching = now.Sub(c.At), age(now, c.StoreAt), c.Watching
 	}
-	if reason := get[*lifecycle](t.in).unready(b); reason != "" {
+	if reason := get[*lifecycle](t.in).unready(b, get[*admission.Gate](t.in)); reason != "" {
 		status.Ready, status.Reason = false, reason
 	}
 	if doc := b.Configuration.Get(); doc != nil {
--- a/internal/fleet/instance/stop.go
+++ b/internal/fleet/instance/stop.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/member"
@@ -19,33 +20,53 @@
 	"github.com/kingcupyard/kingcupyard/internal/platform/store"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/front"
+	"github.com/kingcupyard/kingcupyard/internal/routing/admission"
 	"github.com/kingcupyard/kingcupyard/internal/routing/capacity"
 )
 
 // lifecycle says whether the instance is on its way in or out.
 type lifecycle struct {
 	stopping atomic.Bool
-	// reported is set once a backend server's load is known.
+	// reported is set once the load of servers of each service is known.
 	reported atomic.Bool
 }
 
 // unready returns why the instance should get no requests from the balancer,
 // empty if it may.
-func (l *lifecycle) unready(b *board.Board) string {
+func (l *lifecycle) unready(b *board.Board, gate *admission.Gate) string {
 	if l.stopping.Load() {
 		return "Stopping"
 	}
 	if l.reported.Load() {
 		return ""
 	}
-	servers := b.Servers.Get()
-	if servers == nil || !lo.SomeBy(servers.List, func(s board.Server) bool { return !s.Report.ReceivedAt.IsZero() }) {
+	if !hasReports(b.Servers.Get(), b.Configuration.Get()) {
 		return "NoServerReported"
 	}
+	if !gate.IsOpen() {
+		return "NoCapacity"
+	}
 	l.reported.Store(true)
 	return ""
 }
 
+// hasReports reports whether each service that has servers has one whose load
+// is known.
+func hasReports(servers *board.Servers, doc *configuration.Document) bool {
+	if servers == nil || doc == nil {
+		return false
+	}
+	listed, reported := map[string]bool{}, map[string]bool{}
+	for i := range servers.List {
+		s := &servers.List[i]
+		if doc.Service(s.Service) != nil {
+			listed[s.Service] = true
+			reported[s.Service] = reported[s.Service] || !s.Report.ReceivedAt.IsZero()
+		}
+	}
+	return len(listed) > 0 && lo.EveryBy(lo.Keys(listed), func(name string) bool { return reported[name] })
+}
+
 // Stop is the graceful shutdown: the instance turns unready, waits until the
 // balancer has noticed, hands its duties over, finishes every request, flushes
 // the ledger and leaves. It cuts requests only when the stop timeout is over,
--- a/internal/routing/admission/gate.go
+++ b/internal/routing/admission/gate.go
@@ -152,6 +152,18 @@
 	})
 }
 
+// IsOpen reports whether the gate has capacity of any service to admit to.
+func (g *Gate) IsOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, q := range g.queues {
+		if q.slots > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close refuses all waiting and further requests, for a planned stop.
 func (g *Gate) Close() {
 	g.mu.Lock()
