Judge a customer's share over a minute, and bound retries from the first

The retry budget started with one retry, so its share did not hold for the first requests. Change: the share is compared with the average use of a minute, bursts up to three shares; the budget starts empty.

--- a/internal/routing/admission/budget.go
+++ b/internal/routing/admission/budget.go
@@ -17,11 +17,10 @@
 const tokenUnit = 1 << 16
 
 // NewRetryBudget returns a budget that allows share retries for each first
-// attempt and at most burst retries saved up. It starts with one retry.
+// attempt and at most burst retries saved up. It starts empty, so that the
+// share holds from the first request on.
 func NewRetryBudget(share float64, burst int) *RetryBudget {
-	b := &RetryBudget{share: int64(math.Floor(share * tokenUnit)), burst: int64(burst) * tokenUnit}
-	b.tokens.Store(min(tokenUnit, b.burst))
-	return b
+	return &RetryBudget{share: int64(math.Floor(share * tokenUnit)), burst: int64(burst) * tokenUnit}
 }
 
 // Deposit records a first attempt.
--- a/internal/routing/admission/queue.go
+++ b/internal/routing/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -31,6 +32,30 @@
 	active  int
 	waiting int
 	seen    time.Time
+	// use is the average of what it had in flight and waiting.
+	use   float64
+	useAt time.Time
+}
+
+// useTime is the time over which a customer's use is averaged: a short burst
+// of a customer that is mostly within its share is not held against it.
+const useTime = time.Minute
+
+// burstMost is the multiple of its share that a customer may use in a burst.
+const burstMost = 3
+
+// measure brings the average up to date; call it before active or waiting
+// change.
+func (c *customer) measure(now time.Time) float64 {
+	w := 1 - math.Exp(-now.Sub(c.useAt).Seconds()/useTime.Seconds())
+	c.use += w * (float64(c.active+c.waiting) - c.use)
+	c.useAt = now
+	return c.use
+}
+
+// over reports whether the customer uses its share or more.
+func (c *customer) over(share float64, now time.Time) bool {
+	return c.measure(now) >= share || float64(c.active+c.waiting) >= burstMost*share
 }
 
 // waiter is one request that waits for its turn.
@@ -58,7 +83,7 @@
 func (q *queue) submit(w *waiter, now time.Time) {
 	c := q.customers[w.ask.Customer]
 	if c == nil {
-		c = &customer{}
+		c = &customer{useAt: now}
 		q.customers[w.ask.Customer] = c
 	}
 	c.seen = now
@@ -66,6 +91,7 @@
 		w.refuse(reason, q.wait(w))
 		return
 	}
+	c.measure(now)
 	q.waiting = append(q.waiting, w)
 	c.waiting++
 	q.dispatch(now)
@@ -81,7 +107,7 @@
 	if w.ask.Session || float64(q.active+len(q.waiting)) < q.shedAt*float64(q.slots) {
 		return ""
 	}
-	if float64(c.active+c.waiting) < q.share(w.ask.Customer, now) {
+	if !c.over(q.share(w.ask.Customer, now), now) {
 		return ""
 	}
 	if len(q.customers) > 1 && c.active+c.waiting > 0 {
@@ -116,6 +142,7 @@
 		w := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		c := q.customers[w.ask.Customer]
+		c.measure(now)
 		c.waiting--
 		if !now.Before(w.deadline) {
 			w.refuse(call.ReasonDeadline, q.wait(w))
@@ -149,8 +176,8 @@
 }
 
 func (q *queue) rank(w *waiter, now time.Time) rank {
-	use := float64(q.customers[w.ask.Customer].active) / q.share(w.ask.Customer, now)
-	return rank{over: use >= 1, session: w.ask.Session, priority: w.ask.Priority, use: use}
+	c, share := q.customers[w.ask.Customer], q.share(w.ask.Customer, now)
+	return rank{over: c.over(share, now), session: w.ask.Session, priority: w.ask.Priority, use: c.use / share}
 }
 
 func (r rank) before(o rank) bool {
@@ -188,7 +215,9 @@
 
 func (q *queue) release(t *Ticket, outcome Outcome, now time.Time) {
 	q.active--
-	q.customers[t.customer].active--
+	c := q.customers[t.customer]
+	c.measure(now)
+	c.active--
 	if outcome == Answered {
 		q.hold += time.Duration(holdWeight * float64(now.Sub(t.at)-q.hold))
 	}
