--- a/internal/fleet/instance/credits.go
+++ b/internal/fleet/instance/credits.go
@@ -21,7 +21,7 @@
 	resp, err := p.client.Credit(ctx, member.PeerAddress, &peer.CreditRequest{
 		Member: req.Member, Generation: req.Generation, Sequence: req.Sequence,
 		Asks: lo.Map(req.Asks, func(a capacity.CreditAsk, _ int) *peer.CreditAsk {
-			return &peer.CreditAsk{Server: a.Server, InUse: int32(a.InUse), Limit: int32(a.Limit), Wanted: int32(a.Wanted), Epoch: a.Epoch}
+			return &peer.CreditAsk{Server: a.Server, InUse: int32(a.InUse), Limit: int32(a.Limit), Wanted: int32(a.Wanted), Epoch: a.Epoch, Cold: a.Cold}
 		}),
 	})
 	if err != nil {
@@ -45,7 +45,7 @@
 	resp := k.controller.Grant(capacity.CreditRequest{
 		Member: req.Member, Generation: req.Generation, Sequence: req.Sequence,
 		Asks: lo.Map(req.Asks, func(a *peer.CreditAsk, _ int) capacity.CreditAsk {
-			return capacity.CreditAsk{Server: a.Server, InUse: int(a.InUse), Limit: int(a.Limit), Wanted: int(a.Wanted), Epoch: a.Epoch}
+			return capacity.CreditAsk{Server: a.Server, InUse: int(a.InUse), Limit: int(a.Limit), Wanted: int(a.Wanted), Epoch: a.Epoch, Cold: a.Cold}
 		}),
 	})
 	return &peer.CreditResponse{Grants: lo.Map(resp.Grants, func(g capacity.CreditGrant, _ int) *peer.CreditGrant {
