--- a/internal/routing/capacity/report.go
+++ b/internal/routing/capacity/report.go
@@ -19,7 +19,6 @@
 	FaultFuture     ReportFault = "ReportFuture"
 	FaultOutOfOrder ReportFault = "ReportOutOfOrder"
 	FaultStale      ReportFault = "ReportStale"
-	FaultUnknown    ReportFault = "ReportUnknownServer"
 	// FaultGap is counted, but the report is used: it is newer than the last.
 	FaultGap ReportFault = "ReportGap"
 )
--- a/internal/routing/placement/explain.go
+++ b/internal/routing/placement/explain.go
@@ -142,7 +142,7 @@
 
 func (p *Placer) recheck(q *Query, server string) RuleOut {
 	servers, doc := p.board.Servers.Get(), p.board.Configuration.Get()
-	if c := p.board.Confirmation.Get(); doc == nil || c != nil && !c.Ready {
+	if c := p.board.Confirmation.Get(); doc == nil || c != nil && !c.Allows(p.clock.Now()) {
 		return RuledNotReady
 	}
 	if servers == nil {
