--- a/internal/routing/capacity/limiter_test.go
+++ b/internal/routing/capacity/limiter_test.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,3 +145,36 @@
 	is.Equal(ask.Limit, 0)
 	is.True(!l.Startable("s", start.Add(3*time.Second)))
 }
+
+func TestLimitHoldsUnderConcurrentStarts(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter(DefaultSettings())
+	cold := warmReport(start, 10)
+	cold.Cold = true
+	update(l, cold, start)
+	var running, most atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 3000 {
+				p, ok := l.Acquire("s", start)
+				if !ok {
+					continue
+				}
+				if p.Confirm(start) {
+					most.Store(max(most.Load(), running.Add(1)))
+					running.Add(-1)
+				}
+				p.Release()
+			}
+		})
+	}
+	for i := range 300 {
+		l.credit(CreditGrant{Server: "s", Count: 1 + i%4, Epoch: 1, Valid: time.Second}, start, start)
+		a := l.ask("s", start)
+		is.True(a.Limit <= 1+i%4)
+	}
+	wg.Wait()
+	is.Equal(l.InFlight("s"), 0)
+	is.True(most.Load() <= 4) // never more than the largest credit
+}
