--- a/internal/relay/pipeline/pipeline.go
+++ b/internal/relay/pipeline/pipeline.go
@@ -52,6 +52,11 @@
 	Record(server string, ok bool, pool int, now time.Time)
 }
 
+// Prefixes remembers which backend server holds a prompt's prefix.
+type Prefixes interface {
+	Stored(server string, prefix uint64)
+}
+
 // Attempts carries single attempts to backend servers.
 type Attempts interface {
 	Chat(ctx context.Context, target attempt.Target, chat attempt.Chat, sink func(attempt.Chunk) error) (attempt.Answer, error)
@@ -107,6 +112,7 @@
 	Placer     Placer
 	Limiter    Limiter
 	Health     Health
+	Prefixes   Prefixes
 	Attempts   Attempts
 	Ledger     Ledger
 	Cascade    Cascade
@@ -153,6 +159,9 @@
 	attempts int
 	// state is the furthest that any attempt can have run.
 	state call.RunState
+	// undecided says that the caller named the request's ID and the ledger has
+	// not said yet whether an earlier arrival under it ran.
+	undecided bool
 }
 
 // begin fixes the configuration that the request is planned under.
@@ -183,6 +192,9 @@
 	var r *call.Refusal
 	if errors.As(err, &r) {
 		r.State = max(r.State, f.state)
+		if f.undecided {
+			r.State = max(r.State, call.MayHaveRun)
+		}
 		f.record.Reason = string(r.Reason)
 		f.record.RunState = r.State.String()
 	}
