--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -23,6 +23,17 @@
 	idlePerAddress     = 2
 )
 
+// clientOptions compress messages that are worth it: reports repeat the names
+// of versions, and documents those of their fields.
+var clientOptions = []connect.ClientOption{
+	connect.WithReadMaxBytes(maxMessageBytes),
+	connect.WithSendGzip(),
+	connect.WithCompressMinBytes(minCompressBytes),
+}
+
+// minCompressBytes is the size from which messages are compressed.
+const minCompressBytes = 400
+
 var calls = expvar.NewMap("PeerCalls")
 
 // Client calls other instances. Each address has connections of its own:
@@ -131,7 +142,7 @@
 	httpClient := &http.Client{Transport: c.base(transport)}
 	l = &link{
 		transport: transport,
-		peer:      NewPeerClient(httpClient, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes)),
+		peer:      NewPeerClient(httpClient, "http://"+address, clientOptions...),
 		expires:   now.Add(age),
 	}
 	c.links[address] = l
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -155,7 +155,7 @@
 // Handler returns the HTTP handler to mount on the peer listener.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(NewPeerHandler(&service{s}, connect.WithReadMaxBytes(maxMessageBytes)))
+	mux.Handle(NewPeerHandler(&service{s}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes)))
 	return mux
 }
 
--- a/internal/platform/roster/controller.go
+++ b/internal/platform/roster/controller.go
@@ -1,8 +1,8 @@
 package roster
 
 import (
-	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -31,6 +31,8 @@
 	// listAt is when the list held was last known to be the platform's.
 	listAt  time.Time
 	servers map[string]*board.Server
+	// order is the names of the servers, sorted; nil after a change.
+	order []string
 	// fresh names the servers whose report this instance polled and has not
 	// yet sent to others.
 	fresh map[string]struct{}
@@ -123,10 +125,12 @@
 		return
 	}
 	c.dirty = false
-	list := make([]board.Server, 0, len(c.servers))
-	for _, s := range c.servers {
-		list = append(list, *s)
+	if c.order == nil {
+		c.order = slices.Sorted(maps.Keys(c.servers))
+	}
+	list := make([]board.Server, len(c.order))
+	for i, name := range c.order {
+		list[i] = *c.servers[name]
 	}
-	slices.SortFunc(list, func(a, b board.Server) int { return cmp.Compare(a.Name, b.Name) })
 	c.board.Servers.Publish(&board.Servers{List: list, At: c.clock.Now()})
 }
--- a/internal/platform/roster/listing.go
+++ b/internal/platform/roster/listing.go
@@ -90,6 +90,7 @@
 // listChanged brings the servers up to date with the list held, and publishes
 // the listing. The caller holds the lock.
 func (c *Controller) listChanged(changed change) {
+	c.order = nil
 	for _, l := range changed.changed {
 		if l.Service != OwnService {
 			c.takeServer(l.server())
