--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -27,7 +27,8 @@
 // of versions, and documents those of their fields.
 var clientOptions = []connect.ClientOption{
 	connect.WithReadMaxBytes(maxMessageBytes),
-	connect.WithSendGzip(),
+	connect.WithAcceptCompression(gzipName, newDecompressor, newCompressor),
+	connect.WithSendCompression(gzipName),
 	connect.WithCompressMinBytes(minCompressBytes),
 }
 
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -1,10 +1,13 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,12 +41,12 @@
 
 type counter struct {
 	net.Listener
-	accepted int
+	accepted atomic.Int32
 }
 
 func (c *counter) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
-	c.accepted++
+	c.accepted.Add(1)
 	return conn, err
 }
 
@@ -74,10 +77,9 @@
 	is := is.New(t)
 	inner := NewServer(WithHeartbeater(heart{})).Handler()
 	hang := make(chan struct{})
-	first := true
+	var answered atomic.Bool
 	address, conns := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if first {
-			first = false
+		if !answered.Swap(true) {
 			<-hang
 			return
 		}
@@ -92,7 +94,7 @@
 	is.Equal(len(c.links), 0)
 	_, err = c.Heartbeat(context.Background(), address, &HeartbeatRequest{})
 	is.NoErr(err)
-	is.Equal(conns.accepted, 2)
+	is.Equal(conns.accepted.Load(), int32(2))
 }
 
 // TestConnectionsAge dials anew after the greatest age of a connection.
@@ -106,5 +108,39 @@
 		_, err := c.Heartbeat(context.Background(), address, &HeartbeatRequest{})
 		is.NoErr(err)
 	}
-	is.Equal(conns.accepted, 2)
+	is.Equal(conns.accepted.Load(), int32(2))
+}
+
+type echo struct{}
+
+func (echo) Configuration(_ context.Context, req *ConfigurationRequest) (*ConfigurationResponse, error) {
+	return &ConfigurationResponse{Revision: req.DocumentRevision, Document: req.Document}, nil
+}
+
+// TestCompression sends messages below and above the size from which they are
+// compressed, from several clients at once.
+func TestCompression(t *testing.T) {
+	is := is.New(t)
+	address, _ := listen(t, NewServer(WithConfigurer(echo{})).Handler())
+	var wg sync.WaitGroup
+	errs := make(chan error, 64)
+	for i := range 8 {
+		wg.Go(func() {
+			c := NewClient(WithTimeout(30 * time.Second))
+			defer c.Close()
+			for size := range 8 {
+				document := bytes.Repeat([]byte{byte(i), 'x'}, 100<<size)
+				resp, err := c.Configuration(context.Background(), address, &ConfigurationRequest{Document: document})
+				if err == nil && !bytes.Equal(resp.Document, document) {
+					err = errors.New("another document came back")
+				}
+				errs <- err
+			}
+		})
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		is.NoErr(err)
+	}
 }
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -17,6 +17,12 @@
 // maxMessageBytes bounds a message; the store holds values up to a megabyte.
 const maxMessageBytes = 4 << 20
 
+var handlerOptions = []connect.HandlerOption{
+	connect.WithReadMaxBytes(maxMessageBytes),
+	connect.WithCompression(gzipName, newDecompressor, newCompressor),
+	connect.WithCompressMinBytes(minCompressBytes),
+}
+
 var refusals = expvar.NewMap("PeerRefusals")
 
 var errWrongKey = errors.New("wrong peer key")
@@ -155,7 +161,7 @@
 // Handler returns the HTTP handler to mount on the peer listener.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(NewPeerHandler(&service{s}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes)))
+	mux.Handle(NewPeerHandler(&service{s}, handlerOptions...))
 	return mux
 }
 
