Let one instance keep several ledger shards within the store's budget

12 shards each commit each 70 ms. Hashed over nine instances, one can keep four: 57 writes a second against a share of 30. A share is now three times the even one; the sum is kept by the ledger's own pace. The check that the even shares add up to the limit stays; beside it a fleet with unevenly held shards must stay under the limits, and one instance with four shards must not be held up.

--- a/internal/platform/store/budget.go
+++ b/internal/platform/store/budget.go
@@ -27,10 +27,14 @@
 	// Writers bounds how many instances hold duties that write all the time,
 	// such as ledger shards; the writes for duties are shared among so many.
 	Writers int
+	// Unevenness is how many times its even share of the duties one instance
+	// may hold, since they are spread by hashing. The duties themselves keep
+	// to a pace that does not depend on who holds them.
+	Unevenness float64
 }
 
 // DefaultLimits leave room for bursts below what the platform's service takes.
-var DefaultLimits = Limits{ReadsPerSecond: 1000, WritesPerSecond: 280, DutyShare: 0.85, Writers: 8}
+var DefaultLimits = Limits{ReadsPerSecond: 1000, WritesPerSecond: 280, DutyShare: 0.85, Writers: 12, Unevenness: 3}
 
 // Sizes of the buckets.
 const (
@@ -49,7 +53,7 @@
 	}
 	return Budget{
 		Reads:       l.ReadsPerSecond / float64(members),
-		DutyWrites:  l.WritesPerSecond * l.DutyShare / float64(writers),
+		DutyWrites:  l.WritesPerSecond * l.DutyShare * max(l.Unevenness, 1) / float64(writers),
 		OtherWrites: l.WritesPerSecond * (1 - l.DutyShare) / float64(members),
 	}
 }
--- a/internal/platform/store/client_test.go
+++ b/internal/platform/store/client_test.go
@@ -165,7 +165,8 @@
 		share := DefaultLimits.ShareOf(members)
 		writers := float64(min(members, DefaultLimits.Writers))
 		is.True(share.Reads*float64(members) <= DefaultLimits.ReadsPerSecond+1e-9)
-		is.True(share.DutyWrites*writers+share.OtherWrites*float64(members) <= DefaultLimits.WritesPerSecond+1e-9)
+		even := share.DutyWrites / DefaultLimits.Unevenness
+		is.True(even*writers+share.OtherWrites*float64(members) <= DefaultLimits.WritesPerSecond+1e-9)
 	}
 }
 
--- a/internal/platform/store/herd_test.go
+++ b/internal/platform/store/herd_test.go
@@ -50,10 +50,18 @@
 	writes map[int64]int
 }
 
-const herdTick = 50 * time.Millisecond
+// The ledger's shards, unevenly held, each committing as often as it may.
+const (
+	shards         = 12
+	shardHolders   = 3
+	commitInterval = 70 * time.Millisecond
+)
+
+const herdTick = 10 * time.Millisecond
 
 // newHerd builds the clients of 360 instances at the target size: two watchers
-// in each of 16 data centres, eight ledger shards, and statistics everywhere.
+// in each of 16 data centres, twelve ledger shards on three instances, and
+// statistics everywhere.
 func newHerd(instances int, opts ...Option) *herd {
 	h := &herd{clock: clockwork.NewFakeClockAt(time.Unix(1e9, 0)), reads: map[int64]int{}, writes: map[int64]int{}}
 	for i := range instances {
@@ -65,8 +73,10 @@
 		if i < 32 {
 			h.add(c, read, Configuration, time.Second)
 		}
-		if i < 8 {
-			h.add(c, write, Ledger, 50*time.Millisecond)
+		if i < shardHolders {
+			for range shards / shardHolders {
+				h.add(c, write, Ledger, commitInterval)
+			}
 		}
 		h.add(c, write, Statistics, 5*time.Minute)
 	}
@@ -145,6 +155,25 @@
 	}
 }
 
+// TestLedgerIsNotHeldUp lets one of nine instances keep four shards of twelve:
+// its share lets them commit as often as they may.
+func TestLedgerIsNotHeldUp(t *testing.T) {
+	is := is.New(t)
+	h := newHerd(9)
+	h.needs = h.needs[:0:0]
+	c := New("", WithClock(h.clock), WithMembers(func() int { return 9 }))
+	for range 4 {
+		h.add(c, write, Ledger, commitInterval)
+	}
+	const seconds = 60
+	h.run(seconds * time.Second)
+	made := 0
+	for _, n := range h.writes {
+		made += n
+	}
+	is.Equal(made, 4*int(seconds*time.Second/commitInterval)+4)
+}
+
 // TestIdle counts the calls for control while nothing happens, waiting watches
 // among them.
 func TestIdle(t *testing.T) {
