--- a/internal/measure/capacity/capacity_test.go
+++ b/internal/measure/capacity/capacity_test.go
@@ -25,7 +25,7 @@
 }
 
 // sizes are the fleets that slopes are drawn through.
-var sizes = []struct{ instances, dataCentres int }{{9, 3}, {18, 4}, {36, 8}, {72, 16}}
+var sizes = []struct{ instances, dataCentres int }{{9, 3}, {18, 4}, {36, 8}, {72, 16}, {144, 16}}
 
 // BenchmarkIdle measures control while nothing changes.
 //
@@ -36,7 +36,7 @@
 			for range b.N {
 				r, err := Measure(context.Background(), Settings{
 					Instances: size.instances, DataCentres: size.dataCentres, ServersPerInstance: 8,
-					Settle: 10 * time.Second, Window: 15 * time.Second, DocumentBytes: 20000,
+					Settle: 20 * time.Second, Window: 20 * time.Second, DocumentBytes: 20000,
 				})
 				if err != nil {
 					b.Fatal(err)
--- a/internal/measure/capacity/measure.go
+++ b/internal/measure/capacity/measure.go
@@ -41,6 +41,8 @@
 
 // memory returns the live heap and stacks in bytes.
 func memory() float64 {
+	// The second collection empties the pools.
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
