Roll up shards that are never idle

Cause: housekeeping skipped a shard whose commit was under way. At the target's load one always is, so chunks were never rolled up: after 30 s of one busy shard all of its 400 chunks were still there (TestRollUpUnderLoad, written first, failed). Change: housekeeping waits for its turn with the commits.

--- a/internal/billing/ledger/copier.go
+++ b/internal/billing/ledger/copier.go
@@ -223,3 +223,14 @@
 	ranked := append(append(first, second...), last...)
 	return ranked[:min(len(ranked), 2*wantedHolders+2)]
 }
+
+// uncopied returns the closing records that have too few holders.
+func (ln *lane) uncopied() []*entry {
+	var out []*entry
+	ln.each(func(e *entry) {
+		if e.record.Kind == KindClose && len(e.holders) < wantedHolders && !e.copying {
+			out = append(out, e)
+		}
+	})
+	return out
+}
--- a/internal/billing/ledger/house.go
+++ b/internal/billing/ledger/house.go
@@ -11,9 +11,9 @@
 // and otherwise drops the shard once nobody asks for it.
 func (s *shard) housekeep(ctx context.Context, kept bool, members *board.Members) {
 	select {
-	case s.busy <- struct{}{}:
-	default:
-		return // a commit is under way; the next look is soon
+	case s.busy <- struct{}{}: // in turn with the commits
+	case <-s.clock.After(s.keeper.storeLimit):
+		return
 	}
 	defer func() { <-s.busy }()
 	now := s.clock.Now()
--- a/internal/billing/ledger/lane.go
+++ b/internal/billing/ledger/lane.go
@@ -1,13 +1,10 @@
 package ledger
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-
-	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 )
 
 const (
@@ -292,40 +289,3 @@
 	})
 	return records, unsafe
 }
-
-func (ln *lane) uncopied() []*entry {
-	var out []*entry
-	ln.each(func(e *entry) {
-		if e.record.Kind == KindClose && len(e.holders) < wantedHolders && !e.copying {
-			out = append(out, e)
-		}
-	})
-	return out
-}
-
-// ask sends a request to the keeper of its shard. A keeper that does not
-// answer is passed over for a while, so that its successor is asked next.
-func (l *Ledger) ask(req Request) ([]Outcome, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	timer := l.clock.AfterFunc(l.limits.Send, cancel)
-	defer timer.Stop()
-	to, ok := l.routes.keeperOf(req.Shard, l.members, l.clock.Now())
-	if !ok {
-		return nil, errNoKeeper
-	}
-	resp, err := l.askMember(ctx, to, req)
-	if err != nil || len(resp.Outcomes) != len(req.Records) {
-		sends.Add("PeerFailed", 1)
-		l.routes.avoid(to.Name, l.clock.Now())
-		return nil, err
-	}
-	return resp.Outcomes, nil
-}
-
-func (l *Ledger) askMember(ctx context.Context, to board.Member, req Request) (Response, error) {
-	if to.Name == l.self.Instance {
-		return l.keeper.Handle(ctx, req), nil
-	}
-	return l.peers.Ledger(ctx, to, req)
-}
--- a/internal/billing/ledger/measure_test.go
+++ b/internal/billing/ledger/measure_test.go
@@ -312,3 +312,27 @@
 		w.end()
 	})
 }
+
+// TestRollUpUnderLoad keeps one shard busy without a break; its chunks must be
+// rolled up all the same.
+func TestRollUpUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(12, 1)
+		defer w.end()
+		var wg sync.WaitGroup
+		for range 6000 {
+			time.Sleep(5 * time.Millisecond)
+			bill := Bill{ID: sameShard("r"), Customer: "c" + strconv.Itoa(w.rng.IntN(1<<30))}
+			for ShardOf(bill.Customer, bill.ID) != 0 {
+				bill.Customer = "c" + strconv.Itoa(w.rng.IntN(1<<30))
+			}
+			wg.Go(func() { _, _ = w.nodes[0].ledger.Close(w.ctx, bill) })
+		}
+		audit, err := ReadAudit(context.Background(), w.store, testWindows())
+		is.NoErr(err)
+		is.True(audit.Shards[0].Last > 300)
+		is.True(audit.Shards[0].Chunks < 200) // the rest is rolled up
+		wg.Wait()
+	})
+}
--- a/internal/billing/ledger/routes.go
+++ b/internal/billing/ledger/routes.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -54,3 +55,30 @@
 	r.avoided[name] = now.Add(avoidFor)
 	r.dirty = true
 }
+
+// ask sends a request to the keeper of its shard. A keeper that does not
+// answer is passed over for a while, so that its successor is asked next.
+func (l *Ledger) ask(req Request) ([]Outcome, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timer := l.clock.AfterFunc(l.limits.Send, cancel)
+	defer timer.Stop()
+	to, ok := l.routes.keeperOf(req.Shard, l.members, l.clock.Now())
+	if !ok {
+		return nil, errNoKeeper
+	}
+	resp, err := l.askMember(ctx, to, req)
+	if err != nil || len(resp.Outcomes) != len(req.Records) {
+		sends.Add("PeerFailed", 1)
+		l.routes.avoid(to.Name, l.clock.Now())
+		return nil, err
+	}
+	return resp.Outcomes, nil
+}
+
+func (l *Ledger) askMember(ctx context.Context, to board.Member, req Request) (Response, error) {
+	if to.Name == l.self.Instance {
+		return l.keeper.Handle(ctx, req), nil
+	}
+	return l.peers.Ledger(ctx, to, req)
+}
