Kill and replace an instance in the demo

Cause: instances are replaced at any time, and the demo only stopped them in good order. Change: one instance is killed at 7.5 s and another started in its place.

--- a/cmd/kingcupyard/demo.go
+++ b/cmd/kingcupyard/demo.go
@@ -100,7 +100,7 @@
 		return demo.Instance{}, err
 	}
 	a := i.Addresses()
-	return demo.Instance{Callers: a.Callers, Operators: a.Operators, Peers: a.Peers, Stop: i.Stop}, nil
+	return demo.Instance{Callers: a.Callers, Operators: a.Operators, Peers: a.Peers, Stop: i.Stop, Kill: i.Kill}, nil
 }
 
 // demoOperator performs changes through the operator API.
--- a/internal/measure/demo/fleet.go
+++ b/internal/measure/demo/fleet.go
@@ -39,6 +39,8 @@
 	Peers     string
 	// Stop is a planned stop; it returns when the instance has left.
 	Stop func(ctx context.Context) error
+	// Kill ends the instance as a crash does, if the starter can do that.
+	Kill func()
 }
 
 // Starter starts one instance.
@@ -100,21 +102,10 @@
 func startFleet(ctx context.Context, d Deployment, p *Platform, s Starter, count int, clock clockwork.Clock, record func(invariant.Event)) (*fleet, error) {
 	f := &fleet{clock: clock, record: record, client: &http.Client{Timeout: probeTimeout}}
 	for n := range count {
-		settings := InstanceSettings{
-			Name: fmt.Sprintf("instance-%d", n+1), DataCentre: d.DataCentres[n%len(d.DataCentres)], Region: d.Region,
-			Store: p.addresses.Store, InstanceList: p.addresses.InstanceList, Rating: p.addresses.Rating, Weights: p.addresses.Weights,
-			OperatorKeyHash: configuration.HashKey(operatorKey), PeerKey: peerKey,
-		}
-		in, err := s.Start(ctx, settings)
-		if err != nil {
+		if err := f.start(ctx, d, p, s, n); err != nil {
 			f.stopAll(ctx, p)
-			return nil, fmt.Errorf("start %s: %w", settings.Name, err)
+			return nil, err
 		}
-		f.members = append(f.members, &member{name: settings.Name, instance: in})
-		p.Roster.Put(roster.Instance{
-			Name: settings.Name, Address: in.Callers, PeerAddress: in.Peers, Service: instanceEntry,
-			DataCentre: settings.DataCentre, Region: d.Region, Generation: 1,
-		})
 	}
 	if err := f.awaitReady(ctx); err != nil {
 		f.stopAll(ctx, p)
@@ -123,6 +114,39 @@
 	return f, nil
 }
 
+// start starts the instance number n and lists it.
+func (f *fleet) start(ctx context.Context, d Deployment, p *Platform, s Starter, n int) error {
+	settings := InstanceSettings{
+		Name: fmt.Sprintf("instance-%d", n+1), DataCentre: d.DataCentres[n%len(d.DataCentres)], Region: d.Region,
+		Store: p.addresses.Store, InstanceList: p.addresses.InstanceList, Rating: p.addresses.Rating, Weights: p.addresses.Weights,
+		OperatorKeyHash: configuration.HashKey(operatorKey), PeerKey: peerKey,
+	}
+	in, err := s.Start(ctx, settings)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", settings.Name, err)
+	}
+	f.mu.Lock()
+	f.members = append(f.members, &member{name: settings.Name, instance: in})
+	f.mu.Unlock()
+	p.Roster.Put(roster.Instance{
+		Name: settings.Name, Address: in.Callers, PeerAddress: in.Peers, Service: instanceEntry,
+		DataCentre: settings.DataCentre, Region: d.Region, Generation: 1,
+	})
+	return nil
+}
+
+// kill ends an instance as a crash does.
+func (f *fleet) kill(p *Platform, m *member) {
+	if m.instance.Kill == nil {
+		return
+	}
+	f.mu.Lock()
+	m.stopped = true
+	f.mu.Unlock()
+	m.instance.Kill()
+	p.Roster.Remove(m.name)
+}
+
 func (f *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
--- a/internal/measure/demo/step.go
+++ b/internal/measure/demo/step.go
@@ -69,6 +69,13 @@
 		{5 * time.Second, "TurnCold", r.turnCold},
 		{6 * time.Second, "BreakStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 5 })},
 		{6*time.Second + faultDuration, "MendStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 0 })},
+		{7500 * time.Millisecond, "KillInstance", func(context.Context) error {
+			r.fleet.kill(r.platform, r.fleet.list()[2])
+			return nil
+		}},
+		{7800 * time.Millisecond, "ReplaceInstance", func(ctx context.Context) error {
+			return r.fleet.start(ctx, d, r.platform, r.settings.Starter, instances)
+		}},
 		{8 * time.Second, "CrossAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = true })},
 		{8*time.Second + faultDuration, "MendAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = false })},
 		{9500 * time.Millisecond, "SilenceConnections", r.engineFault(6, func(f *engine.Faults) { f.Silence = true })},
