--- a/cmd/kingcupyard/demo.go
+++ b/cmd/kingcupyard/demo.go
@@ -94,13 +94,13 @@
 		OperatorKeyHash: d.OperatorKeyHash, PeerKey: d.PeerKey,
 		MaxBodyBytes: 1 << 20, RequestTimeout: 10 * time.Second,
 		DrainDelay: demoDrainDelay, StopTimeout: 20 * time.Second,
-		ConnectTimeout: 500 * time.Millisecond, FirstTokenTimeout: 2 * time.Second, TokenTimeout: time.Second,
+		ConnectTimeout: 500 * time.Millisecond, FirstTokenTimeout: time.Second, TokenTimeout: time.Second,
 	}, instance.WithLogger(s.log.With(zap.String("Instance", d.Name))))
 	if err := i.Start(); err != nil {
 		return demo.Instance{}, err
 	}
 	a := i.Addresses()
-	return demo.Instance{Callers: a.Callers, Operators: a.Operators, Peers: a.Peers, Stop: i.Stop}, nil
+	return demo.Instance{Callers: a.Callers, Operators: a.Operators, Peers: a.Peers, Stop: i.Stop, Kill: i.Kill}, nil
 }
 
 // demoOperator performs changes through the operator API.
--- a/internal/measure/demo/step.go
+++ b/internal/measure/demo/step.go
@@ -26,6 +26,9 @@
 	longStreamSeed     = 1 << 32
 )
 
+// outageDuration is how long the platform's store is down.
+const outageDuration = 2 * time.Second
+
 // faultDuration is how long a passing fault lasts.
 const faultDuration = time.Second
 
@@ -66,6 +69,13 @@
 		{5 * time.Second, "TurnCold", r.turnCold},
 		{6 * time.Second, "BreakStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 5 })},
 		{6*time.Second + faultDuration, "MendStreams", r.engineFault(3, func(f *engine.Faults) { f.BreakAfterTokens = 0 })},
+		{7500 * time.Millisecond, "KillInstance", func(context.Context) error {
+			r.fleet.kill(r.platform, r.fleet.list()[2])
+			return nil
+		}},
+		{7800 * time.Millisecond, "ReplaceInstance", func(ctx context.Context) error {
+			return r.fleet.start(ctx, d, r.platform, r.settings.Starter, instances)
+		}},
 		{8 * time.Second, "CrossAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = true })},
 		{8*time.Second + faultDuration, "MendAnswers", r.engineFault(5, func(f *engine.Faults) { f.CrossAnswers = false })},
 		{9500 * time.Millisecond, "SilenceConnections", r.engineFault(6, func(f *engine.Faults) { f.Silence = true })},
@@ -77,6 +87,8 @@
 		}},
 		{13 * time.Second, "ApplyPreset", func(ctx context.Context) error { return op.ApplyPreset(ctx, preset.Ordinary) }},
 		{13500 * time.Millisecond, "Disallow", func(ctx context.Context) error { return op.Disallow(ctx, probeName, modelBasic) }},
+		{14500 * time.Millisecond, "StoreDown", r.storeFault(func(f *store.Faults) { f.Down = true })},
+		{14500*time.Millisecond + outageDuration, "StoreUp", r.storeFault(func(f *store.Faults) { f.Down = false })},
 	}
 }
 
--- a/internal/routing/capacity/controller.go
+++ b/internal/routing/capacity/controller.go
@@ -26,6 +26,8 @@
 	roll     roll
 	sequence uint64
 	asking   map[string]uint64 // keeper to the sequence of the request on its way
+	ringOf   *board.Members
+	ring     *keeper.Ring // of ringOf
 }
 
 // NewController returns a controller; Run starts it.
@@ -103,14 +105,20 @@
 		return nil
 	}
 	now := c.clock.Now()
+	needing := c.limiter.needing(members, c.set.Askers)
+	if len(needing) == 0 {
+		return nil
+	}
 	self := selfOf(members)
-	ring := keeper.NewRing(members.List, keeper.WithSuspects())
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ringOf != members {
+		c.ringOf, c.ring = members, keeper.NewRing(members.List, keeper.WithSuspects())
+	}
 	byKeeper := map[string]*Plan{}
 	var order []string
-	for _, name := range c.limiter.needing(members, c.set.Askers) {
-		k, ok := ring.Of(name)
+	for _, name := range needing {
+		k, ok := c.ring.Of(name)
 		if !ok || c.asking[k.Name] != 0 {
 			continue
 		}
