Stream whole answers from the engine and assemble them

Cause: the demo hung for 16 s at a planned stop: a whole answer on a connection that the engine had silenced waited for Limits.Whole, since the kernel at the other end still answers probes. A short limit would cut long answers. Change: a whole answer that is one text is streamed from the engine under the limits for tokens, and put together. Requests for more than one text are left to the engine as before.

--- a/internal/relay/attempt/attempt.go
+++ b/internal/relay/attempt/attempt.go
@@ -44,8 +44,8 @@
 	// FirstByte bounds the time from the end of the write to the first token
 	// of a stream, or to the first byte of a plain answer.
 	FirstByte time.Duration
-	// Whole takes its place for chat answers that are not streamed, which say
-	// nothing until all tokens are generated.
+	// Whole takes its place for chat answers that are not streamed from the
+	// engine and say nothing until all tokens are generated.
 	Whole time.Duration
 	// Progress bounds the time between tokens, or between bytes of a body.
 	Progress time.Duration
--- a/internal/relay/attempt/chat.go
+++ b/internal/relay/attempt/chat.go
@@ -20,18 +20,20 @@
 
 // Chat runs one attempt. When streaming, sink gets each chunk in order; while
 // it blocks, nothing more is read from the engine. An error of sink ends the
-// attempt as CallerGone and cancels the engine's stream.
+// attempt as CallerGone and cancels the engine's stream. Otherwise the answer
+// comes whole; it is still streamed from the engine if it is one text.
 func (c *Client) Chat(ctx context.Context, target Target, chat Chat, sink func(Chunk) error) (Answer, error) {
 	x := c.newExchange(target, chat.AttemptID, chat.Limits, chat.Progress)
 	x.delivered, x.before = chat.ResumeFrom, chat.BeforeWrite
-	if !chat.Stream {
-		x.limits.FirstByte = x.limits.Whole
-	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	if err := x.encodeChat(req, chat); err != nil {
+	streamed, err := x.encodeChat(req, chat)
+	if err != nil {
 		return Answer{}, x.fail(BadRequest, err)
 	}
+	if !streamed {
+		x.limits.FirstByte = x.limits.Whole
+	}
 	if err := x.connect(ctx, true); err != nil {
 		return Answer{}, err
 	}
@@ -47,29 +49,34 @@
 		return Answer{}, x.refused(resp)
 	}
 	x.advance(call.Ran)
-	if chat.Stream {
+	switch {
+	case chat.Stream:
 		return x.readStream(resp, chat, sink)
+	case streamed && !isJSON(resp):
+		return x.assemble(resp, chat)
 	}
 	return x.readWhole(resp)
 }
 
-func (x *exchange) encodeChat(req *fasthttp.Request, chat Chat) error {
+// encodeChat reports whether the engine is asked for a stream.
+func (x *exchange) encodeChat(req *fasthttp.Request, chat Chat) (streamed bool, err error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(chat.Body, &fields); err != nil {
-		return fmt.Errorf("decode chat request: %w", err)
+		return false, fmt.Errorf("decode chat request: %w", err)
 	}
 	if fields == nil {
-		return errors.New("decode chat request: not an object")
+		return false, errors.New("decode chat request: not an object")
 	}
 	model, err := json.Marshal(chat.Model + "@" + chat.Version)
 	if err != nil {
-		return fmt.Errorf("encode model: %w", err)
+		return false, fmt.Errorf("encode model: %w", err)
 	}
 	fields["model"] = model
-	fields["stream"] = json.RawMessage(strconv.FormatBool(chat.Stream))
+	streamed = chat.Stream || isAssembled(fields)
+	fields["stream"] = json.RawMessage(strconv.FormatBool(streamed))
 	body, err := json.Marshal(fields)
 	if err != nil {
-		return fmt.Errorf("encode chat request: %w", err)
+		return false, fmt.Errorf("encode chat request: %w", err)
 	}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + x.target.Address + chatPath)
@@ -80,7 +87,7 @@
 		req.Header.Set(HeaderResumeFrom, strconv.Itoa(chat.ResumeFrom))
 	}
 	req.SetBody(body)
-	return nil
+	return streamed, nil
 }
 
 func setIdentity(req *fasthttp.Request, attempt, request, customer string) {
--- a/internal/relay/attempt/fake_test.go
+++ b/internal/relay/attempt/fake_test.go
@@ -229,7 +229,7 @@
 
 func (s *session) whole(word string) {
 	body := fmt.Sprintf(`{"id":%q,"choices":[{"finish_reason":"stop"}],"usage":{"prompt_tokens":7,"completion_tokens":3}}`, s.id)
-	header := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n", s.id)
+	header := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Attempt-Id: %s\r\n", s.id)
 	if word == "unframed" {
 		s.send("%sConnection: close\r\n\r\n%s", header, body)
 		return
--- a/internal/relay/attempt/schedule_test.go
+++ b/internal/relay/attempt/schedule_test.go
@@ -219,7 +219,7 @@
 	if fault == "CutInTheMiddle" || fault == "EndEarly" || fault == "Gap" || fault == "Repeat" {
 		body = body[:length/2]
 	}
-	s.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, length, body)
+	s.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, length, body)
 	if len(body) < length {
 		s.nc.Close()
 		s.failed = true
@@ -284,10 +284,15 @@
 			if err == nil && answer.Status == http.StatusOK && !strings.Contains(string(answer.Body), strconv.Quote(request)) {
 				fail("got another answer: %s", answer.Body)
 			}
-		case "Whole":
+		case "Whole", "Assembled":
+			chat := Chat{AttemptID: id, RequestID: request, Body: []byte(chatBody), Progress: progress}
+			wanted := strconv.Quote(strings.Repeat(request+" ", answerTokens))
+			if kind == "Whole" {
+				chat.Body, wanted = []byte(`{"tools":[],"messages":[]}`), strconv.Quote(request)
+			}
 			var answer Answer
-			answer, err = client.Chat(context.Background(), target("one"), Chat{AttemptID: id, RequestID: request, Body: []byte(chatBody), Progress: progress}, nil)
-			if err == nil && !strings.Contains(string(answer.Body), strconv.Quote(request)) {
+			answer, err = client.Chat(context.Background(), target("one"), chat, nil)
+			if err == nil && !strings.Contains(string(answer.Body), wanted) {
 				fail("got another answer: %s", answer.Body)
 			}
 		case "Stream":
@@ -365,7 +370,7 @@
 	var wg sync.WaitGroup
 	for i := range scheduleRequests {
 		time.Sleep(c.pause())
-		kind := []string{"Booking", "Whole", "Stream"}[i%3]
+		kind := []string{"Booking", "Whole", "Stream", "Assembled"}[i%4]
 		wg.Go(func() {
 			if wrong := c.run(client, kind, fmt.Sprintf("r%d", i)); len(wrong) > 0 {
 				t.Errorf("seed %d: %s", seed, strings.Join(wrong, "; "))
--- a/internal/relay/attempt/silence_test.go
+++ b/internal/relay/attempt/silence_test.go
@@ -157,7 +157,7 @@
 			if way == probed {
 				limit = time.Hour
 			}
-			c := New(WithDial(n.dial), WithLimits(Limits{Whole: limit}))
+			c := New(WithDial(n.dial), WithLimits(Limits{FirstByte: limit}))
 			defer c.Close()
 			for _, a := range []string{"one", "two", "three"} {
 				is.Equal(askMany(c, a, 8), 0)
@@ -186,7 +186,7 @@
 		is := is.New(t)
 		n := newNetwork(t, slowWhole, "one")
 		defer n.stop()
-		c := New(WithDial(n.dial), WithLimits(Limits{Whole: 5 * time.Second}))
+		c := New(WithDial(n.dial), WithLimits(Limits{FirstByte: 5 * time.Second}))
 		defer c.Close()
 		is.NoErr(ask(c, "one"))
 		n.loseTrack(both)
