Catch versions that turn bad in mid-stage or after completion

Cause: after many good outcomes the cumulative evidence needs as many bad ones, and a complete roll-out was not watched at all. Change: ratings and failures of the last 15 s and the last minute are tested by themselves; for an hour after completion strong evidence withdraws the version and makes the old one the default again, if that is still active. TestLateFaults fails without the recent evidence, the check for a version to go back to, or the end of the watch.

--- a/internal/release/rollout/decide.go
+++ b/internal/release/rollout/decide.go
@@ -43,6 +43,19 @@
 	Now  time.Time
 }
 
+// newCase gathers the evidence on a roll-out.
+func newCase(e *Evidence, recent windows, r *configuration.Rollout, pace float64, now time.Time) Case {
+	c := Case{
+		Rollout: r,
+		Old:     e.Summaries(r.Model, r.From),
+		New:     e.Summaries(r.Model, r.To),
+		Pace:    pace,
+		Now:     now,
+	}
+	c.New.Recent = recent.of(r.Model).recent(now, Trial(r), c.New.Tally)
+	return c
+}
+
 // Decision is a verdict with the evidence it rests on.
 type Decision struct {
 	Verdict Verdict
--- a/internal/release/rollout/driver.go
+++ b/internal/release/rollout/driver.go
@@ -39,6 +39,7 @@
 	// committed is the revision of the driver's latest change; nothing is
 	// decided on an older document.
 	committed int64
+	recent    windows
 }
 
 // DriverOption changes a Driver.
@@ -55,6 +56,7 @@
 	d := &Driver{
 		board: b, evidence: evidence, lease: lease, editor: editor,
 		loader: newLoader(orders, weights),
+		recent: windows{},
 		clock:  clockwork.NewRealClock(), log: zap.NewNop(),
 	}
 	for _, o := range options {
@@ -114,7 +116,7 @@
 	var errs []error
 	for _, m := range doc.Models {
 		r := doc.RolloutOf(m.Name)
-		if r == nil || !isUnderWay(r.State) {
+		if r == nil || !isUnderWay(r.State) && !isWatched(r, d.clock.Now()) {
 			continue
 		}
 		if err := d.drive(ctx, fence, doc, r); err != nil {
@@ -216,13 +218,10 @@
 	if p := doc.PresetInForce(); p != nil {
 		pace = p.RolloutPace
 	}
-	decision := Decide(Case{
-		Rollout: r,
-		Old:     d.evidence.Summaries(r.Model, r.From),
-		New:     d.evidence.Summaries(r.Model, r.To),
-		Pace:    pace,
-		Now:     now,
-	})
+	decision := Decide(newCase(d.evidence, d.recent, r, pace, now))
+	if v := doc.Model(r.Model).Version(r.From); decision.Verdict == VerdictWithdraw && (v == nil || v.State != configuration.VersionActive) {
+		return Decision{VerdictHold, "no version to go back to; " + decision.Reason}
+	}
 	return withCapacity(decision, r, capacityOf(d.board.Servers.Get(), doc, r, now), pace)
 }
 
@@ -230,7 +229,9 @@
 // takes it back if its servers are gone.
 func withCapacity(d Decision, r *configuration.Rollout, c Capacity, pace float64) Decision {
 	switch {
-	case d.Verdict == VerdictHalt || d.Verdict == VerdictWithdraw || r.State == configuration.RolloutHalted:
+	case d.Verdict == VerdictHalt || d.Verdict == VerdictWithdraw:
+		return d
+	case r.State == configuration.RolloutHalted || r.State == configuration.RolloutComplete:
 		return d
 	case r.State == configuration.RolloutPreparing:
 		if pace > 0 && c.bears(r.Stages[r.Stage]) {
--- a/internal/release/rollout/driver_test.go
+++ b/internal/release/rollout/driver_test.go
@@ -188,3 +188,58 @@
 	b.Configuration.Publish(resumed)
 	is.Equal(g.Unit("m", 0.1), 0.1) // a new trial starts open
 }
+
+// TestLateFaults lets a version turn bad after many good outcomes, in the middle
+// of a stage and after the last.
+func TestLateFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state configuration.RolloutState
+		old   configuration.VersionState
+		after configuration.RolloutState
+		def   string
+	}{
+		{"in a stage", configuration.RolloutRunning, configuration.VersionActive, configuration.RolloutWithdrawn, "v1"},
+		{"complete", configuration.RolloutComplete, configuration.VersionActive, configuration.RolloutWithdrawn, "v1"},
+		{"nothing to go back to", configuration.RolloutComplete, configuration.VersionWithdrawn, configuration.RolloutComplete, "v2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p, d, evidence := newFake(t)
+			doc := running(0, 0.5, 1)
+			doc.DataCentres = []configuration.DataCentre{{Name: "dc0"}, {Name: "dc1"}}
+			doc.Rollouts[0].Fence = 1
+			doc.Rollouts[0].State = c.state
+			doc.Models[0].Versions[0].State = c.old
+			if c.state == configuration.RolloutComplete {
+				doc.Models[0].Default = "v2"
+			}
+			p.board.Configuration.Publish(doc)
+			p.publish(6, 6)
+			rate := func(n, bad int) {
+				for i := range n {
+					evidence.Record(Observation{Customer: "all", Model: "m", Version: "v1", Rated: true, Pass: i%20 > 0})
+					evidence.Record(Observation{Customer: "all", Model: "m", Version: "v2", Rated: true, Pass: i%20 >= bad})
+				}
+				is.NoErr(d.Step(context.Background(), 1))
+				p.clock.Advance(markInterval)
+			}
+			rate(4000, 1)
+			is.Equal(p.rollout().State, c.state)
+			for range 3 {
+				rate(40, 8)
+			}
+			is.Equal(p.rollout().State, c.after)
+			is.Equal(p.board.Configuration.Get().Model("m").Default, c.def)
+
+			p.clock.Advance(WatchTime)
+			complete := running(0, 0.5, 1)
+			complete.Rollouts[0].State, complete.Rollouts[0].Fence = configuration.RolloutComplete, 1
+			complete.Revision = p.board.Configuration.Get().Revision
+			p.board.Configuration.Publish(complete)
+			rate(40, 20)
+			rate(40, 20)
+			is.Equal(p.rollout().State, configuration.RolloutComplete) // no longer watched
+		})
+	}
+}
--- a/internal/release/rollout/evidence.go
+++ b/internal/release/rollout/evidence.go
@@ -165,6 +165,9 @@
 	Customers map[string]*Tally
 	// Whole is of all trials since the roll-out started or was resumed.
 	Whole Tally
+	// Recent are of the last seconds and of the last minute; only ratings and
+	// failures are in them.
+	Recent []Tally
 }
 
 // Summaries returns the outcomes of a version in the roll-out under way.
--- a/internal/release/rollout/exposure_test.go
+++ b/internal/release/rollout/exposure_test.go
@@ -90,19 +90,31 @@
 	seeds int
 	fault
 }{
-	{"Drifted", exposureSeeds, func(int, string) quality { return drifted }},
-	{"Outright", exposureSeeds, func(int, string) quality { return outright }},
-	{"Empty", otherSeeds, func(int, string) quality { return with(func(q *quality) { q.pass = 0 }) }},
-	{"Slow", otherSeeds, func(int, string) quality { return with(func(q *quality) { q.firstToken *= 3 }) }},
-	{"Wordy", otherSeeds, func(int, string) quality { return with(func(q *quality) { q.tokens *= 3 }) }},
-	{"LaterStage", otherSeeds, func(stage int, _ string) quality {
-		if stage >= 2 {
+	{"Drifted", exposureSeeds, func(moment) quality { return drifted }},
+	{"Outright", exposureSeeds, func(moment) quality { return outright }},
+	{"Empty", otherSeeds, func(moment) quality { return with(func(q *quality) { q.pass = 0 }) }},
+	{"Slow", otherSeeds, func(moment) quality { return with(func(q *quality) { q.firstToken *= 3 }) }},
+	{"Wordy", otherSeeds, func(moment) quality { return with(func(q *quality) { q.tokens *= 3 }) }},
+	{"LaterStage", otherSeeds, func(m moment) quality {
+		if m.stage >= 2 {
 			return drifted
 		}
 		return good
 	}},
-	{"OneCustomer", otherSeeds, func(_ int, customer string) quality {
-		if customer == "b" {
+	{"MidStage", otherSeeds, func(m moment) quality {
+		if m.stage > 3 || m.stage == 3 && m.age > StageTime/2 {
+			return drifted
+		}
+		return good
+	}},
+	{"Complete", otherSeeds, func(m moment) quality {
+		if m.complete {
+			return drifted
+		}
+		return good
+	}},
+	{"OneCustomer", otherSeeds, func(m moment) quality {
+		if m.customer == "b" {
 			return with(func(q *quality) { q.pass = 0.6 })
 		}
 		return good
--- a/internal/release/rollout/guard.go
+++ b/internal/release/rollout/guard.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 )
 
@@ -19,11 +20,12 @@
 	clock    clockwork.Clock
 	// closed maps models to the trials that the evidence speaks against.
 	closed atomic.Pointer[map[string]string]
+	recent windows // used by Check only
 }
 
 // NewGuard returns a guard that lets everything pass until Check or Run.
 func NewGuard(b *board.Board, evidence *Evidence, clock clockwork.Clock) *Guard {
-	return &Guard{board: b, evidence: evidence, clock: clock}
+	return &Guard{board: b, evidence: evidence, clock: clock, recent: windows{}}
 }
 
 // Run checks once in each interval until ctx ends.
@@ -48,7 +50,7 @@
 	before := g.closed.Load()
 	for _, m := range doc.Models {
 		r := doc.RolloutOf(m.Name)
-		if r == nil || !isJudged(r.State) {
+		if r == nil || !isJudged(r.State) || r.State == configuration.RolloutComplete && !isWatched(r, g.clock.Now()) {
 			continue
 		}
 		trial := Trial(r)
@@ -56,12 +58,7 @@
 			closed[m.Name] = trial
 			continue
 		}
-		d := Decide(Case{
-			Rollout: r,
-			Old:     g.evidence.Summaries(r.Model, r.From),
-			New:     g.evidence.Summaries(r.Model, r.To),
-			Now:     g.clock.Now(),
-		})
+		d := Decide(newCase(g.evidence, g.recent, r, 0, g.clock.Now()))
 		if d.Verdict == VerdictHalt || d.Verdict == VerdictWithdraw {
 			events.Add("GuardClosed", 1)
 			closed[m.Name] = trial
--- a/internal/release/rollout/metric.go
+++ b/internal/release/rollout/metric.go
@@ -35,6 +35,8 @@
 	stagesFailureAlpha  = 0.002
 	stagesTailAlpha     = 0.001
 	stagesCustomerAlpha = 0.008
+	// recentAlpha is spent anew in each recent stretch.
+	recentAlpha = 0.0001
 
 	// tailShare is the share of the old version's values that count as slow,
 	// long or short; minTail is the number of values needed to know it.
@@ -53,7 +55,7 @@
 }
 
 // metrics lists the comparisons of two versions: over the whole roll-out, for
-// the present stage alone, and for each customer in that stage.
+// the present stage alone, lately, and for each customer in that stage.
 func metrics(r *configuration.Rollout, old, new *Summary) []metric {
 	list := outcomeMetrics("", &old.Whole, &new.Whole, ratingAlpha, failureAlpha)
 	list = append(list, tailMetrics(&old.Whole, &new.Whole, tailAlpha)...)
@@ -62,6 +64,12 @@
 		list = append(list, outcomeMetrics("", &old.Tally, &new.Tally, part*stagesRatingAlpha, part*stagesFailureAlpha)...)
 		list = append(list, tailMetrics(&old.Tally, &new.Tally, part*stagesTailAlpha)...)
 	}
+	for i := range new.Recent {
+		for _, m := range outcomeMetrics("", &old.Tally, &new.Recent[i], recentAlpha/2, recentAlpha/2) {
+			m.name += " lately"
+			list = append(list, m)
+		}
+	}
 	alpha := part * stagesCustomerAlpha / float64(2*max(len(new.Customers), 1))
 	for _, name := range slices.Sorted(maps.Keys(new.Customers)) {
 		known := old.Customers[name]
--- /dev/null
+++ b/internal/release/rollout/recent.go
@@ -0,0 +1,74 @@
+package rollout
+
+import "time"
+
+const (
+	// markInterval is the time between two marks of the evidence.
+	markInterval = 5 * time.Second
+	// WatchTime is how long a complete roll-out can still be withdrawn by the
+	// evidence.
+	WatchTime = time.Hour
+)
+
+// recentTimes are the stretches of evidence that are tested by themselves, so
+// that a version that turns bad late does not hide behind good outcomes before:
+// a short one for much traffic, a long one for little.
+var recentTimes = []time.Duration{15 * time.Second, time.Minute}
+
+// window keeps what one version's evidence was at marks within the longest recent time, as
+// seen by this instance. Tallies only grow, so the difference to a mark is what
+// came in since.
+type window struct {
+	trial string
+	marks []mark
+}
+
+type mark struct {
+	at    time.Time
+	tally Tally
+}
+
+// recent returns what came in since the oldest mark within each recent time.
+func (w *window) recent(now time.Time, trial string, t Tally) []Tally {
+	if w.trial != trial {
+		*w = window{trial: trial}
+	}
+	longest := recentTimes[len(recentTimes)-1]
+	for len(w.marks) > 1 && now.Sub(w.marks[0].at) > longest {
+		w.marks = w.marks[1:]
+	}
+	if n := len(w.marks); n == 0 || now.Sub(w.marks[n-1].at) >= markInterval {
+		w.marks = append(w.marks, mark{now, t})
+	}
+	list := make([]Tally, len(recentTimes))
+	for i, span := range recentTimes {
+		for _, m := range w.marks {
+			if now.Sub(m.at) <= span {
+				list[i] = t.since(&m.tally)
+				break
+			}
+		}
+	}
+	return list
+}
+
+// since returns the growth of the ratings and failures.
+func (t *Tally) since(before *Tally) Tally {
+	return Tally{
+		Requests: t.Requests - min(before.Requests, t.Requests),
+		Rated:    t.Rated - min(before.Rated, t.Rated),
+		Passed:   t.Passed - min(before.Passed, t.Passed),
+		Failed:   t.Failed - min(before.Failed, t.Failed),
+	}
+}
+
+// windows are those of all models.
+type windows map[string]*window
+
+// of returns the window of a model.
+func (w windows) of(model string) *window {
+	if w[model] == nil {
+		w[model] = &window{}
+	}
+	return w[model]
+}
--- a/internal/release/rollout/simulation_test.go
+++ b/internal/release/rollout/simulation_test.go
@@ -17,6 +17,7 @@
 	simControl     = 20   // ticks between two decisions
 	simRatingDelay = 2 * time.Second
 	simLimit       = 40 * time.Minute
+	simWatch       = 10 * time.Minute
 	simTurnGap     = 10 * time.Second // between two requests of a session
 )
 
@@ -33,9 +34,17 @@
 var good = quality{pass: 0.95, fail: 0.002, firstToken: 200 * time.Millisecond, tokens: 200}
 
 // fault gives the quality of the new version.
-type fault func(stage int, customer string) quality
+type fault func(m moment) quality
 
-func equal(int, string) quality { return good }
+// moment is when and for whom a request runs.
+type moment struct {
+	stage    int
+	age      time.Duration // of the stage
+	complete bool
+	customer string
+}
+
+func equal(moment) quality { return good }
 
 // simResult is the outcome of one simulated roll-out.
 type simResult struct {
@@ -73,6 +82,8 @@
 	turns     []turn // of sessions in progress, which stay on a halted version
 	session   int    // requests of a session
 	fault     fault
+	recent    windows
+	watched   bool // until some time after completion
 	result    simResult
 }
 
@@ -89,7 +100,8 @@
 func simulate(seed uint64, f fault, decide func(Case) Decision, session int) simResult {
 	doc := running(0, simStages...)
 	doc.Customers = customers()
-	s := &simulation{rnd: rand.New(rand.NewPCG(seed, 1)), now: start, committed: doc, fault: f, session: session}
+	s := &simulation{rnd: rand.New(rand.NewPCG(seed, 1)), now: start, committed: doc, fault: f, session: session, recent: windows{}}
+	s.watched = f(moment{complete: true}) != f(moment{})
 	for i := range simInstances {
 		s.docs[i] = doc
 		s.evidence[i] = NewEvidence(string(rune('A'+i)), 1, func() *configuration.Document { return s.docs[i] })
@@ -169,7 +181,8 @@
 func (s *simulation) serve(i int, customer, version string) {
 	q := good
 	if version == "v2" {
-		q = s.fault(s.docs[i].Rollouts[0].Stage, customer)
+		r := &s.docs[i].Rollouts[0]
+		q = s.fault(moment{r.Stage, s.now.Sub(r.StageAt), r.State == configuration.RolloutComplete, customer})
 		if q != good {
 			s.result.Exposed++
 		}
@@ -190,7 +203,8 @@
 // whether the roll-out is over everywhere.
 func (s *simulation) control(decide func(Case) Decision) bool {
 	r := &s.committed.Rollouts[0]
-	if r.State != configuration.RolloutRunning && (r.State != configuration.RolloutHalted || len(s.turns) == 0) {
+	watching := s.watched && r.State == configuration.RolloutComplete && s.now.Sub(r.StageAt) < simWatch
+	if !watching && r.State != configuration.RolloutRunning && (r.State != configuration.RolloutHalted || len(s.turns) == 0) {
 		s.result.State, s.result.Reason = r.State, r.Reason
 		s.result.Stopped = r.State != configuration.RolloutComplete
 		for i := range simInstances {
@@ -206,12 +220,7 @@
 	for i := 1; i < simInstances; i++ {
 		s.evidence[0].Merge(s.evidence[i].Changed())
 	}
-	d := decide(Case{
-		Rollout: r,
-		Old:     s.evidence[0].Summaries("m", "v1"),
-		New:     s.evidence[0].Summaries("m", "v2"),
-		Pace:    1, Now: s.now,
-	})
+	d := decide(newCase(s.evidence[0], s.recent, r, 1, s.now))
 	if d.Verdict == VerdictHold {
 		return false
 	}
@@ -228,7 +237,7 @@
 
 // timer is the baseline: it widens by time and never looks at the evidence.
 func timer(c Case) Decision {
-	if c.Now.Sub(c.Rollout.StageAt) < StageTime {
+	if c.Now.Sub(c.Rollout.StageAt) < StageTime || c.Rollout.State != configuration.RolloutRunning {
 		return Decision{Verdict: VerdictHold}
 	}
 	return Decision{Verdict: VerdictAdvance}
--- a/internal/release/rollout/trial.go
+++ b/internal/release/rollout/trial.go
@@ -101,12 +101,19 @@
 }
 
 // isJudged reports whether evidence is kept in this state. A halted roll-out
-// still gets some from the sessions in progress.
+// still gets some from the sessions in progress, a complete one is watched.
 func isJudged(s configuration.RolloutState) bool {
-	return s == configuration.RolloutRunning || s == configuration.RolloutHalted
+	return s == configuration.RolloutRunning || s == configuration.RolloutHalted || s == configuration.RolloutComplete
+}
+
+// isWatched reports whether a complete roll-out may still be withdrawn by the
+// evidence.
+func isWatched(r *configuration.Rollout, now time.Time) bool {
+	n := len(r.History)
+	return r.State == configuration.RolloutComplete && n > 0 && now.Sub(r.History[n-1].At) < WatchTime
 }
 
 // isUnderWay reports whether a roll-out in this state may still change.
 func isUnderWay(s configuration.RolloutState) bool {
-	return isJudged(s) || s == configuration.RolloutPreparing
+	return s == configuration.RolloutPreparing || s == configuration.RolloutRunning || s == configuration.RolloutHalted
 }
