Look only at the servers that an instance keeps; forget those that left

Cause: each tick looked at all servers and made an error value for each that another instance keeps; accounts and terms of servers that left stayed. Change: Office.Keeps and Forget.

--- a/internal/fleet/keeper/office.go
+++ b/internal/fleet/keeper/office.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -138,6 +139,21 @@
 	return *t, nil
 }
 
+// Keeps reports whether this instance is the key's keeper by the latest list,
+// whether or not it may hand out anything yet.
+func (o *Office) Keeps(key string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ring != nil && o.keeps(key)
+}
+
+// Forget ends the terms of all keys but those in use.
+func (o *Office) Forget(inUse func(key string) bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.terms, func(key string, _ *Term) bool { return !inUse(key) })
+}
+
 // Raise lifts the epoch of the running term above seen, an epoch that a
 // member has had from another keeper.
 func (o *Office) Raise(key string, seen uint64) {
--- a/internal/routing/capacity/bank.go
+++ b/internal/routing/capacity/bank.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -34,7 +35,8 @@
 }
 
 // Look takes in the keeper's view of a server. Call it at each tick for every
-// server, so that terms begin before the first request for credits.
+// server that this instance keeps, so that terms begin before the first request
+// for credits.
 func (b *Bank) Look(v View, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -59,6 +61,14 @@
 	}
 }
 
+// Forget drops what is kept for servers that are no longer known.
+func (b *Bank) Forget(known func(server string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.accounts, func(server string, _ *account) bool { return !known(server) || !b.office.Keeps(server) })
+	b.office.Forget(known)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/routing/capacity/controller.go
+++ b/internal/routing/capacity/controller.go
@@ -78,9 +78,10 @@
 	members, doc := c.members(), c.board.Configuration.Get()
 	c.office.Update(members, now)
 	c.limiter.Update(c.board.Servers.Get(), doc, members, now)
-	for _, v := range c.limiter.views() {
+	for _, v := range c.limiter.views(c.office.Keeps) {
 		c.bank.Look(v, now)
 	}
+	c.bank.Forget(c.limiter.knows)
 }
 
 func (c *Controller) members() *board.Members {
--- a/internal/routing/capacity/demand.go
+++ b/internal/routing/capacity/demand.go
@@ -9,13 +9,15 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
 )
 
-// views returns what this instance knows of each server, for the bank.
-func (l *Limiter) views() []View {
+// views returns what this instance knows of the servers that it keeps.
+func (l *Limiter) views(keeps func(server string) bool) []View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	table := *l.table.Load()
-	views := make([]View, 0, len(table))
-	for name, s := range table {
+	var views []View
+	for name, s := range *l.table.Load() {
+		if !keeps(name) {
+			continue
+		}
 		views = append(views, View{
 			Server: name, Belief: s.belief, Ramp: s.limits.ramp,
 			Concurrency: s.limits.concurrency, ColdConcurrency: s.limits.cold,
@@ -24,6 +26,11 @@
 	return views
 }
 
+// knows reports whether the server is in the limiter's table.
+func (l *Limiter) knows(server string) bool {
+	return (*l.table.Load())[server] != nil
+}
+
 // needing lists the servers in cold start about which the keeper must hear:
 // those with work of this instance, with credits, or with demand if this
 // instance is one of those that may ask.
