--- a/internal/routing/placement/traffic_test.go
+++ b/internal/routing/placement/traffic_test.go
@@ -322,5 +322,5 @@
 	// seeds is larger for those that are close to each other.
 	seeds int
 }{
-	{"Placement", placed, 16}, {"LeastConnections", leastConnections, 16}, {"RoundRobin", roundRobin, 4}, {"Random", random, 4},
+	{"Placement", placed, 24}, {"LeastConnections", leastConnections, 24}, {"RoundRobin", roundRobin, 4}, {"Random", random, 4},
 }
