Refuse negative amounts in presets and dots in the names of session keys

Cause: a negative pace held roll-outs without a word, and a key name with a dot passed the check but made every session token fail. Change: both are field errors, so such a document is not accepted. Conclusion: found before it is in force.

--- a/internal/catalogue/configuration/validate.go
+++ b/internal/catalogue/configuration/validate.go
@@ -76,6 +76,12 @@
 				return &FieldError{"Presets." + p.Name + "." + name, fmt.Sprint(v), "0 to 1"}
 			}
 		}
+		amounts := map[string]float64{"DelayPrice": p.DelayPrice, "RampSeconds": p.RampSeconds, "RolloutPace": p.RolloutPace}
+		for name, v := range amounts {
+			if v < 0 {
+				return &FieldError{"Presets." + p.Name + "." + name, fmt.Sprint(v), "0 or more"}
+			}
+		}
 	}
 	if d.PresetInForce() == nil {
 		return &FieldError{"Preset", d.Preset, "the name of a preset in Presets"}
@@ -252,6 +258,9 @@
 		if err := seen.add(k.ID); err != nil {
 			return err
 		}
+		if strings.Contains(k.ID, ".") {
+			return &FieldError{"SessionKeys.ID", k.ID, "a name without dots"}
+		}
 		if len(k.Secret) != 32 {
 			return &FieldError{"SessionKeys." + k.ID + ".Secret", fmt.Sprintf("%d bytes", len(k.Secret)), "32 bytes"}
 		}
--- a/internal/catalogue/preset/preset_test.go
+++ b/internal/catalogue/preset/preset_test.go
@@ -1,6 +1,7 @@
 package preset
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -26,3 +27,17 @@
 	is.Equal(len(lines), 7)
 	is.Equal(len(Explain(d[0], d[0])), 0)
 }
+
+func TestPresetsWithNegativeAmountsAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, change := range []func(*configuration.Preset){
+		func(p *configuration.Preset) { p.RolloutPace = -1 },
+		func(p *configuration.Preset) { p.DelayPrice = -1 },
+		func(p *configuration.Preset) { p.QualityTarget = 1.1 },
+	} {
+		doc := &configuration.Document{Preset: Ordinary, Presets: Defaults()}
+		change(&doc.Presets[0])
+		var field *configuration.FieldError
+		is.True(errors.As(doc.Validate(), &field))
+	}
+}
