End the wait for a whole answer at the request's deadline

Change: an attempt for a whole answer gets the time that the request has left. GracefulStop no longer takes BackendTimeout as a cut. Tests for this and for the run state of an undecided claim; each fails without its change. Conclusion: the caller still waits until its deadline; reading whole answers as a stream from the engine would find the silence within the token limit.

--- a/internal/measure/invariant/answer.go
+++ b/internal/measure/invariant/answer.go
@@ -143,16 +143,17 @@
 // requestKey tells apart the sendings of one request.
 func requestKey(e Event) string { return e.Tag + "/" + e.Instance + "/" + string(rune('0'+e.Turn)) }
 
-// turnedAway are the reasons for which an instance starts nothing, although an
-// earlier arrival under the same key may have run.
-var turnedAway = []string{reasonDuplicate, "ClaimUnavailable", "Overloaded", "CustomerShare"}
+// notCut are the reasons that no stop brings about: the instance started
+// nothing, although an earlier arrival under the same key may have run, or the
+// backend server missed its limit.
+var notCut = []string{reasonDuplicate, "ClaimUnavailable", "Overloaded", "CustomerShare", "BackendTimeout"}
 
 func isCut(e Event, sent, began time.Time) bool {
 	switch e.Result {
 	case resultAnswered:
 		return false
 	case resultRefused:
-		return e.RunState != stateNotRun && !slices.Contains(turnedAway, e.Reason)
+		return e.RunState != stateNotRun && !slices.Contains(notCut, e.Reason)
 	case resultUnreachable:
 		return sent.Before(began.Add(balancerLag))
 	}
--- a/internal/relay/pipeline/pipeline_test.go
+++ b/internal/relay/pipeline/pipeline_test.go
@@ -38,6 +38,7 @@
 	// servers lists where attempts went, in order.
 	servers []string
 	resumed []int
+	whole   time.Duration
 	bills   []ledger.Bill
 	claims  map[string]ledger.ClaimState
 	ended   []call.RunState
@@ -130,6 +131,7 @@
 	}
 	w.servers = append(w.servers, target.Server)
 	w.resumed = append(w.resumed, c.ResumeFrom)
+	w.whole = c.Limits.Whole
 	kind, state, delivered := w.step()
 	last := answerTokens
 	if kind != "ok" {
@@ -367,6 +369,30 @@
 	}
 }
 
+// TestUndecidedClaimIsNotCalledNotRun refuses a call whose ID the caller named
+// while the ledger can't say whether an earlier arrival ran.
+func TestUndecidedClaimIsNotCalledNotRun(t *testing.T) {
+	for _, keyed := range []bool{true, false} {
+		is := is.New(t)
+		w := newWorld(t)
+		w.claims["r1"] = "Out"
+		r := w.request("rounds-app", false)
+		r.Idempotent, r.Keyed = false, keyed
+		_, err := w.pipeline().Plain(context.Background(), &Plain{Request: r, Service: "rounds-app", Method: "POST", Path: "/bookings"})
+		is.Equal(refusalOf(t, err).State == call.NotRun, !keyed)
+	}
+}
+
+// TestWholeAnswerIsBoundByItsDeadline gives the attempt no longer than the
+// request has, since a whole answer on a silent connection shows no progress.
+func TestWholeAnswerIsBoundByItsDeadline(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.script = []string{"ok"}
+	is.NoErr(w.run("Whole"))
+	is.Equal(w.whole, time.Minute)
+}
+
 func TestCascadeEscalatesUnderOneBill(t *testing.T) {
 	is := is.New(t)
 	for _, passes := range []bool{true, false} {
--- a/internal/relay/pipeline/step.go
+++ b/internal/relay/pipeline/step.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -38,6 +39,9 @@
 	}
 }
 
+// minWhole is the least time that an attempt gets for a whole answer.
+const minWhole = 100 * time.Millisecond
+
 // runAttempt places and carries one attempt.
 func (p *Pipeline) runAttempt(ctx context.Context, f *chatFlight, r *route, delivered int, sink take) (attempt.Answer, error) {
 	at, err := p.place(ctx, f.flight, r)
@@ -49,6 +53,9 @@
 	answer, err := p.Attempts.Chat(ctx, attempt.Target{Server: at.server.Name, Address: at.server.Address, DataCentre: at.server.DataCentre}, attempt.Chat{
 		AttemptID: id, RequestID: f.request.ID, Customer: f.request.Customer, Model: r.query.Model, Version: r.query.Version,
 		Body: f.request.Body, Stream: f.request.Stream, ResumeFrom: delivered, Priority: f.request.Priority, Progress: new(call.Progress),
+		// A whole answer shows no progress, so its deadline is the only limit
+		// that ends the wait on a silent connection.
+		Limits:      attempt.Limits{Whole: max(f.request.Deadline.Sub(p.Clock.Now()), minWhole)},
 		BeforeWrite: func() error { return p.start(f, r, at) },
 	}, func(c attempt.Chunk) error { return sink(id, c) })
 	p.settle(at, answer, err)
