Mark bills of keyed requests; say what an undecided claim leaves open

Change: Keyed on bills; the refusal's detail; the ledger stops after its flush. Conclusion: callers are told to repeat with the same key.

--- a/internal/fleet/instance/accounts.go
+++ b/internal/fleet/instance/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/samber/do/v2"
 
@@ -89,10 +90,9 @@
 // keeper is the one that commits.
 func (a *accounts) flush(ctx context.Context) error {
 	a.holder.HandOver()
-	if err := a.ledger.Flush(ctx); err != nil {
-		return err
-	}
-	return a.keeper.Drain(ctx)
+	err := errors.Join(a.ledger.Flush(ctx), a.keeper.Drain(ctx))
+	a.ledger.Stop()
+	return err
 }
 
 func (a *accounts) runKeeper(ctx context.Context) error {
--- a/internal/relay/pipeline/chat.go
+++ b/internal/relay/pipeline/chat.go
@@ -113,7 +113,7 @@
 // runPlan goes through the steps until one delivers its answer. However many
 // run, one bill is written.
 func (p *Pipeline) runPlan(ctx context.Context, f *chatFlight, plan cascade.Plan) error {
-	f.bill = ledger.Bill{ID: f.request.ID, Customer: f.request.Customer, Instance: p.Instance, OpenedAt: p.Clock.Now()}
+	f.bill = ledger.Bill{ID: f.request.ID, Keyed: f.request.Keyed, Customer: f.request.Customer, Instance: p.Instance, OpenedAt: p.Clock.Now()}
 	for i, step := range plan.Steps {
 		last := i == len(plan.Steps)-1
 		if !step.Judge || last {
--- a/internal/relay/pipeline/plain.go
+++ b/internal/relay/pipeline/plain.go
@@ -46,7 +46,10 @@
 func (p *Pipeline) claim(ctx context.Context, f *flight) (*PlainAnswer, ledger.Ticket, error) {
 	result, err := p.Ledger.Claim(ctx, f.request.ID, f.request.Customer, f.request.BodyHash)
 	if err != nil {
-		return nil, ledger.Ticket{}, &call.Refusal{Reason: call.ReasonClaimUnavailable, Detail: err.Error(), RetryAfter: retryAfter}
+		return nil, ledger.Ticket{}, &call.Refusal{
+			Reason: call.ReasonClaimUnavailable, RetryAfter: retryAfter,
+			Detail: "this arrival did not run; an earlier one with the same key may have: try again with the same key: " + err.Error(),
+		}
 	}
 	f.undecided = false
 	switch result.State {
@@ -97,7 +100,7 @@
 // runPlain tries backend servers until one answers or no more may be tried.
 func (p *Pipeline) runPlain(ctx context.Context, f *flight, c *Plain) (*PlainAnswer, error) {
 	r := p.newRoute(c.Service, c.Service, "", nil)
-	bill := ledger.Bill{ID: f.request.ID, Customer: f.request.Customer, Service: c.Service, OpenedAt: p.Clock.Now(), Steps: 1}
+	bill := ledger.Bill{ID: f.request.ID, Keyed: f.request.Keyed, Customer: f.request.Customer, Service: c.Service, OpenedAt: p.Clock.Now(), Steps: 1}
 	p.Budget.Deposit()
 	for {
 		answer, err := p.attemptPlain(ctx, f, c, r)
