Keep the membership scripts free of races

A planned stop sends heartbeats at once; the scripts' network and random source were shared without a lock (go test -race, script leave). Each instance now has a random source of its own, and the network a lock.

--- a/internal/fleet/member/script_test.go
+++ b/internal/fleet/member/script_test.go
@@ -10,9 +10,11 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
@@ -21,8 +23,10 @@
 
 // fleet is a set of controllers on a network in memory and a fake clock.
 type fleet struct {
-	t         *testing.T
-	clock     *clockwork.FakeClock
+	t     *testing.T
+	clock *clockwork.FakeClock
+	// mu guards rng and calls: a planned stop tells others at once.
+	mu        sync.Mutex
 	rng       *rand.Rand
 	instances map[string]*instance
 	order     []string
@@ -50,20 +54,27 @@
 
 func (l link) Heartbeat(ctx context.Context, address string, req *peer.HeartbeatRequest) (*peer.HeartbeatResponse, error) {
 	to := l.fleet.instances[address]
-	if to == nil || to.dead || to.paused || l.from.dead || l.fleet.rng.Float64() < l.fleet.loss {
+	if to == nil || to.dead || to.paused || l.from.dead || l.fleet.isLost() {
 		return nil, errUnreachable
 	}
 	if l.fleet.cut && to.self.DataCentre != l.from.self.DataCentre {
 		return nil, errUnreachable
 	}
-	l.fleet.calls++
 	return to.controller.Heartbeat(ctx, req)
 }
 
+// isLost counts a message and draws whether it is lost.
+func (f *fleet) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	return f.rng.Float64() < f.loss
+}
+
 func (f *fleet) start(name, dataCentre string) {
 	in := &instance{board: &board.Board{}}
 	in.self = board.Member{Name: name, PeerAddress: name, DataCentre: dataCentre, Generation: uint64(f.clock.Now().UnixMilli())}
-	in.controller = New(in.self, in.board, link{f, in}, WithClock(f.clock), WithRand(f.rng))
+	in.controller = New(in.self, in.board, link{f, in}, WithClock(f.clock), WithRand(rand.New(rand.NewPCG(3, xxhash.Sum64String(name)))))
 	if f.instances[name] == nil {
 		f.order = append(f.order, name)
 	}
