Let a model's default win over a roll-out that has ended

Cause: after a complete roll-out new sessions got its version even if the default had been changed since, as by an import; and a session that moved off a withdrawn version got the old version of a complete roll-out. Change: once a roll-out has ended the default comes first; the guard has a unit of its own to go back to the old version. A lost pin counts a default changed since among the possible versions. TestChoose fails without it. Conclusion: the document says what new sessions get.

--- a/internal/release/rollout/choose.go
+++ b/internal/release/rollout/choose.go
@@ -22,6 +22,14 @@
 // them exactly.
 const unitBits = 53
 
+// Units beyond those that Unit returns.
+const (
+	// UnitOutside is outside the share of every stage under way.
+	UnitOutside = 1.0
+	// UnitOld is that, and outside a complete roll-out as well.
+	UnitOld = 2.0
+)
+
 // Unit hashes a name to [0, 1). The same parts give the same unit on every
 // instance, so a session name is on the same side of a stage everywhere.
 func Unit(parts ...string) float64 {
@@ -40,6 +48,10 @@
 	}
 	r := doc.RolloutOf(m.Name)
 	order := preferences(m, r, r != nil && unit < r.Share())
+	if r != nil && !isUnderWay(r.State) && unit < UnitOld {
+		// The model's default may have changed since the roll-out ended.
+		order = append([]string{m.Default}, order...)
+	}
 	for _, version := range order {
 		v := m.Version(version)
 		if v != nil && v.State == configuration.VersionActive && customer.IsAllowed(m.Name, version) {
--- a/internal/release/rollout/choose_test.go
+++ b/internal/release/rollout/choose_test.go
@@ -16,6 +16,15 @@
 		d.Models[0].Versions[1].State = configuration.VersionWithdrawn
 	}
 	halted := func(d *configuration.Document) { d.Rollouts[0].State = configuration.RolloutHalted }
+	complete := func(d *configuration.Document) {
+		d.Rollouts[0].State = configuration.RolloutComplete
+		d.Models[0].Default = "v2"
+	}
+	changed := func(d *configuration.Document) {
+		complete(d)
+		d.Models[0].Versions = append(d.Models[0].Versions, configuration.Version{Name: "v3", State: configuration.VersionActive})
+		d.Models[0].Default = "v3"
+	}
 	keep := func(*configuration.Document) {}
 	for _, c := range []struct {
 		name     string
@@ -31,6 +40,10 @@
 		{"allowed only the new", keep, "new", 0.5, "v2", ""},
 		{"allowed nothing", keep, "none", 0.5, "", call.ReasonNotAllowed},
 		{"halted", halted, "all", 0.05, "v1", ""},
+		{"complete", complete, "all", 0.9, "v2", ""},
+		{"complete, for a moved session", complete, "all", UnitOutside, "v2", ""},
+		{"complete, closed by the guard", complete, "all", UnitOld, "v1", ""},
+		{"default changed since", changed, "all", 0.05, "v3", ""},
 		{"withdrawn", withdrawn, "all", 0.05, "v1", ""},
 		{"withdrawn and allowed nothing else", withdrawn, "new", 0.05, "", call.ReasonVersionWithdrawn},
 	} {
--- a/internal/release/rollout/driver_test.go
+++ b/internal/release/rollout/driver_test.go
@@ -181,7 +181,7 @@
 		evidence.Record(Observation{Model: "m", Version: "v2", Rated: true})
 	}
 	g.Check()
-	is.Equal(g.Unit("m", 0.1), 1.0)
+	is.Equal(g.Unit("m", 0.1), UnitOld)
 	resumed := b.Configuration.Get().Clone()
 	is.NoErr(Halt(resumed, "r1", "operator", start.Add(time.Minute)))
 	is.NoErr(Resume(resumed, "r1", start.Add(time.Minute)))
--- a/internal/release/rollout/guard.go
+++ b/internal/release/rollout/guard.go
@@ -67,8 +67,8 @@
 	g.closed.Store(&closed)
 }
 
-// Unit returns the unit to choose a version of the model with: 1, outside every
-// stage, if the evidence speaks against the new version, else unit itself.
+// Unit returns the unit to choose a version of the model with: UnitOld if the
+// evidence speaks against the new version, else unit itself.
 func (g *Guard) Unit(model string, unit float64) float64 {
 	closed := g.closed.Load()
 	if closed == nil || (*closed)[model] == "" {
@@ -79,7 +79,7 @@
 		return unit
 	}
 	if r := doc.RolloutOf(model); r != nil && isJudged(r.State) && Trial(r) == (*closed)[model] {
-		return 1
+		return UnitOld
 	}
 	return unit
 }
--- a/internal/release/rollout/history.go
+++ b/internal/release/rollout/history.go
@@ -21,7 +21,7 @@
 	if m == nil {
 		return nil
 	}
-	var versions []string
+	versions := changedDefault(doc, m)
 	for _, at := range instants(doc, m.Name, from, to) {
 		for _, c := range []*configuration.Customer{customer, nil} {
 			if v := versionAt(doc, m, c, unit, at); v != "" && !slices.Contains(versions, v) {
@@ -32,6 +32,23 @@
 	return versions
 }
 
+// changedDefault returns the model's default if it is not what its latest
+// roll-out ended with: when it was changed isn't known.
+func changedDefault(doc *configuration.Document, m *configuration.Model) []string {
+	r := doc.RolloutOf(m.Name)
+	if r == nil || isUnderWay(r.State) {
+		return nil
+	}
+	ended := r.From
+	if r.State == configuration.RolloutComplete {
+		ended = r.To
+	}
+	if m.Default == ended {
+		return nil
+	}
+	return []string{m.Default}
+}
+
 // instants lists from, and each change of a share or version up to to.
 func instants(doc *configuration.Document, model string, from, to time.Time) []time.Time {
 	list := []time.Time{from}
--- a/internal/routing/session/resolve.go
+++ b/internal/routing/session/resolve.go
@@ -14,9 +14,6 @@
 // withdrawal yet.
 const keeperLag = time.Second
 
-// establishedUnit is outside the share of every stage that is not complete.
-const establishedUnit = 1
-
 // Resolve returns the version that the session's next request runs on. It is
 // the pinned one as long as that is active and the customer is allowed it. A
 // withdrawal goes before the session: the request is refused, or, where the
@@ -43,7 +40,7 @@
 		}
 	}
 	if customer.OnWithdrawal == configuration.WithdrawalMove {
-		return rollout.Choose(doc, customer, m.Name, establishedUnit)
+		return rollout.Choose(doc, customer, m.Name, rollout.UnitOutside)
 	}
 	return "", &call.Refusal{
 		Reason: call.ReasonSessionVersionWithdrawn,
