--- a/internal/fleet/instance/parts.go
+++ b/internal/fleet/instance/parts.go
@@ -50,7 +50,9 @@
 	do.ProvideValue(in, i.clock)
 	do.ProvideValue(in, i.log)
 	do.ProvideValue(in, new(board.Board))
-	do.ProvideValue(in, new(lifecycle))
+	do.Provide(in, func(in do.Injector) (*lifecycle, error) {
+		return &lifecycle{superseded: get[*member.Controller](in).IsSuperseded}, nil
+	})
 	providePlatform(in)
 	i.provideFleet(in)
 	provideRouting(in)
--- a/internal/fleet/instance/stop.go
+++ b/internal/fleet/instance/stop.go
@@ -27,6 +27,8 @@
 // lifecycle says whether the instance is on its way in or out.
 type lifecycle struct {
 	stopping atomic.Bool
+	// superseded reports whether a later run has taken this one's name.
+	superseded func() bool
 	// reported is set once the load of servers of each service is known.
 	reported atomic.Bool
 }
@@ -37,6 +39,9 @@
 	if l.stopping.Load() {
 		return "Stopping"
 	}
+	if l.superseded() {
+		return "Superseded"
+	}
 	if l.reported.Load() {
 		return ""
 	}
--- a/internal/relay/pipeline/pipeline.go
+++ b/internal/relay/pipeline/pipeline.go
@@ -45,6 +45,8 @@
 type Limiter interface {
 	Acquire(server string, now time.Time) (*capacity.Permit, bool)
 	Observe(server string, firstToken time.Duration, now time.Time)
+	// Suspect records a sign that the server may have restarted.
+	Suspect(server string, now time.Time)
 }
 
 // Health learns which backend servers fail.
--- a/internal/relay/pipeline/place.go
+++ b/internal/relay/pipeline/place.go
@@ -154,6 +154,9 @@
 	} else if err == nil {
 		p.Health.Record(at.server.Name, true, 0, p.Clock.Now())
 	}
+	if e != nil && isRestartSign(e) {
+		p.Limiter.Suspect(at.server.Name, p.Clock.Now())
+	}
 	if answer.FirstToken > 0 {
 		p.Limiter.Observe(at.server.Name, answer.FirstToken, p.Clock.Now())
 	}
--- a/internal/relay/pipeline/retry.go
+++ b/internal/relay/pipeline/retry.go
@@ -18,6 +18,13 @@
 	return true
 }
 
+// isRestartSign reports whether an attempt's error may come from a server that
+// has restarted, and so is cold before its next report says so. A reset is none:
+// servers close idle connections at any time.
+func isRestartSign(e *attempt.Error) bool {
+	return e.Kind == attempt.DialRefused || e.Kind == attempt.Refused503
+}
+
 // mayRetry decides whether a failed attempt may be followed by another one.
 // A request that may not be repeated is retried only if it provably did not
 // run; a stream that delivered tokens goes on at the next token.
