Share what cascades learn; price judging by its delay; keep withdrawn versions so

Cause: each instance learned its plans alone, the delay of judging was never priced, an unavailable judge taught nothing, and an import could make a withdrawn version active again. Change: plan counters ride with the roll-outs' evidence; answer length and judging time are estimated from what ran; a judge that can't be asked counts as a judgement that failed; a model's beliefs are weakened when its version changes; import refuses to revive a withdrawn version; a named session's pin is confirmed against the newest document.

--- a/internal/catalogue/change/change_test.go
+++ b/internal/catalogue/change/change_test.go
@@ -49,6 +49,11 @@
 			is.Equal(field.Field, s.Field)
 		})
 	}
+	again, err := configuration.Parse(raw, 1)
+	is.NoErr(err)
+	var field *configuration.FieldError
+	is.True(errors.As((&Command{Kind: Import, Document: again}).Apply(doc.Clone(), now), &field))
+	is.Equal(field.Field, "Document.Models.kingcup-large.Versions.v1.State") // withdrawn versions stay so
 	riders := doc.Customer("riders")
 	is.True(!riders.IsAllowed("kingcup-large", "v1"))
 	is.True(riders.IsAllowed("kingcup-small", "v2"))
--- a/internal/catalogue/change/command.go
+++ b/internal/catalogue/change/command.go
@@ -152,8 +152,27 @@
 	if c.Document.FormatVersion != configuration.FormatVersion {
 		return &configuration.FieldError{Field: "Document.FormatVersion", Value: fmt.Sprint(c.Document.FormatVersion), Allowed: fmt.Sprint(configuration.FormatVersion)}
 	}
+	if err := keepsWithdrawn(doc, c.Document); err != nil {
+		return err
+	}
 	changes, revision := doc.Changes, doc.Revision
 	*doc = *c.Document.Clone()
 	doc.Changes, doc.Revision = changes, revision
 	return nil
 }
+
+// keepsWithdrawn refuses a document that makes a withdrawn version active again.
+func keepsWithdrawn(before, after *configuration.Document) error {
+	for _, m := range before.Models {
+		for _, v := range m.Versions {
+			next := after.Model(m.Name)
+			if v.State != configuration.VersionWithdrawn || next == nil {
+				continue
+			}
+			if w := next.Version(v.Name); w != nil && w.State != configuration.VersionWithdrawn {
+				return &configuration.FieldError{Field: "Document.Models." + m.Name + ".Versions." + v.Name + ".State", Value: string(w.State), Allowed: "Withdrawn, as it is"}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/fleet/instance/parts.go
+++ b/internal/fleet/instance/parts.go
@@ -151,6 +151,9 @@
 		return placement.New(get[*board.Board](in), l, placement.WithClock(clockOf(in)), placement.WithCache(get[*placement.Cache](in))), nil
 	})
 	do.Provide(in, func(do.Injector) (*cascade.Decider, error) { return cascade.New(), nil })
+	do.Provide(in, func(in do.Injector) (*cascade.Exchange, error) {
+		return cascade.NewExchange(get[*cascade.Decider](in), settingsOf(in).Name, get[*member.Controller](in).Generation()), nil
+	})
 	do.Provide(in, func(in do.Injector) (*rollout.Evidence, error) {
 		b := get[*board.Board](in)
 		return rollout.NewEvidence(settingsOf(in).Name, get[*member.Controller](in).Generation(), b.Configuration.Get), nil
@@ -237,6 +240,7 @@
 		{"capacity", get[*capacity.Controller](in).Run},
 		{"rollout driver", get[*rollout.Driver](in).Run},
 		{"rollout guard", get[*rollout.Guard](in).Run},
+		{"cascade changes", changeWatcher{b, get[*cascade.Decider](in)}.Run},
 		{"evidence", get[*evidenceExchange](in).Run},
 		{"pinning", get[*pinning.Service](in).Run},
 		{"ledger keeper", get[*accounts](in).runKeeper},
--- a/internal/fleet/instance/rollouts.go
+++ b/internal/fleet/instance/rollouts.go
@@ -24,6 +24,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/platform/store"
 	"github.com/kingcupyard/kingcupyard/internal/platform/weights"
 	"github.com/kingcupyard/kingcupyard/internal/release/rollout"
+	"github.com/kingcupyard/kingcupyard/internal/routing/cascade"
 )
 
 // driverKey is the duty of driving roll-outs.
@@ -128,13 +129,14 @@
 type evidenceExchange struct {
 	board    *board.Board
 	evidence *rollout.Evidence
+	plans    *cascade.Exchange
 	lease    *driverLease
 	client   *peer.Client
 	clock    clockwork.Clock
 }
 
 func newEvidenceExchange(in do.Injector) (*evidenceExchange, error) {
-	return &evidenceExchange{get[*board.Board](in), get[*rollout.Evidence](in), get[*driverLease](in), get[*peer.Client](in), clockOf(in)}, nil
+	return &evidenceExchange{get[*board.Board](in), get[*rollout.Evidence](in), get[*cascade.Exchange](in), get[*driverLease](in), get[*peer.Client](in), clockOf(in)}, nil
 }
 
 // Run collects until the context ends.
@@ -168,7 +170,7 @@
 func (e *evidenceExchange) collect(ctx context.Context, members *board.Members) {
 	req := &peer.EvidenceRequest{}
 	if len(members.List) <= smallFleet {
-		req.Counters = messages(e.evidence.All())
+		req.Counters = append(messages(e.evidence.All()), planMessages(e.plans.Counters(e.clock.Now()))...)
 	}
 	for _, m := range members.List {
 		if m.Name == members.Self {
@@ -176,15 +178,27 @@
 		}
 		resp, err := e.client.Evidence(ctx, m.PeerAddress, req)
 		if err == nil {
-			e.evidence.Merge(counters(resp.Counters))
+			e.merge(resp.Counters)
 		}
 	}
 }
 
 // Evidence implements peer.EvidenceExchanger.
 func (e *evidenceExchange) Evidence(_ context.Context, req *peer.EvidenceRequest) (*peer.EvidenceResponse, error) {
-	e.evidence.Merge(counters(req.Counters))
-	return &peer.EvidenceResponse{Counters: messages(e.evidence.Counters())}, nil
+	e.merge(req.Counters)
+	own := append(messages(e.evidence.Counters()), planMessages(e.plans.Counters(e.clock.Now()))...)
+	return &peer.EvidenceResponse{Counters: own}, nil
+}
+
+// merge takes in the counters of both kinds; each side ignores the other's.
+func (e *evidenceExchange) merge(list []*peer.Counter) {
+	e.evidence.Merge(counters(list))
+	plans := lo.FilterMap(list, func(c *peer.Counter, _ int) (cascade.Counter, bool) { return cascade.CounterOf(c) })
+	e.plans.Merge(plans, e.clock.Now())
+}
+
+func planMessages(list []cascade.Counter) []*peer.Counter {
+	return lo.Map(list, func(c cascade.Counter, _ int) *peer.Counter { return c.Message() })
 }
 
 func messages(list []rollout.Counter) []*peer.Counter {
@@ -194,3 +208,45 @@
 func counters(list []*peer.Counter) []rollout.Counter {
 	return lo.Map(list, func(c *peer.Counter, _ int) rollout.Counter { return rollout.CounterOf(c) })
 }
+
+// changeWatcher tells the cascade when a model runs another version.
+type changeWatcher struct {
+	board   *board.Board
+	decider *cascade.Decider
+}
+
+// Run compares each configuration with the one before.
+func (w changeWatcher) Run(ctx context.Context) error {
+	changed, unsubscribe := w.board.Configuration.Subscribe()
+	defer unsubscribe()
+	before := w.board.Configuration.Get()
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+		now := w.board.Configuration.Get()
+		for _, name := range changedModels(before, now) {
+			w.decider.Changed(name)
+		}
+		before = now
+	}
+}
+
+// changedModels lists the models whose default or roll-out share changed.
+func changedModels(before, after *configuration.Document) []string {
+	if before == nil || after == nil {
+		return nil
+	}
+	share := func(d *configuration.Document, model string) float64 {
+		if r := d.RolloutOf(model); r != nil {
+			return r.Share()
+		}
+		return 0
+	}
+	return lo.FilterMap(after.Models, func(m configuration.Model, _ int) (string, bool) {
+		old := before.Model(m.Name)
+		return m.Name, old != nil && (old.Default != m.Default || share(before, m.Name) != share(after, m.Name))
+	})
+}
--- a/internal/relay/affinity/affinity.go
+++ b/internal/relay/affinity/affinity.go
@@ -177,6 +177,9 @@
 	if err != nil {
 		return "", found, err
 	}
+	if err := session.Confirm(q.Document, q.Customer, pin); err != nil {
+		return "", found, err
+	}
 	return pin.Version, found, checkExact(model, pin.Version, q)
 }
 
--- a/internal/relay/pipeline/chat.go
+++ b/internal/relay/pipeline/chat.go
@@ -96,14 +96,14 @@
 // plan asks the cascade which models to try, among those with a version.
 func (p *Pipeline) plan(f *flight, models []string, s Session) cascade.Plan {
 	candidates := lo.FilterMap(models, func(m string, _ int) (cascade.Candidate, bool) {
-		return cascade.Candidate{Model: m, Price: f.doc.Model(m).Price}, s.Versions[m] != ""
+		return cascade.Candidate{Model: m, Price: p.estimates.answerPrice(f.doc.Model(m).Price)}, s.Versions[m] != ""
 	})
 	plan := cascade.Plan{Steps: []cascade.Step{{Model: candidates[0].Model}}, Why: "one model"}
 	if len(candidates) > 1 {
 		plan = p.Cascade.Decide(cascade.Query{
 			Customer: f.request.Customer, Class: f.request.Class, Models: candidates,
 			QualityTarget: f.preset.QualityTarget, Judge: f.preset.Judge && p.Judge != nil,
-			DelayPrice: f.preset.DelayPrice, ExploreShare: f.preset.ExploreShare, Now: p.Clock.Now(),
+			JudgeDelay: p.estimates.judgeDelay(), DelayPrice: f.preset.DelayPrice, ExploreShare: f.preset.ExploreShare, Now: p.Clock.Now(),
 		}, f.rnd)
 	}
 	f.record.Plan = plan.Why
@@ -139,7 +139,7 @@
 func (p *Pipeline) runDirect(ctx context.Context, f *chatFlight, model string, rated RatedAnswer) error {
 	d := newDelivery(f, model)
 	answer, err := p.runStep(ctx, f, model, d.take)
-	f.charge(model, answer, d.tokens)
+	p.charge(f, model, answer, d.tokens)
 	if err != nil {
 		p.closeFailed(ctx, f)
 		return refuseAttempt(f.flight, err, d.begun)
@@ -153,8 +153,9 @@
 // reports whether the request is done; otherwise the next step runs.
 func (p *Pipeline) runJudged(ctx context.Context, f *chatFlight, model string) (bool, error) {
 	d := newDelivery(f, model)
+	began := p.Clock.Now()
 	answer, err := p.runStep(ctx, f, model, d.hold)
-	f.charge(model, answer, d.tokens)
+	p.charge(f, model, answer, d.tokens)
 	if err != nil {
 		if ctx.Err() != nil {
 			p.closeFailed(ctx, f)
@@ -163,7 +164,9 @@
 		return false, nil
 	}
 	text := d.text(answer)
-	if !p.judge(ctx, f, model, text) {
+	passed := p.judge(ctx, f, model, text)
+	p.estimates.judged.observe(int64(p.Clock.Since(began)))
+	if !passed {
 		return false, nil
 	}
 	gone := d.release()
@@ -183,11 +186,11 @@
 		Class: f.request.Class, Prompt: f.chat.Prompt, Answer: text,
 	})
 	step := &f.record.Steps[len(f.record.Steps)-1]
+	step.Judged = fmt.Sprint(pass)
 	if err != nil {
 		step.Judged = "unavailable: " + err.Error()
-		return false
+		pass = false
 	}
-	step.Judged = fmt.Sprint(pass)
 	p.Cascade.Observe(cascade.Outcome{
 		Customer: f.request.Customer, Class: f.request.Class, Kind: cascade.Judgement, Model: model, Pass: pass, At: p.Clock.Now(),
 	})
@@ -195,11 +198,14 @@
 }
 
 // charge adds what one step generated to the request's bill.
-func (f *chatFlight) charge(model string, answer attempt.Answer, delivered int) {
+func (p *Pipeline) charge(f *chatFlight, model string, answer attempt.Answer, delivered int) {
 	tokens := answer.Usage.CompletionTokens
 	if tokens == 0 {
 		tokens = delivered
 	}
+	if answer.Whole && tokens > 0 {
+		p.estimates.tokens.observe(int64(tokens))
+	}
 	f.bill.Steps++
 	f.bill.Attempts = f.attempts
 	f.bill.Model, f.bill.Version = model, f.session.Versions[model]
--- a/internal/relay/pipeline/pipeline.go
+++ b/internal/relay/pipeline/pipeline.go
@@ -131,7 +131,8 @@
 // Pipeline runs requests. Build it with New.
 type Pipeline struct {
 	Parts
-	rands sync.Pool
+	rands     sync.Pool
+	estimates estimates
 }
 
 var retries = expvar.NewMap("Retries")
