--- a/cmd/kingcupyard/demo.go
+++ b/cmd/kingcupyard/demo.go
@@ -82,7 +82,7 @@
 }
 
 // demoDrainDelay is above the time in which the demo's balancer notices.
-const demoDrainDelay = 500 * time.Millisecond
+const demoDrainDelay = 1500 * time.Millisecond
 
 // Start implements demo.Starter.
 func (s instanceStarter) Start(_ context.Context, d demo.InstanceSettings) (demo.Instance, error) {
