Let a named session begin at the version its caller names; judge stops strictly

Cause: a new named session that asked for an exact version was refused when its own choice was another; the stop's judge passed four reasons with no trace. Change: the exact version goes to the session's keeper; only Duplicate and ClaimUnavailable, each with a trace, are no cuts; bills are read in one place. Conclusion: the check is as strict as its traces.

--- a/cmd/kingcupyard/demo.go
+++ b/cmd/kingcupyard/demo.go
@@ -13,14 +13,12 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"github.com/kingcupyard/kingcupyard/internal/billing/ledger"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/change"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/internal/console/settings"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/instance"
 	"github.com/kingcupyard/kingcupyard/internal/measure/demo"
-	"github.com/kingcupyard/kingcupyard/internal/standin/store"
 )
 
 // demoCommand runs the whole system against stand-ins in this process.
@@ -56,7 +54,7 @@
 	defer stop()
 	run := demo.Settings{
 		Seed: c.seed, Deployment: c.deployment, Starter: instanceStarter{newLogger(c.logLevel)},
-		Operators: newDemoOperator, Bills: readBills, Output: os.Stdout,
+		Operators: newDemoOperator, Bills: demo.LedgerBills, Output: os.Stdout,
 	}
 	if c.trace != "" {
 		file, err := os.Create(c.trace)
@@ -165,23 +163,3 @@
 func (o demoOperator) ApplyPreset(ctx context.Context, name string) error {
 	return o.change(ctx, change.Command{Kind: change.PresetApply, Preset: name})
 }
-
-// readBills lists the bills in the ledger's chunks.
-func readBills(entries []store.Entry) ([]demo.Bill, error) {
-	var bills []demo.Bill
-	for _, e := range entries {
-		if !ledger.IsChunkKey(e.Key) {
-			continue
-		}
-		chunk, err := ledger.DecodeChunk(e.Value)
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", e.Key, err)
-		}
-		for _, r := range chunk.Records {
-			if r.Kind == ledger.KindClose || r.Kind == ledger.KindSettle {
-				bills = append(bills, demo.Bill{RequestID: r.ID(), Customer: r.Bill.Customer})
-			}
-		}
-	}
-	return bills, nil
-}
--- a/internal/fleet/pinning/service.go
+++ b/internal/fleet/pinning/service.go
@@ -82,7 +82,7 @@
 		if m.Name == members.Self {
 			return s.resolveHere(ctx, ask)
 		}
-		resp, err := s.peers.Pin(ctx, m.PeerAddress, &peer.PinRequest{Customer: ask.Customer, Session: ask.Session, Model: ask.Model})
+		resp, err := s.peers.Pin(ctx, m.PeerAddress, &peer.PinRequest{Customer: ask.Customer, Session: ask.Session, Model: ask.Model, Exact: ask.Exact})
 		if err != nil {
 			counts.Add("KeeperUnreachable", 1)
 			continue
@@ -145,7 +145,7 @@
 
 // Pin implements peer.Pinner: it decides for another instance.
 func (s *Service) Pin(ctx context.Context, req *peer.PinRequest) (*peer.PinResponse, error) {
-	pin, found, err := s.resolveHere(ctx, session.Ask{Customer: req.Customer, Session: req.Session, Model: req.Model})
+	pin, found, err := s.resolveHere(ctx, session.Ask{Customer: req.Customer, Session: req.Session, Model: req.Model, Exact: req.Exact})
 	resp := &peer.PinResponse{Version: pin.Version, Found: found}
 	var refusal *call.Refusal
 	if errors.As(err, &refusal) {
--- a/internal/measure/invariant/answer.go
+++ b/internal/measure/invariant/answer.go
@@ -144,9 +144,8 @@
 func requestKey(e Event) string { return e.Tag + "/" + e.Instance + "/" + string(rune('0'+e.Turn)) }
 
 // notCut are the reasons that no stop brings about: the instance started
-// nothing, although an earlier arrival under the same key may have run, or the
-// backend server missed its limit.
-var notCut = []string{reasonDuplicate, "ClaimUnavailable", "Overloaded", "CustomerShare", "BackendTimeout"}
+// nothing, although an earlier arrival under the same key may have run.
+var notCut = []string{reasonDuplicate, "ClaimUnavailable"}
 
 func isCut(e Event, sent, began time.Time) bool {
 	switch e.Result {
--- a/internal/relay/affinity/affinity.go
+++ b/internal/relay/affinity/affinity.go
@@ -173,7 +173,7 @@
 }
 
 func (r *Resolver) namedVersion(ctx context.Context, model string, q pipeline.SessionQuery) (string, bool, error) {
-	pin, found, err := r.pins.Resolve(ctx, session.Ask{Customer: q.Customer.Name, Session: q.Identifier, Model: model})
+	pin, found, err := r.pins.Resolve(ctx, session.Ask{Customer: q.Customer.Name, Session: q.Identifier, Model: model, Exact: q.Exact})
 	if err != nil {
 		return "", found, err
 	}
