--- a/internal/relay/front/chat.go
+++ b/internal/relay/front/chat.go
@@ -68,7 +68,9 @@
 	if h.Session != "" {
 		c.Set(headerSession, h.Session)
 	}
-	c.Set(headerModel, h.Model+"@"+h.Version)
+	if h.Version != "" {
+		c.Set(headerModel, h.Model+"@"+h.Version)
+	}
 }
 
 // sendStream writes server-sent events until the answer ends.
--- a/internal/relay/front/plain.go
+++ b/internal/relay/front/plain.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	setHead(c, p.Request, pipeline.Head{RequestID: answer.RequestID, Model: p.Service, Version: "-"})
+	setHead(c, p.Request, pipeline.Head{RequestID: answer.RequestID})
 	for _, h := range answer.Header {
 		if !slices.Contains(hopHeaders, strings.ToLower(h.Name)) {
 			c.Set(h.Name, h.Value)
--- a/internal/relay/pipeline/place.go
+++ b/internal/relay/pipeline/place.go
@@ -30,6 +30,8 @@
 type place struct {
 	server *board.Server
 	permit *capacity.Permit
+	// counts says why other servers were ruled out.
+	counts placement.Counts
 }
 
 // route is where the attempts of one step may go and where they went.
@@ -63,7 +65,7 @@
 			return found, nil
 		}
 		if !p.Clock.Now().Before(f.request.Deadline) {
-			p.note(f, r, "", "no server: "+err.Error(), nil)
+			p.note(f, r, "", "no server: "+err.Error(), place{})
 			return place{}, refusePlace(err)
 		}
 		select {
@@ -84,7 +86,7 @@
 		}
 		permit, ok := p.Limiter.Acquire(choice.Server.Name, p.Clock.Now())
 		if ok {
-			return place{choice.Server, permit}, nil
+			return place{choice.Server, permit, choice.Reason}, nil
 		}
 		r.query.ExcludeServers = append(r.query.ExcludeServers, choice.Server.Name)
 	}
@@ -170,10 +172,17 @@
 }
 
 // note adds one step to the request's decision record.
-func (p *Pipeline) note(f *flight, r *route, attemptID, outcome string, s *board.Server) {
+func (p *Pipeline) note(f *flight, r *route, attemptID, outcome string, at place) {
 	step := explanation.Step{At: p.Clock.Now(), Model: r.query.Model, Version: r.query.Version, AttemptID: attemptID, Outcome: outcome}
-	if s != nil {
-		step.Server = s.Name
+	if at.server != nil {
+		step.Server = at.server.Name
+		step.RuledOut = ruledOut(at.counts)
 	}
 	f.record.Steps = append(f.record.Steps, step)
 }
+
+// ruledOut lists the counts that are not zero.
+func ruledOut(c placement.Counts) map[string]int {
+	counts := map[string]int{"Excluded": c.Excluded, "Ejected": c.Ejected, "Limited": c.Limited, "Examined": c.Examined}
+	return lo.PickBy(counts, func(_ string, n int) bool { return n > 0 })
+}
--- a/internal/relay/pipeline/step.go
+++ b/internal/relay/pipeline/step.go
@@ -91,7 +91,7 @@
 	}
 	f.state = max(f.state, state)
 	f.request.Progress.Advance(f.state)
-	p.note(f, r, id, outcome, at.server)
+	p.note(f, r, id, outcome, at)
 }
 
 // observe records how the version did, for the roll-out that it may be part of,
