--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/kingcupyard/kingcupyard/internal/standin/engine"
 	"github.com/kingcupyard/kingcupyard/internal/standin/host"
 	"github.com/kingcupyard/kingcupyard/internal/standin/observation"
 )
@@ -50,22 +51,6 @@
 	HangAfterRun bool
 }
 
-// Report is the answer to GET /load, in the form of the engines.
-type Report struct {
-	Server                 string
-	At                     time.Time
-	Sequence               uint64
-	Generation             uint64
-	StartedAt              time.Time
-	Cold                   bool
-	Running                int
-	Waiting                int
-	Concurrency            int
-	ColdConcurrency        int
-	FirstTokenMilliseconds float64
-	Loaded                 []string
-}
-
 // Executed counts the executions of one request ID.
 type Executed struct {
 	RequestID string `json:"RequestId"`
@@ -178,9 +163,9 @@
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	s.sequence++
-	report := Report{
+	report := engine.Report{
 		Server: s.settings.Name, At: s.clock.Now(), Sequence: s.sequence, Generation: 1, StartedAt: s.startedAt,
-		Running: s.running, Concurrency: s.settings.Concurrency, ColdConcurrency: s.settings.Concurrency, Loaded: []string{},
+		Running: s.running, Concurrency: s.settings.Concurrency, ColdConcurrency: s.settings.Concurrency, Loaded: []engine.Loaded{},
 	}
 	s.mu.Unlock()
 	host.JSON(w, http.StatusOK, report)
