Name the keeper's terms in the field's words; write log events alike

Cause: 'office' was a metaphor in code, and some log events were sentences. Change: keeper.Terms in place of Office; events in Pascal case everywhere. Conclusion: a newcomer meets one word for one thing.

--- a/internal/fleet/distribution/controller.go
+++ b/internal/fleet/distribution/controller.go
@@ -25,7 +25,7 @@
 	started    time.Time
 	// changed wakes the pusher; buffered, so that wakes are coalesced.
 	changed chan struct{}
-	offices atomic.Pointer[office]
+	roles   atomic.Pointer[role]
 
 	mu sync.Mutex
 	// value is the stored form of the document in force.
@@ -115,7 +115,7 @@
 		c.value = value
 		c.board.Configuration.Publish(doc)
 		counts.Add("Applied"+source, 1)
-		c.log.Info("configuration applied", zap.Int64("Revision", doc.Revision), zap.String("Source", source))
+		c.log.Info("ConfigurationApplied", zap.Int64("Revision", doc.Revision), zap.String("Source", source))
 		c.wake()
 		return outcome
 	}
@@ -147,7 +147,7 @@
 		clear(c.refused)
 	}
 	c.refused[key] = struct{}{}
-	c.log.Warn("configuration refused", zap.String("Reason", string(outcome)),
+	c.log.Warn("ConfigurationRefused", zap.String("Reason", string(outcome)),
 		zap.Int64("Revision", revision), zap.String("Source", source), zap.Error(err))
 }
 
--- a/internal/fleet/distribution/frompeers.go
+++ b/internal/fleet/distribution/frompeers.go
@@ -147,7 +147,7 @@
 
 // others returns the members besides this instance. The caller must not change
 // the list.
-func (c *Controller) others() []board.Member { return c.office().others }
+func (c *Controller) others() []board.Member { return c.role().others }
 
 // runPush spreads each new document.
 func (c *Controller) runPush(ctx context.Context) {
--- a/internal/fleet/distribution/fromstore.go
+++ b/internal/fleet/distribution/fromstore.go
@@ -20,30 +20,30 @@
 // isWatcher reports whether this instance watches for its data centre. An
 // instance that sees no members of it, or has no document, asks for itself.
 func (c *Controller) isWatcher() bool {
-	return c.board.Configuration.Get() == nil || c.office().watcher
+	return c.board.Configuration.Get() == nil || c.role().watcher
 }
 
-// office is what follows from the membership, kept until it changes.
-type office struct {
+// role is what follows from the membership, kept until it changes.
+type role struct {
 	version uint64
 	watcher bool
 	others  []board.Member
 }
 
-func (c *Controller) office() *office {
+func (c *Controller) role() *role {
 	version := c.board.Members.Version()
-	if known := c.offices.Load(); known != nil && known.version == version {
+	if known := c.roles.Load(); known != nil && known.version == version {
 		return known
 	}
 	members := c.board.Members.Get()
-	next := &office{version: version}
+	next := &role{version: version}
 	names := board.Names(members.InDataCentre(c.dataCentre))
 	chosen := board.Rank("Configuration/"+c.dataCentre, names, watchersPerDataCentre)
 	next.watcher = !slices.Contains(names, c.self) || slices.Contains(chosen, c.self)
 	if members != nil {
 		next.others = slices.DeleteFunc(slices.Clone(members.List), func(m board.Member) bool { return m.Name == c.self })
 	}
-	c.offices.Store(next)
+	c.roles.Store(next)
 	return next
 }
 
--- a/internal/fleet/keeper/office.go
+++ b/internal/fleet/keeper/terms.go
@@ -45,7 +45,7 @@
 // NotKeeperError says why this instance may hand out nothing for a key.
 type NotKeeperError struct {
 	Key    string
-	Reason OfficeReason
+	Reason TermReason
 	// Keeper is the present keeper, if another one is known.
 	Keeper string
 	// From is when this instance may start, for ReasonWaiting.
@@ -53,17 +53,17 @@
 }
 
 func (e *NotKeeperError) Error() string {
-	return fmt.Sprintf("not in office for %s: %s", e.Key, e.Reason)
+	return fmt.Sprintf("no term for %s: %s", e.Key, e.Reason)
 }
 
-// OfficeReason names why an instance is not in office.
-type OfficeReason string
+// TermReason names why an instance has no term.
+type TermReason string
 
-// The reasons for not being in office.
+// The reasons for having no term.
 const (
-	ReasonOther   OfficeReason = "OtherKeeper"
-	ReasonStale   OfficeReason = "ListStale"
-	ReasonWaiting OfficeReason = "Waiting"
+	ReasonOther   TermReason = "OtherKeeper"
+	ReasonStale   TermReason = "ListStale"
+	ReasonWaiting TermReason = "Waiting"
 )
 
 // Term is the time during which this instance keeps one key without a break.
@@ -74,10 +74,10 @@
 	From time.Time
 }
 
-// Office tracks for which keys this instance is keeper, and since when. A
+// Terms tracks for which keys this instance is keeper, and since when. A
 // pause of the process, a stale list or a change of keeper ends all terms
 // concerned; they begin anew with the full wait.
-type Office struct {
+type Terms struct {
 	timing Timing
 
 	mu       sync.Mutex
@@ -87,51 +87,51 @@
 	lastLook time.Time
 }
 
-// NewOffice returns an office with no term.
-func NewOffice(timing Timing) *Office {
-	return &Office{timing: timing, terms: map[string]*Term{}}
+// NewTerms returns terms with none running.
+func NewTerms(timing Timing) *Terms {
+	return &Terms{timing: timing, terms: map[string]*Term{}}
 }
 
-// Timing returns the bounds that the office keeps to.
-func (o *Office) Timing() Timing { return o.timing }
+// Timing returns the bounds that the terms keep to.
+func (ts *Terms) Timing() Timing { return ts.timing }
 
 // Update applies the latest membership. Call it at every change and at least
 // twice in MaxGap.
-func (o *Office) Update(members *board.Members, now time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.look(now)
-	if members == nil || members == o.members {
+func (ts *Terms) Update(members *board.Members, now time.Time) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.look(now)
+	if members == nil || members == ts.members {
 		return
 	}
-	o.members = members
-	o.ring = NewRing(members.List, WithSuspects())
-	for key := range o.terms {
-		if !o.keeps(key) {
-			delete(o.terms, key)
+	ts.members = members
+	ts.ring = NewRing(members.List, WithSuspects())
+	for key := range ts.terms {
+		if !ts.keeps(key) {
+			delete(ts.terms, key)
 		}
 	}
-	o.look(now)
+	ts.look(now)
 }
 
 // Term returns the running term for the key, opening one if this instance is
 // its keeper. The error is a *NotKeeperError if nothing may be handed out now.
-func (o *Office) Term(key string, now time.Time) (Term, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.look(now)
-	if !o.fresh(now) {
+func (ts *Terms) Term(key string, now time.Time) (Term, error) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.look(now)
+	if !ts.fresh(now) {
 		return Term{}, &NotKeeperError{Key: key, Reason: ReasonStale}
 	}
-	if !o.keeps(key) {
-		delete(o.terms, key)
-		m, _ := o.ring.Of(key)
+	if !ts.keeps(key) {
+		delete(ts.terms, key)
+		m, _ := ts.ring.Of(key)
 		return Term{}, &NotKeeperError{Key: key, Reason: ReasonOther, Keeper: m.Name}
 	}
-	t := o.terms[key]
+	t := ts.terms[key]
 	if t == nil {
-		t = &Term{Epoch: uint64(now.UnixMilli()), Since: now, From: now.Add(o.timing.Wait())}
-		o.terms[key] = t
+		t = &Term{Epoch: uint64(now.UnixMilli()), Since: now, From: now.Add(ts.timing.Wait())}
+		ts.terms[key] = t
 	}
 	if now.Before(t.From) {
 		return *t, &NotKeeperError{Key: key, Reason: ReasonWaiting, From: t.From}
@@ -141,57 +141,57 @@
 
 // Keeps reports whether this instance is the key's keeper by the latest list,
 // whether or not it may hand out anything yet.
-func (o *Office) Keeps(key string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.ring != nil && o.keeps(key)
+func (ts *Terms) Keeps(key string) bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.ring != nil && ts.keeps(key)
 }
 
 // Forget ends the terms of all keys but those in use.
-func (o *Office) Forget(inUse func(key string) bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	maps.DeleteFunc(o.terms, func(key string, _ *Term) bool { return !inUse(key) })
+func (ts *Terms) Forget(inUse func(key string) bool) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	maps.DeleteFunc(ts.terms, func(key string, _ *Term) bool { return !inUse(key) })
 }
 
 // Raise lifts the epoch of the running term above seen, an epoch that a
 // member has had from another keeper.
-func (o *Office) Raise(key string, seen uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if t := o.terms[key]; t != nil && t.Epoch < seen {
+func (ts *Terms) Raise(key string, seen uint64) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if t := ts.terms[key]; t != nil && t.Epoch < seen {
 		t.Epoch = seen + 1
 	}
 }
 
 // Resign ends all terms, for a planned stop.
-func (o *Office) Resign() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	clear(o.terms)
+func (ts *Terms) Resign() {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	clear(ts.terms)
 }
 
 // look voids all terms after a pause or while the list is stale. The pause is
 // measured on the wall clock as well, since a suspended machine's monotonic
 // clock stands still.
-func (o *Office) look(now time.Time) {
-	if !o.lastLook.IsZero() {
-		gap := max(now.Sub(o.lastLook), now.Round(0).Sub(o.lastLook.Round(0)))
-		if gap > o.timing.MaxGap {
-			clear(o.terms)
+func (ts *Terms) look(now time.Time) {
+	if !ts.lastLook.IsZero() {
+		gap := max(now.Sub(ts.lastLook), now.Round(0).Sub(ts.lastLook.Round(0)))
+		if gap > ts.timing.MaxGap {
+			clear(ts.terms)
 		}
 	}
-	o.lastLook = now
-	if !o.fresh(now) {
-		clear(o.terms)
+	ts.lastLook = now
+	if !ts.fresh(now) {
+		clear(ts.terms)
 	}
 }
 
-func (o *Office) fresh(now time.Time) bool {
-	return o.members != nil && !o.members.ListedAt.IsZero() && now.Sub(o.members.ListedAt) < o.timing.ListFresh
+func (ts *Terms) fresh(now time.Time) bool {
+	return ts.members != nil && !ts.members.ListedAt.IsZero() && now.Sub(ts.members.ListedAt) < ts.timing.ListFresh
 }
 
-func (o *Office) keeps(key string) bool {
-	m, ok := o.ring.Of(key)
-	return ok && m.Name == o.members.Self
+func (ts *Terms) keeps(key string) bool {
+	m, ok := ts.ring.Of(key)
+	return ok && m.Name == ts.members.Self
 }
--- a/internal/fleet/keeper/office_test.go
+++ b/internal/fleet/keeper/terms_test.go
@@ -19,7 +19,7 @@
 	return m
 }
 
-func reason(err error) keeper.OfficeReason {
+func reason(err error) keeper.TermReason {
 	var no *keeper.NotKeeperError
 	if errors.As(err, &no) {
 		return no.Reason
@@ -27,16 +27,16 @@
 	return ""
 }
 
-// run keeps the office looking at the clock with a fresh list from from to to.
-func run(o *keeper.Office, from, to time.Time, names ...string) {
+// run keeps the terms looking at the clock with a fresh list from from to to.
+func run(o *keeper.Terms, from, to time.Time, names ...string) {
 	for now := from; !now.After(to); now = now.Add(time.Second) {
 		o.Update(members("a", now, names...), now)
 	}
 }
 
-func TestOfficeWaitsOutItsPredecessor(t *testing.T) {
+func TestTermsWaitsOutItsPredecessor(t *testing.T) {
 	is := is.New(t)
-	o := keeper.NewOffice(keeper.DefaultTiming())
+	o := keeper.NewTerms(keeper.DefaultTiming())
 	start := time.Unix(1000, 0)
 	run(o, start, start, "a")
 	_, err := o.Term("s", start)
@@ -49,37 +49,37 @@
 	is.NoErr(err)
 }
 
-func TestOfficeIsVoid(t *testing.T) {
+func TestTermsIsVoid(t *testing.T) {
 	start := time.Unix(1000, 0)
-	inOffice := start.Add(20 * time.Second)
+	granting := start.Add(20 * time.Second)
 	cases := map[string]struct {
-		event func(o *keeper.Office) time.Time
-		want  keeper.OfficeReason
+		event func(o *keeper.Terms) time.Time
+		want  keeper.TermReason
 	}{
-		"after a pause": {func(o *keeper.Office) time.Time {
-			now := inOffice.Add(5 * time.Second)
+		"after a pause": {func(o *keeper.Terms) time.Time {
+			now := granting.Add(5 * time.Second)
 			o.Update(members("a", now, "a"), now)
 			return now
 		}, keeper.ReasonWaiting},
-		"while the list is stale": {func(*keeper.Office) time.Time { return inOffice.Add(time.Hour) }, keeper.ReasonStale},
-		"after a spell with another keeper": {func(o *keeper.Office) time.Time {
-			o.Update(members("a", inOffice, "b"), inOffice)
-			o.Update(members("a", inOffice, "a"), inOffice)
-			return inOffice
+		"while the list is stale": {func(*keeper.Terms) time.Time { return granting.Add(time.Hour) }, keeper.ReasonStale},
+		"after a spell with another keeper": {func(o *keeper.Terms) time.Time {
+			o.Update(members("a", granting, "b"), granting)
+			o.Update(members("a", granting, "a"), granting)
+			return granting
 		}, keeper.ReasonWaiting},
-		"under another keeper": {func(o *keeper.Office) time.Time {
-			o.Update(members("a", inOffice, "b"), inOffice)
-			return inOffice
+		"under another keeper": {func(o *keeper.Terms) time.Time {
+			o.Update(members("a", granting, "b"), granting)
+			return granting
 		}, keeper.ReasonOther},
-		"with no change": {func(*keeper.Office) time.Time { return inOffice }, ""},
+		"with no change": {func(*keeper.Terms) time.Time { return granting }, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			o := keeper.NewOffice(keeper.DefaultTiming())
+			o := keeper.NewTerms(keeper.DefaultTiming())
 			run(o, start, start, "a")
 			_, _ = o.Term("s", start)
-			run(o, start, inOffice, "a")
+			run(o, start, granting, "a")
 			now := c.event(o)
 			_, err := o.Term("s", now)
 			is.Equal(reason(err), c.want)
--- a/internal/fleet/member/controller.go
+++ b/internal/fleet/member/controller.go
@@ -137,7 +137,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	if now.Sub(c.lastRound) >= pausedAfter {
-		c.log.Warn("paused", zap.Duration("For", now.Sub(c.lastRound)))
+		c.log.Warn("Paused", zap.Duration("For", now.Sub(c.lastRound)))
 		c.view.resumed(now)
 	}
 	c.lastRound = now
--- a/internal/platform/roster/listing.go
+++ b/internal/platform/roster/listing.go
@@ -62,7 +62,7 @@
 	defer c.mu.Unlock()
 	if !c.judge.accept(stampOf(resp.Sequence, resp.At), c.held.stamp, len(resp.Instances), len(c.held.entries), c.clock.Now()) {
 		counts.Add("ListImplausible", 1)
-		c.log.Warn("instance list not taken", zap.Int("Entries", len(resp.Instances)), zap.Uint64("Sequence", resp.Sequence))
+		c.log.Warn("InstanceListRefused", zap.Int("Entries", len(resp.Instances)), zap.Uint64("Sequence", resp.Sequence))
 		return nil
 	}
 	changed := c.held.read(resp.Sequence, resp.At, resp.Instances)
--- a/internal/platform/store/purpose.go
+++ b/internal/platform/store/purpose.go
@@ -8,7 +8,7 @@
 const (
 	// Configuration reads, writes and watches the configuration document.
 	Configuration Purpose = iota
-	// Fence takes or keeps an exclusive office: a lease, a fencing number.
+	// Fence takes or keeps an exclusive duty: a lease, a fencing number.
 	Fence
 	// Claim records that a non-idempotent request is about to run.
 	Claim
--- a/internal/release/rollout/driver.go
+++ b/internal/release/rollout/driver.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		events.Add("LeaseAcquired", 1)
-		d.log.Info("rollout driver in office", zap.Int64("Fence", tenure.Fence))
+		d.log.Info("RolloutDriverBegins", zap.Int64("Fence", tenure.Fence))
 		d.serve(tenure)
 		tenure.Release()
 	}
@@ -88,11 +88,11 @@
 		var fenced *FencedError
 		if errors.As(err, &fenced) {
 			events.Add("Fenced", 1)
-			d.log.Warn("rollout driver out of office", zap.Error(err))
+			d.log.Warn("RolloutDriverSuperseded", zap.Error(err))
 			return
 		}
 		if err != nil {
-			d.log.Warn("rollout step failed", zap.Error(err))
+			d.log.Warn("RolloutStepFailed", zap.Error(err))
 		}
 		d.wait(tenure.Held)
 	}
@@ -207,7 +207,7 @@
 	}
 	d.committed = revision
 	events.Add("Changed", 1)
-	d.log.Info("rollout changed", zap.String("Change", id), zap.String("Summary", summary), zap.Int64("Revision", revision))
+	d.log.Info("RolloutChanged", zap.String("Change", id), zap.String("Summary", summary), zap.Int64("Revision", revision))
 	return nil
 }
 
--- a/internal/routing/capacity/account.go
+++ b/internal/routing/capacity/account.go
@@ -72,7 +72,7 @@
 		if settled(g.until) {
 			g.bound = min(g.bound, running)
 		}
-		idle := g.bound == 0 && !now.Before(g.until) && now.Sub(g.askedAt) >= set.Office.CreditValid
+		idle := g.bound == 0 && !now.Before(g.until) && now.Sub(g.askedAt) >= set.Timing.CreditValid
 		if idle || now.After(g.until.Add(set.MaxRequest)) {
 			delete(a.holdings, h)
 		}
@@ -126,7 +126,7 @@
 	g.bound = max(ask.InUse, ask.Limit, 0)
 	g.until = latest(g.until, now)
 	if ask.Limit > 0 {
-		g.until = latest(g.until, now.Add(set.Office.CreditValid+set.Office.Margin))
+		g.until = latest(g.until, now.Add(set.Timing.CreditValid+set.Timing.Margin))
 	}
 	if ask.Wanted > ask.InUse {
 		g.askedAt = now
--- a/internal/routing/capacity/bank.go
+++ b/internal/routing/capacity/bank.go
@@ -12,16 +12,16 @@
 // Bank is the keeper's side of credits. It hands out no more than a server
 // bears, less all work that may run there already.
 type Bank struct {
-	set    Settings
-	office *keeper.Office
+	set     Settings
+	keeping *keeper.Terms
 
 	mu       sync.Mutex
 	accounts map[string]*account
 }
 
-// NewBank returns a bank that grants under the terms of the office.
-func NewBank(office *keeper.Office, set Settings) *Bank {
-	return &Bank{set: set, office: office, accounts: map[string]*account{}}
+// NewBank returns a bank that grants under the keeper's terms.
+func NewBank(keeping *keeper.Terms, set Settings) *Bank {
+	return &Bank{set: set, keeping: keeping, accounts: map[string]*account{}}
 }
 
 // View is what the keeper knows of a server.
@@ -40,7 +40,7 @@
 func (b *Bank) Look(v View, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	term, err := b.office.Term(v.Server, now)
+	term, err := b.keeping.Term(v.Server, now)
 	var no *keeper.NotKeeperError
 	if errors.As(err, &no) && no.Reason != keeper.ReasonWaiting {
 		delete(b.accounts, v.Server)
@@ -65,8 +65,8 @@
 func (b *Bank) Forget(known func(server string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.accounts, func(server string, _ *account) bool { return !known(server) || !b.office.Keeps(server) })
-	b.office.Forget(known)
+	maps.DeleteFunc(b.accounts, func(server string, _ *account) bool { return !known(server) || !b.keeping.Keeps(server) })
+	b.keeping.Forget(known)
 }
 
 func latest(a, b time.Time) time.Time {
@@ -97,7 +97,7 @@
 	refuse := func(r GrantRefusal) CreditGrant {
 		return CreditGrant{Server: ask.Server, Epoch: ask.Epoch, Refusal: r}
 	}
-	term, err := b.office.Term(ask.Server, now)
+	term, err := b.keeping.Term(ask.Server, now)
 	a := b.accounts[ask.Server]
 	var no *keeper.NotKeeperError
 	if errors.As(err, &no) && no.Reason != keeper.ReasonWaiting || a == nil || a.epoch != term.Epoch {
@@ -106,7 +106,7 @@
 	if !a.report(h, sequence, ask, now, b.set) {
 		return refuse(GrantOutOfOrder)
 	}
-	b.office.Raise(ask.Server, ask.Epoch)
+	b.keeping.Raise(ask.Server, ask.Epoch)
 	if term.Epoch < ask.Epoch {
 		term.Epoch = ask.Epoch + 1
 		a.epoch = term.Epoch
@@ -123,13 +123,13 @@
 	}
 	limit := int(a.limit)
 	free := limit - strangers - a.others(h)
-	count := max(0, min(ask.Wanted, free, a.share(limit, now, b.set.Office.CreditValid)))
-	out := CreditGrant{Server: ask.Server, Count: count, Epoch: term.Epoch, Valid: b.set.Office.CreditValid}
+	count := max(0, min(ask.Wanted, free, a.share(limit, now, b.set.Timing.CreditValid)))
+	out := CreditGrant{Server: ask.Server, Count: count, Epoch: term.Epoch, Valid: b.set.Timing.CreditValid}
 	if count < ask.Wanted {
 		out.Refusal = GrantFull
 	}
 	if count > 0 {
-		a.grant(h, count, now.Add(b.set.Office.CreditValid+b.set.Office.Margin))
+		a.grant(h, count, now.Add(b.set.Timing.CreditValid+b.set.Timing.Margin))
 	}
 	return out
 }
--- a/internal/routing/capacity/bank_test.go
+++ b/internal/routing/capacity/bank_test.go
@@ -16,20 +16,20 @@
 // bankScript drives a bank by the lines of a script. Times are seconds from
 // the start; the list is refreshed and the server looked at each half second.
 type bankScript struct {
-	office *keeper.Office
-	bank   *Bank
-	start  time.Time
-	now    time.Time
-	view   View
-	seq    uint64
-	other  bool
-	blind  bool
+	keeping *keeper.Terms
+	bank    *Bank
+	start   time.Time
+	now     time.Time
+	view    View
+	seq     uint64
+	other   bool
+	blind   bool
 }
 
 func newBankScript() *bankScript {
 	start := time.Unix(1000, 0)
-	office := keeper.NewOffice(keeper.DefaultTiming())
-	s := &bankScript{office: office, bank: NewBank(office, DefaultSettings()), start: start, now: start}
+	keeping := keeper.NewTerms(keeper.DefaultTiming())
+	s := &bankScript{keeping: keeping, bank: NewBank(keeping, DefaultSettings()), start: start, now: start}
 	s.view = View{Server: "s", ColdConcurrency: 4, Concurrency: 16, Belief: Belief{Phase: Cold, TurnedCold: start, Report: board.Report{Cold: true}}}
 	s.look()
 	return s
@@ -40,7 +40,7 @@
 	if s.other {
 		self = "other"
 	}
-	s.office.Update(&board.Members{Self: "k", ListedAt: s.now, List: []board.Member{{Name: self, State: board.MemberAlive}}}, s.now)
+	s.keeping.Update(&board.Members{Self: "k", ListedAt: s.now, List: []board.Member{{Name: self, State: board.MemberAlive}}}, s.now)
 	if !s.blind {
 		s.view.Belief.Report.At, s.view.Belief.Report.ReceivedAt = s.now, s.now
 		s.view.Belief.Until = s.now.Add(3 * time.Second)
--- a/internal/routing/capacity/controller.go
+++ b/internal/routing/capacity/controller.go
@@ -19,7 +19,7 @@
 	clock   clockwork.Clock
 	peers   Peers
 	limiter *Limiter
-	office  *keeper.Office
+	keeping *keeper.Terms
 	bank    *Bank
 
 	mu       sync.Mutex
@@ -32,10 +32,10 @@
 
 // NewController returns a controller; Run starts it.
 func NewController(b *board.Board, peers Peers, clock clockwork.Clock, set Settings) *Controller {
-	office := keeper.NewOffice(set.Office)
+	keeping := keeper.NewTerms(set.Timing)
 	return &Controller{
 		board: b, set: set, clock: clock, peers: peers,
-		limiter: NewLimiter(set), office: office, bank: NewBank(office, set),
+		limiter: NewLimiter(set), keeping: keeping, bank: NewBank(keeping, set),
 		asking: map[string]uint64{},
 	}
 }
@@ -49,7 +49,7 @@
 }
 
 // Resign ends this instance's terms as keeper, for a planned stop.
-func (c *Controller) Resign() { c.office.Resign() }
+func (c *Controller) Resign() { c.keeping.Resign() }
 
 // Run ticks until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
@@ -71,14 +71,14 @@
 	}
 }
 
-// Refresh takes in the board: membership for the office, reports for the
+// Refresh takes in the board: membership for the keeper's terms, reports for the
 // limiter and the bank.
 func (c *Controller) Refresh() {
 	now := c.clock.Now()
 	members, doc := c.members(), c.board.Configuration.Get()
-	c.office.Update(members, now)
+	c.keeping.Update(members, now)
 	c.limiter.Update(c.board.Servers.Get(), doc, members, now)
-	for _, v := range c.limiter.views(c.office.Keeps) {
+	for _, v := range c.limiter.views(c.keeping.Keeps) {
 		c.bank.Look(v, now)
 	}
 	c.bank.Forget(c.limiter.knows)
@@ -176,7 +176,7 @@
 		c.Finish(p, c.bank.Grant(p.Request, c.clock.Now()), nil)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.set.Office.CreditValid/2)
+	ctx, cancel := context.WithTimeout(ctx, c.set.Timing.CreditValid/2)
 	defer cancel()
 	resp, err := c.peers.Credit(ctx, p.Keeper, p.Request)
 	c.Finish(p, resp, err)
--- a/internal/routing/capacity/settings.go
+++ b/internal/routing/capacity/settings.go
@@ -16,8 +16,8 @@
 
 // Settings bounds what the package relies on.
 type Settings struct {
-	// Office bounds the disagreement on who keeps a server.
-	Office keeper.Timing
+	// Timing bounds the disagreement on who keeps a server.
+	Timing keeper.Timing
 	// ReportStale is how long after its making a report allows new work on a
 	// server believed warm.
 	ReportStale time.Duration
@@ -47,7 +47,7 @@
 // DefaultSettings returns the settings that instances use.
 func DefaultSettings() Settings {
 	return Settings{
-		Office:      keeper.DefaultTiming(),
+		Timing:      keeper.DefaultTiming(),
 		ReportStale: 3 * time.Second,
 		ClockSkew:   500 * time.Millisecond,
 		Transit:     time.Second,
@@ -71,5 +71,5 @@
 // still start beyond its limit: until the keeper's last report from before is
 // stale, and the last credit granted on it has expired.
 func (s Settings) NoticeBound() time.Duration {
-	return s.Quiet() + s.Office.CreditValid
+	return s.Quiet() + s.Timing.CreditValid
 }
--- a/internal/routing/placement/cold_test.go
+++ b/internal/routing/placement/cold_test.go
@@ -101,7 +101,7 @@
 	s := r.schedule
 	r.generation, r.board = generation, new(board.Board)
 	r.clock = skewed{line: s.timeline, skew: s.skew()}
-	r.listLag = between(s.rnd, 0, s.set.Office.ListLag)
+	r.listLag = between(s.rnd, 0, s.set.Timing.ListLag)
 	r.inFlight, r.told = map[string]int{}, map[string]time.Time{}
 	r.controller = capacity.NewController(r.board, nil, r.clock, s.set)
 	r.board.Configuration.Publish(fleetDocument(5, "north"))
@@ -153,7 +153,7 @@
 			controller.Finish(p, resp, err)
 		}
 	}
-	s.after(s.set.Office.CreditValid/2, func() {
+	s.after(s.set.Timing.CreditValid/2, func() {
 		r.awake(func() { finish(capacity.CreditResponse{}, fmt.Errorf("timeout")) })
 	})
 	to := s.instances[slices.IndexFunc(s.instances, func(o *router) bool { return o.name == p.Keeper.Name })]
