Do not call a keyed call not run before its key was looked up

Cause: an instance that is stopping or unconfirmed turned keyed calls of plain services away as NotRun, although another arrival may have run elsewhere. Conclusion: not run is only said where it is known.

--- a/internal/relay/front/front.go
+++ b/internal/relay/front/front.go
@@ -42,6 +42,9 @@
 	app      *fiber.App
 }
 
+// servicesPath is where plain services begin.
+const servicesPath = "/services/"
+
 const (
 	defaultMaxBodyBytes   = 1 << 20
 	defaultRequestTimeout = time.Minute
@@ -101,8 +104,8 @@
 	app.Use(f.closeWhenStopping)
 	app.Post("/v1/chat/completions", f.chat)
 	app.Get("/v1/models", f.models)
-	app.All("/services/:name/*", f.plain)
-	app.All("/services/:name", f.plain)
+	app.All(servicesPath+":name/*", f.plain)
+	app.All(servicesPath+":name", f.plain)
 	return app
 }
 
@@ -119,7 +122,7 @@
 func (f *Front) customer(c fiber.Ctx) (*configuration.Document, *configuration.Customer, error) {
 	doc, confirmed := f.board.Configuration.Get(), f.board.Confirmation.Get()
 	if doc == nil || !confirmed.Allows(f.clock.Now()) {
-		return nil, nil, &call.Refusal{Reason: call.ReasonNotReady, Detail: "this instance has no confirmed configuration", RetryAfter: time.Second}
+		return nil, nil, &call.Refusal{Reason: call.ReasonNotReady, State: unclaimedState(c), Detail: "this instance has no confirmed configuration", RetryAfter: time.Second}
 	}
 	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
 	if !ok || key == "" {
@@ -132,6 +135,15 @@
 	return doc, customer, nil
 }
 
+// unclaimedState is the run state of a call that this instance turns away before
+// it knows of other arrivals under the same key: one of them may have run.
+func unclaimedState(c fiber.Ctx) call.RunState {
+	if c.Get(headerIdempotencyKey) != "" && strings.HasPrefix(c.Path(), servicesPath) {
+		return call.MayHaveRun
+	}
+	return call.NotRun
+}
+
 // renderError answers with the typed refusal behind err.
 func (f *Front) renderError(c fiber.Ctx, err error) error {
 	r := refusalOf(err)
--- a/internal/relay/front/front_test.go
+++ b/internal/relay/front/front_test.go
@@ -198,4 +198,8 @@
 	is.Equal(status, 503)
 	is.True(strings.Contains(text, `"Reason":"Stopping"`))
 	is.Equal(headers["Retry-After"], "1")
+	is.Equal(headers["X-Run-State"], "NotRun")
+	// Another arrival under the same key may have run elsewhere.
+	_, _, headers = send(t, f, "POST", "/services/rounds-app/bookings", auth+";Idempotency-Key: k", "{}")
+	is.Equal(headers["X-Run-State"], "MayHaveRun")
 }
--- a/internal/relay/front/plain.go
+++ b/internal/relay/front/plain.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	if f.stopping.Load() {
-		return &call.Refusal{Reason: call.ReasonStopping, RetryAfter: time.Second}
+		return &call.Refusal{Reason: call.ReasonStopping, State: unclaimedState(c), RetryAfter: time.Second}
 	}
 	f.active.Add(1)
 	defer f.active.Add(-1)
