--- a/internal/relay/front/front_test.go
+++ b/internal/relay/front/front_test.go
@@ -190,6 +190,21 @@
 	is.Equal(answer.Error.Reason, "TooLarge")
 }
 
+// TestSlowCallerHoldsStreamBack fills the buffer of a caller that reads nothing:
+// the next chunk waits, and ends when the caller is gone.
+func TestSlowCallerHoldsStreamBack(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := newStream(ctx)
+	for range streamBuffer {
+		is.NoErr(s.Chunk([]byte("x")))
+	}
+	cancel()
+	err := s.Chunk([]byte("x"))
+	is.Equal(refusalOf(err).Reason, call.ReasonCallerGone)
+	is.Equal(len(s.chunks), streamBuffer)
+}
+
 func TestStoppingInstanceRefuses(t *testing.T) {
 	is := is.New(t)
 	f := newTestFront(t, &scriptedPipeline{})
--- a/internal/relay/pipeline/pipeline_test.go
+++ b/internal/relay/pipeline/pipeline_test.go
@@ -46,7 +46,9 @@
 	plan    cascade.Plan
 	judged  bool
 	out     []string
-	rated   []RatedAnswer
+	// hangUpAfter is after how many chunks the caller is gone, if positive.
+	hangUpAfter int
+	rated       []RatedAnswer
 }
 
 func newWorld(t *testing.T) *world {
@@ -211,6 +213,9 @@
 }
 
 func (w *world) Chunk(payload []byte) error {
+	if w.hangUpAfter > 0 && len(w.out) > w.hangUpAfter {
+		return errHungUp
+	}
 	w.out = append(w.out, string(payload))
 	return nil
 }
@@ -355,6 +360,20 @@
 	is.Equal(len(w.servers), 0)
 }
 
+var errHungUp = errors.New("caller hung up")
+
+func TestCallerThatHangsUpIsBilledForWhatRan(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.script = []string{"ok"}
+	w.hangUpAfter = 2
+	r := refusalOf(t, w.run("Stream"))
+	is.Equal(r.State, call.Ran)
+	is.Equal(len(w.servers), 1) // its stream is cancelled and not taken up elsewhere
+	is.Equal(len(w.bills), 1)
+	is.Equal(w.bills[0].CompletionTokens, 3) // the third had been generated
+}
+
 func TestClaims(t *testing.T) {
 	for state, want := range map[ledger.ClaimState]call.Reason{
 		"Out": call.ReasonClaimUnavailable, ledger.ClaimDuplicate: call.ReasonDuplicate, ledger.ClaimMismatch: call.ReasonBodyMismatch,
