Count a resumed answer's tokens in one place; sort attempt errors in one place

Cause: the request path writes its own loop over attempts, while the client's ChatResumed, which corrected the token count of an engine that counts only its own tokens after a resumption, was called by tests alone. Such an answer was billed too few tokens. Change: Chat itself gives the total from the sequence; the loop that only tests use stands with the tests; Elsewhere decides in both places. Figures: an engine that counts its own 2 of 4 tokens: billed 2 before, 4 after; the test fails without the correction. Conclusion: the fix is in the mechanism and no longer beside it.

--- a/internal/relay/attempt/attempt_test.go
+++ b/internal/relay/attempt/attempt_test.go
@@ -169,7 +169,7 @@
 func TestStreamIsResumedAtTheNextToken(t *testing.T) {
 	is := is.New(t)
 	first := newFakeServer(t, "read", "stream", "token 1", "token 2", "close")
-	second := newFakeServer(t, "read", "stream", "token 3", "finish 4", "done")
+	second := newFakeServer(t, "read", "stream", "token 3", "finish 4 2", "done") // counts its own two tokens
 	targets := []Target{first.target(), second.target()}
 	var got []int
 	answer, err := New().ChatResumed(context.Background(), Chat{Body: []byte(chatBody)},
--- a/internal/relay/attempt/error.go
+++ b/internal/relay/attempt/error.go
@@ -67,6 +67,18 @@
 
 func (e *Error) Unwrap() error { return e.Err }
 
+// Elsewhere reports whether the same request may fare better at another
+// server. Whether it may be sent again at all is the caller's decision.
+func (e *Error) Elsewhere() bool {
+	switch e.Kind {
+	case BadRequest, AnswerTooLarge, CallerGone, Cancelled, Deadline:
+		return false
+	case Status:
+		return e.Status >= 500
+	}
+	return true
+}
+
 // failures counts the attempts that ended without a whole answer, by kind.
 var failures = expvar.NewMap("AttemptFailures")
 
--- a/internal/relay/attempt/fake_test.go
+++ b/internal/relay/attempt/fake_test.go
@@ -21,7 +21,7 @@
 //	stream         start a stream under the request's attempt ID
 //	crossed        start a stream under another attempt ID
 //	token N        send token N
-//	finish N       send token N with the finish marker
+//	finish N U     send token N with the finish marker; U completion tokens, N if absent
 //	other N        send token N under another attempt ID
 //	done           send the end marker and end the body
 //	comment        send a comment line
@@ -218,10 +218,14 @@
 
 func (s *session) chunk(payload string) { s.send("%x\r\n%s\r\n", len(payload), payload) }
 
-func (s *session) event(id, token, finish string) {
+func (s *session) event(id, arg, finish string) {
+	token, used, counted := strings.Cut(arg, " ")
+	if !counted {
+		used = token
+	}
 	usage := ""
 	if finish != "null" {
-		usage = `,"usage":{"prompt_tokens":7,"completion_tokens":` + token + `}`
+		usage = `,"usage":{"prompt_tokens":7,"completion_tokens":` + used + `}`
 	}
 	s.chunk(fmt.Sprintf(`data: {"id":%q,"token":%s,"choices":[{"delta":{"content":"t%s "},"finish_reason":%s}]%s}`+"\n\n",
 		id, token, token, finish, usage))
--- a/internal/relay/attempt/resume.go
+++ b/internal/relay/attempt/resume_test.go
@@ -6,18 +6,6 @@
 	"time"
 )
 
-// Elsewhere reports whether the same request may fare better at another
-// server. Whether it may be sent again at all is the caller's decision.
-func (e *Error) Elsewhere() bool {
-	switch e.Kind {
-	case BadRequest, AnswerTooLarge, CallerGone, Cancelled, Deadline:
-		return false
-	case Status:
-		return e.Status >= 500
-	}
-	return true
-}
-
 // Next chooses the server and the attempt ID for another attempt. The error
 // that it returns ends the stream; last is nil for the first attempt.
 type Next func(ctx context.Context, last *Error) (Target, string, error)
@@ -38,7 +26,7 @@
 		chat.AttemptID = id
 		begun := c.clock.Since(started)
 		answer, err := c.Chat(ctx, target, chat, sink)
-		whole = whole.continued(answer, chat.ResumeFrom, begun)
+		whole = whole.continued(answer, begun)
 		whole.Duration = c.clock.Since(started)
 		if err == nil {
 			return whole, nil
@@ -58,9 +46,8 @@
 	return e
 }
 
-// continued adds a later attempt's part to the answer so far. An engine that
-// resumed counts only its own tokens, so the sequence gives the total.
-func (a Answer) continued(part Answer, resumedFrom int, begun time.Duration) Answer {
+// continued adds a later attempt's part to the answer so far.
+func (a Answer) continued(part Answer, begun time.Duration) Answer {
 	if a.FirstToken == 0 && part.FirstToken > 0 {
 		a.FirstToken = begun + part.FirstToken
 	}
@@ -69,8 +56,5 @@
 	if part.Usage != (Usage{}) {
 		a.Usage = part.Usage
 	}
-	if resumedFrom > 0 {
-		a.Usage.CompletionTokens = a.Tokens
-	}
 	return a
 }
--- a/internal/relay/attempt/stream.go
+++ b/internal/relay/attempt/stream.go
@@ -37,7 +37,7 @@
 			if answer.Whole {
 				break
 			}
-			return x.streamed(answer), x.fail(x.conn.readKind(), err)
+			return x.streamed(answer, chat.ResumeFrom), x.fail(x.conn.readKind(), err)
 		}
 		if strings.TrimSpace(event.Data) == doneMarker {
 			done = true
@@ -47,18 +47,23 @@
 			break
 		}
 		if err := x.takeEvent(event.Data, &answer, sink); err != nil {
-			return x.streamed(answer), err
+			return x.streamed(answer, chat.ResumeFrom), err
 		}
 	}
 	if !answer.Whole {
-		return x.streamed(answer), x.fail(Truncated, errNoFinish)
+		return x.streamed(answer, chat.ResumeFrom), x.fail(Truncated, errNoFinish)
 	}
 	x.finish(done && x.drain(resp) && !resp.ConnectionClose())
-	return x.streamed(answer), nil
+	return x.streamed(answer, chat.ResumeFrom), nil
 }
 
-func (x *exchange) streamed(a Answer) Answer {
+// streamed completes the answer of a stream. An engine that resumed counts only
+// its own tokens, so the sequence gives the total.
+func (x *exchange) streamed(a Answer, resumedFrom int) Answer {
 	a.Duration = x.elapsed()
+	if resumedFrom > 0 {
+		a.Usage.CompletionTokens = a.Tokens
+	}
 	return a
 }
 
--- a/internal/relay/pipeline/retry.go
+++ b/internal/relay/pipeline/retry.go
@@ -9,13 +9,7 @@
 
 // isServerFault reports whether an attempt's error speaks against the server.
 func isServerFault(e *attempt.Error) bool {
-	switch e.Kind {
-	case attempt.CallerGone, attempt.Cancelled, attempt.BadRequest, attempt.NotStarted:
-		return false
-	case attempt.Status:
-		return e.Status >= 500
-	}
-	return true
+	return e.Kind != attempt.NotStarted && e.Elsewhere()
 }
 
 // isRestartSign reports whether an attempt's error may come from a server that
@@ -36,10 +30,7 @@
 	if e.Kind == attempt.NotStarted {
 		return p.mayMove(f, err)
 	}
-	if e.Kind == attempt.Status && e.Status < 500 {
-		return false
-	}
-	if !isServerFault(e) {
+	if !e.Elsewhere() {
 		return false
 	}
 	if e.State != call.NotRun && !f.request.Idempotent {
