--- a/internal/console/operator/api.go
+++ b/internal/console/operator/api.go
@@ -33,7 +33,9 @@
 
 // Fleet asks all instances.
 type Fleet interface {
-	Self(ctx context.Context) Status
+	// Ready says whether this instance may get requests, and if not, why. The
+	// balancer asks often.
+	Ready() (ready bool, reason string)
 	Statuses(ctx context.Context) []Status
 	InForce(ctx context.Context, revision int64) []InForce
 	Explain(ctx context.Context, requestID string) []explanation.Record
@@ -104,9 +106,8 @@
 }
 
 func (a *API) ready(c fiber.Ctx) error {
-	s := a.fleet.Self(c.Context())
-	if !s.Ready {
-		return c.Status(fiber.StatusServiceUnavailable).SendString(s.Reason + "\n")
+	if ready, reason := a.fleet.Ready(); !ready {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(reason + "\n")
 	}
 	return c.SendString("ok\n")
 }
@@ -164,12 +165,18 @@
 	return c.JSON(ledgerAnswer{audit})
 }
 
-func (a *API) change(c fiber.Ctx) error {
+// readChange reads and checks the body of a change.
+func readChange(c fiber.Ctx) (changeRequest, error) {
 	var req changeRequest
 	if err := decodeStrict(c.Body(), &req); err != nil {
-		return err
+		return req, err
 	}
-	if err := req.check(); err != nil {
+	return req, req.check()
+}
+
+func (a *API) change(c fiber.Ctx) error {
+	req, err := readChange(c)
+	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), requestLimit)
@@ -189,11 +196,8 @@
 
 // restore writes the configuration in force into a store that has lost it.
 func (a *API) restore(c fiber.Ctx) error {
-	var req changeRequest
-	if err := decodeStrict(c.Body(), &req); err != nil {
-		return err
-	}
-	if err := req.check(); err != nil {
+	req, err := readChange(c)
+	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), requestLimit)
--- a/internal/fleet/instance/status.go
+++ b/internal/fleet/instance/status.go
@@ -31,21 +31,32 @@
 // askTimeout bounds one question to another instance.
 const askTimeout = time.Second
 
-// Self implements operator.Fleet.
-func (t teller) Self(context.Context) operator.Status {
+// Ready implements operator.Fleet.
+func (t teller) Ready() (ready bool, reason string) {
+	b := get[*board.Board](t.in)
+	reason = "no confirmed configuration"
+	if c := b.Confirmation.Get(); c != nil {
+		ready, reason = c.Allows(clockOf(t.in).Now()), c.Reason
+	}
+	if r := get[*lifecycle](t.in).unready(b, get[*admission.Gate](t.in)); r != "" {
+		return false, r
+	}
+	return ready, reason
+}
+
+// self returns the state of this instance.
+func (t teller) self() operator.Status {
 	s, b, now := settingsOf(t.in), get[*board.Board](t.in), clockOf(t.in).Now()
 	status := operator.Status{
 		Instance: s.Name, DataCentre: s.DataCentre, Region: s.Region, At: now,
-		Generation: get[*member.Controller](t.in).Generation(), Reason: "no confirmed configuration",
-		Refusals: counterValues("Refusals"), Retries: counterValues("Retries"), StoreCalls: map[string]int64{},
+		Generation: get[*member.Controller](t.in).Generation(),
+		Refusals:   counterValues("Refusals"), Retries: counterValues("Retries"), StoreCalls: map[string]int64{},
 	}
 	if c := b.Confirmation.Get(); c != nil {
-		status.Ready, status.Reason, status.Revision = c.Allows(now), c.Reason, c.Revision
+		status.Revision = c.Revision
 		status.ConfirmedAge, status.StoreAge, status.Watching = now.Sub(c.At), age(now, c.StoreAt), c.Watching
 	}
-	if reason := get[*lifecycle](t.in).unready(b, get[*admission.Gate](t.in)); reason != "" {
-		status.Ready, status.Reason = false, reason
-	}
+	status.Ready, status.Reason = t.Ready()
 	if doc := b.Configuration.Get(); doc != nil {
 		status.Preset = doc.Preset
 	}
@@ -132,7 +143,7 @@
 // Statuses implements operator.Fleet: this instance's state and that of every
 // other one that answers.
 func (t teller) Statuses(ctx context.Context) []operator.Status {
-	own := t.Self(ctx)
+	own := t.self()
 	others := askAll(ctx, t, func(ctx context.Context, c *peer.Client, m board.Member) (operator.Status, error) {
 		resp, err := c.Status(ctx, m.PeerAddress, &peer.StatusRequest{})
 		if err != nil {
@@ -215,8 +226,8 @@
 }
 
 // Status implements peer.StatusTeller.
-func (t tellerService) Status(ctx context.Context, _ *peer.StatusRequest) (*peer.StatusResponse, error) {
-	raw, err := json.Marshal(t.Self(ctx))
+func (t tellerService) Status(_ context.Context, _ *peer.StatusRequest) (*peer.StatusResponse, error) {
+	raw, err := json.Marshal(t.self())
 	if err != nil {
 		return nil, err
 	}
