Drop what nothing reads and what stood twice

Cause: a request's Progress and a session query's RequestID were written and never read; AwaitInForce and WatchPrefix had no caller; the list of headers that are not handed on stood in two packages; two commands fetched the configuration by the same lines. Change: removed, or one place for both.

--- a/cmd/kingcupyard/change.go
+++ b/cmd/kingcupyard/change.go
@@ -237,11 +237,7 @@
 	if err := c.checkFlags(f); err != nil {
 		return c.fail(err)
 	}
-	client, err := c.client()
-	if err != nil {
-		return c.fail(err)
-	}
-	doc, err := client.Configuration(ctx)
+	doc, err := c.configuration(ctx)
 	if err != nil {
 		return c.fail(err)
 	}
@@ -271,11 +267,7 @@
 	if err := noArguments(f); err != nil {
 		return c.fail(err)
 	}
-	client, err := c.client()
-	if err != nil {
-		return c.fail(err)
-	}
-	doc, err := client.Configuration(ctx)
+	doc, err := c.configuration(ctx)
 	if err != nil {
 		return c.fail(err)
 	}
--- a/cmd/kingcupyard/operator.go
+++ b/cmd/kingcupyard/operator.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
 	"github.com/kingcupyard/kingcupyard/internal/console/line"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 )
@@ -51,6 +52,15 @@
 	return operator.NewClient(a.operators, key), nil
 }
 
+// configuration asks for the document in force.
+func (a *access) configuration(ctx context.Context) (*configuration.Document, error) {
+	client, err := a.client()
+	if err != nil {
+		return nil, err
+	}
+	return client.Configuration(ctx)
+}
+
 func (a *access) printer() *line.Printer { return line.New(os.Stdout, a.json) }
 
 // fail prints why a command did not do its work and returns the exit status.
--- a/internal/fleet/distribution/inforce.go
+++ b/internal/fleet/distribution/inforce.go
@@ -53,20 +53,3 @@
 	_ = group.Wait()
 	return list
 }
-
-// AwaitInForce asks until the revision is in force on every member or the
-// context ends, and returns the last answers.
-func (e *Editor) AwaitInForce(ctx context.Context, revision int64) []InstanceInForce {
-	for {
-		list := e.InForce(ctx, revision)
-		missing := 0
-		for _, in := range list {
-			if !in.InForce {
-				missing++
-			}
-		}
-		if missing == 0 || !e.controller.sleep(ctx, askInterval) {
-			return list
-		}
-	}
-}
--- a/internal/platform/store/watch.go
+++ b/internal/platform/store/watch.go
@@ -21,11 +21,6 @@
 	return c.watch(ctx, p, watchCreate{Key: []byte(key), StartRevision: from})
 }
 
-// WatchPrefix is Watch for all keys with a prefix.
-func (c *Client) WatchPrefix(ctx context.Context, p Purpose, prefix string, from int64) (<-chan Event, error) {
-	return c.watch(ctx, p, watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from})
-}
-
 func (c *Client) watch(ctx context.Context, p Purpose, create watchCreate) (<-chan Event, error) {
 	if err := c.admit(ctx, watch, p); err != nil {
 		return nil, err
--- a/internal/relay/attempt/plain.go
+++ b/internal/relay/attempt/plain.go
@@ -19,6 +19,10 @@
 	HeaderAttempt: true, HeaderRequest: true, HeaderCustomer: true,
 }
 
+// IsHopHeader reports whether a header belongs to one connection or is set by
+// the router itself, and so is not passed on in either direction.
+func IsHopHeader(name string) bool { return hopHeaders[http.CanonicalHeaderKey(name)] }
+
 // unframed is fasthttp's content length of a body that ends with its
 // connection. Such a body cannot be told from a truncated one.
 const unframed = -2
@@ -59,7 +63,7 @@
 	}
 	header := http.Header{}
 	for key, value := range resp.Header.All() {
-		if !hopHeaders[string(key)] {
+		if !IsHopHeader(string(key)) {
 			header.Add(string(key), string(value))
 		}
 	}
@@ -75,7 +79,7 @@
 	req.Header.SetMethod(plain.Method)
 	req.SetRequestURI(uri)
 	for key, values := range plain.Header {
-		if hopHeaders[http.CanonicalHeaderKey(key)] {
+		if IsHopHeader(key) {
 			continue
 		}
 		for _, v := range values {
--- a/internal/relay/call/call.go
+++ b/internal/relay/call/call.go
@@ -35,7 +35,7 @@
 	return fmt.Sprintf("RunState(%d)", int32(s))
 }
 
-// Progress tracks the run state of one request. It is safe for concurrent use.
+// Progress tracks how far something can have run. It is safe for concurrent use.
 type Progress struct {
 	state atomic.Int32
 }
@@ -53,7 +53,7 @@
 // State returns the present state.
 func (p *Progress) State() RunState { return RunState(p.state.Load()) }
 
-// Request is one request of a caller. It is immutable but for Progress.
+// Request is one request of a caller. It is immutable.
 type Request struct {
 	// ID is unique: the customer and its idempotency key, else a UUIDv7.
 	ID string
@@ -73,7 +73,6 @@
 	MaxTokens  int
 	Arrived    time.Time
 	Deadline   time.Time
-	Progress   *Progress
 }
 
 // Reason names why a request was refused; expvar counts each.
--- a/internal/relay/front/parse.go
+++ b/internal/relay/front/parse.go
@@ -53,7 +53,7 @@
 	return &call.Request{
 		ID: id, Keyed: keyed, Trace: trace, Customer: customer.Name, Class: class, Session: session,
 		Priority: customer.Priority, Body: body, BodyHash: xxhash.Sum64(body),
-		Arrived: now, Deadline: now.Add(timeout), Progress: new(call.Progress),
+		Arrived: now, Deadline: now.Add(timeout),
 	}, nil
 }
 
--- a/internal/relay/front/plain.go
+++ b/internal/relay/front/plain.go
@@ -8,15 +8,17 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 )
 
-// hopHeaders are not handed on, nor is what the router sets itself.
-var hopHeaders = []string{
-	"authorization", "connection", "content-length", "host", "keep-alive", "proxy-authorization",
-	"te", "trailer", "transfer-encoding", "upgrade", "accept-encoding",
-	"idempotency-key", "session-id", "x-attempt-id", "x-request-id", "x-customer", "x-priority", "x-run-state",
+// ownHeaders are part of the callers' interface and not handed on.
+var ownHeaders = []string{headerIdempotencyKey, headerSession, headerRunState, attempt.HeaderPriority}
+
+// isForwarded reports whether a header is handed on between caller and service.
+func isForwarded(name string) bool {
+	return !attempt.IsHopHeader(name) && !slices.ContainsFunc(ownHeaders, func(own string) bool { return strings.EqualFold(own, name) })
 }
 
 // plain answers /services/NAME/... by calling a plain service.
@@ -40,7 +42,7 @@
 	}
 	setHead(c, p.Request, pipeline.Head{RequestID: answer.RequestID})
 	for _, h := range answer.Header {
-		if !slices.Contains(hopHeaders, strings.ToLower(h.Name)) {
+		if isForwarded(h.Name) {
 			c.Set(h.Name, h.Value)
 		}
 	}
@@ -77,7 +79,7 @@
 	var list []pipeline.Header
 	for k, v := range c.Request().Header.All() {
 		name := string(k)
-		if !slices.Contains(hopHeaders, strings.ToLower(name)) {
+		if isForwarded(name) {
 			list = append(list, pipeline.Header{Name: name, Value: string(v)})
 		}
 	}
--- a/internal/relay/pipeline/chat.go
+++ b/internal/relay/pipeline/chat.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	session, err := p.Sessions.Resolve(ctx, SessionQuery{
-		Document: f.doc, Customer: f.customer, Identifier: c.Request.Session, RequestID: c.Request.ID,
+		Document: f.doc, Customer: f.customer, Identifier: c.Request.Session,
 		Models: target.models, Exact: target.exact, Now: p.Clock.Now(),
 	})
 	if err != nil {
--- a/internal/relay/pipeline/pipeline_test.go
+++ b/internal/relay/pipeline/pipeline_test.go
@@ -228,7 +228,7 @@
 func (w *world) request(model string, stream bool) *call.Request {
 	return &call.Request{
 		ID: "r1", Customer: "households", Model: model, Stream: stream, Idempotent: true, Body: []byte("{}"),
-		Arrived: w.clock.Now(), Deadline: w.clock.Now().Add(time.Minute), Progress: new(call.Progress),
+		Arrived: w.clock.Now(), Deadline: w.clock.Now().Add(time.Minute),
 	}
 }
 
--- a/internal/relay/pipeline/plain.go
+++ b/internal/relay/pipeline/plain.go
@@ -127,7 +127,7 @@
 	id := uuid.NewString()
 	answer, err := p.Attempts.Plain(ctx, attempt.Target{Server: at.server.Name, Address: at.server.Address, DataCentre: at.server.DataCentre}, attempt.Plain{
 		AttemptID: id, RequestID: f.request.ID, Customer: f.request.Customer, Method: c.Method, Path: c.Path, Query: c.Query,
-		Header: httpHeader(c.Header), Body: f.request.Body, Idempotent: f.request.Idempotent, Progress: new(call.Progress),
+		Header: httpHeader(c.Header), Body: f.request.Body, Idempotent: f.request.Idempotent,
 		BeforeWrite: func() error { return p.check(f, r, at) },
 	})
 	p.settle(at, attempt.Answer{}, err)
--- a/internal/relay/pipeline/session.go
+++ b/internal/relay/pipeline/session.go
@@ -12,7 +12,6 @@
 	Customer *configuration.Customer
 	// Identifier is what the caller sent: nothing, a token or its own name.
 	Identifier string
-	RequestID  string
 	// Models are those that the request may run on.
 	Models []string
 	// Exact is the version the caller asked for by name, if any.
--- a/internal/relay/pipeline/step.go
+++ b/internal/relay/pipeline/step.go
@@ -52,7 +52,7 @@
 	f.attempts++
 	answer, err := p.Attempts.Chat(ctx, attempt.Target{Server: at.server.Name, Address: at.server.Address, DataCentre: at.server.DataCentre}, attempt.Chat{
 		AttemptID: id, RequestID: f.request.ID, Customer: f.request.Customer, Model: r.query.Model, Version: r.query.Version,
-		Body: f.request.Body, Stream: f.request.Stream, ResumeFrom: delivered, Priority: f.request.Priority, Progress: new(call.Progress),
+		Body: f.request.Body, Stream: f.request.Stream, ResumeFrom: delivered, Priority: f.request.Priority,
 		// A whole answer shows no progress, so its deadline is the only limit
 		// that ends the wait on a silent connection.
 		Limits:      attempt.Limits{Whole: max(f.request.Deadline.Sub(p.Clock.Now()), minWhole)},
@@ -90,7 +90,6 @@
 		}
 	}
 	f.state = max(f.state, state)
-	f.request.Progress.Advance(f.state)
 	p.note(f, r, id, outcome, at)
 }
 
