--- /dev/null
+++ b/cmd/kingcupyard/gateway.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/console/logline"
+	"github.com/kingcupyard/kingcupyard/internal/console/operator"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/gateway"
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
+	"github.com/kingcupyard/kingcupyard/platform"
+)
+
+// gatewayCommand runs one instance on the users' platform.
+type gatewayCommand struct {
+	access
+	settings string
+	level    string
+}
+
+func (*gatewayCommand) Name() string     { return "gateway" }
+func (*gatewayCommand) Synopsis() string { return "run an instance on the users' platform" }
+func (*gatewayCommand) Usage() string {
+	return "gateway [-Settings FILE] [-LogLevel LEVEL]: run an instance until SIGTERM\n"
+}
+
+func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "Settings", os.Getenv(platform.SettingsVariable), "the platform's settings file (TOML)")
+	f.StringVar(&c.level, "LogLevel", "info", "debug, info, warn or error")
+}
+
+func (c *gatewayCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(f); err != nil {
+		return c.fail(err)
+	}
+	if c.settings == "" {
+		return c.fail(&operator.Problem{Kind: operator.ProblemBadInput, Field: "Settings", Allowed: "a settings file"})
+	}
+	settings, err := platform.LoadSettings(c.settings)
+	if err != nil {
+		return c.fail(badInput(err))
+	}
+	log := logline.New(os.Stdout, c.level)
+	g := gateway.New(gateway.Parts{
+		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{},
+		Callers: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
+			return &platform.Door{Admission: a, Forwarder: f, Log: log}
+		},
+		Guard: platform.Guard, ConnContext: platform.ConnContext, ReadyPath: platform.ReadyPath,
+		Clock: clockwork.NewRealClock(), Log: log,
+	})
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := g.Run(ctx); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/kingcupyard/main.go
+++ b/cmd/kingcupyard/main.go
@@ -31,6 +31,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&serveCommand{}, "running")
+	c.Register(&gatewayCommand{}, "running")
 	c.Register(&checkCommand{}, "running")
 	c.Register(&demoCommand{}, "trying out")
 	c.Register(&loadCommand{}, "trying out")
--- /dev/null
+++ b/internal/console/logline/logline.go
@@ -0,0 +1,89 @@
+// Package logline writes the process's log: one line of key=value pairs for
+// each event. It never blocks: lines that the output does not take, or that
+// exceed the budget, are dropped and counted.
+package logline
+
+import (
+	"expvar"
+	"io"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
+)
+
+var dropped = expvar.NewMap("LogLinesDropped")
+
+const (
+	// queueLines is how many lines wait for the output.
+	queueLines = 4096
+	// perSecond and burst bound the lines below the level Warn; warnings and
+	// errors always pass.
+	perSecond = 400
+	burst     = 2000
+)
+
+// New returns a logger that writes to w.
+func New(w io.Writer, level string) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	config.TimeKey, config.LevelKey, config.MessageKey = "Time", "Level", "Event"
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		parsed = zapcore.InfoLevel
+	}
+	queue := &queue{lines: make(chan []byte, queueLines)}
+	go queue.drain(w)
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), queue, parsed)
+	return zap.New(&budgeted{Core: core, limit: rate.NewLimiter(perSecond, burst)})
+}
+
+// budgeted drops lines beyond a rate.
+type budgeted struct {
+	zapcore.Core
+	limit *rate.Limiter
+}
+
+// With implements zapcore.Core.
+func (b *budgeted) With(fields []zapcore.Field) zapcore.Core {
+	return &budgeted{Core: b.Core.With(fields), limit: b.limit}
+}
+
+// Check implements zapcore.Core.
+func (b *budgeted) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if !b.Enabled(e.Level) {
+		return ce
+	}
+	if e.Level < zapcore.WarnLevel && !b.limit.AllowN(time.Now(), 1) {
+		dropped.Add(e.Message, 1)
+		return ce
+	}
+	return ce.AddCore(e, b)
+}
+
+// queue hands lines to a writer of its own.
+type queue struct{ lines chan []byte }
+
+// Write implements zapcore.WriteSyncer.
+func (q *queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		dropped.Add("OutputFull", 1)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (*queue) Sync() error { return nil }
+
+func (q *queue) drain(w io.Writer) {
+	for line := range q.lines {
+		if _, err := w.Write(line); err != nil {
+			dropped.Add("OutputFailed", 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/backend/backend.go
@@ -0,0 +1,190 @@
+// Package backend keeps the directory of backend servers: which there are, as
+// far as the platform's listing and this instance's own contact with it say.
+package backend
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State says whether a backend server takes new work.
+type State string
+
+// The states of a backend server.
+const (
+	Ready    State = "Ready"
+	Draining State = "Draining"
+)
+
+// Server is one backend server as it announced itself.
+type Server struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Version is the version of the software that it runs.
+	Version string
+	Slots   int
+	State   State
+	// ColdLeft is how long the server stays cold from the announcement on.
+	ColdLeft time.Duration
+	// Sequence counts the announcements of one run of the server.
+	Sequence int64
+	// Born is when this run of the server began, by its own clock; 0 if it
+	// did not say.
+	Born int64
+	// Models lists what a model engine has loaded; empty means unknown.
+	Models []string
+	// Revision is the store's revision of the announcement.
+	Revision int64
+
+	// ColdUntil is when the server is warm again by this instance's clock.
+	ColdUntil time.Time
+	// SeenAt is when this instance first saw this run of the server.
+	SeenAt time.Time
+	// LapsedAt is set if the announcement ended while the store was in
+	// trouble, so that the server may still be there.
+	LapsedAt time.Time
+}
+
+// IsCold reports whether the server is still cold.
+func (s *Server) IsCold(now time.Time) bool { return now.Before(s.ColdUntil) }
+
+// Listing is an immutable view of the directory.
+type Listing struct {
+	// Revision is the newest store revision that the view includes.
+	Revision int64
+	ByID     map[string]*Server
+	// ByService holds each service's servers, sorted by ID.
+	ByService map[string][]*Server
+}
+
+// Directory joins announcements to a listing. It is not safe for concurrent
+// use: one controller owns it.
+type Directory struct {
+	// LapseGrace is how long a server whose announcement ended in a store
+	// outage stays in use after the store's return.
+	LapseGrace time.Duration
+
+	servers map[string]*Server
+	// gone holds the revision at which an announcement ended.
+	gone     map[string]int64
+	revision int64
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory(lapseGrace time.Duration) *Directory {
+	return &Directory{LapseGrace: lapseGrace, servers: map[string]*Server{}, gone: map[string]int64{}}
+}
+
+// Announce takes in a server's announcement. It reports whether the listing
+// changed in more than the sequence. An announcement of an earlier run, or one
+// that is older than what is known, is ignored.
+func (d *Directory) Announce(s Server, now time.Time) bool {
+	d.revision = max(d.revision, s.Revision)
+	if s.Revision <= d.gone[s.ID] {
+		return false
+	}
+	delete(d.gone, s.ID)
+	s.SeenAt = now
+	if s.ColdLeft > 0 {
+		s.ColdUntil = now.Add(s.ColdLeft)
+	}
+	old := d.servers[s.ID]
+	if old == nil {
+		d.servers[s.ID] = &s
+		return true
+	}
+	if s.Revision <= old.Revision || s.Born < old.Born {
+		return false
+	}
+	sameRun := s.Born == old.Born && s.Address == old.Address
+	if sameRun {
+		s.SeenAt = old.SeenAt
+		if old.State == Draining && s.Sequence <= old.Sequence {
+			s.State = Draining
+		}
+	}
+	d.servers[s.ID] = &s
+	return !sameRun || s.State != old.State || s.Service != old.Service || s.Version != old.Version || s.DataCentre != old.DataCentre ||
+		s.Slots != old.Slots || !old.LapsedAt.IsZero() || s.ColdLeft > 0 || !slices.Equal(s.Models, old.Models)
+}
+
+// Withdraw takes a server off the directory, or marks it lapsed if the store
+// was in trouble. It reports whether the listing changed.
+func (d *Directory) Withdraw(id string, revision int64, trouble bool, now time.Time) bool {
+	d.revision = max(d.revision, revision)
+	old := d.servers[id]
+	if old != nil && revision != 0 && revision <= old.Revision {
+		return false
+	}
+	if revision != 0 {
+		d.gone[id] = revision
+	}
+	if old == nil {
+		return false
+	}
+	if trouble && old.State == Ready {
+		if !old.LapsedAt.IsZero() {
+			return false
+		}
+		lapsed := *old
+		lapsed.LapsedAt = now
+		d.servers[id] = &lapsed
+		return true
+	}
+	delete(d.servers, id)
+	return true
+}
+
+// Replace takes in a whole reading of the listing at a store revision: servers
+// that are missing from it are withdrawn.
+func (d *Directory) Replace(list []Server, revision int64, trouble bool, now time.Time) bool {
+	changed := false
+	present := make(map[string]bool, len(list))
+	for _, s := range list {
+		present[s.ID] = true
+		if d.Announce(s, now) {
+			changed = true
+		}
+	}
+	for id, s := range d.servers {
+		if !present[id] && s.Revision <= revision && d.Withdraw(id, 0, trouble, now) {
+			changed = true
+		}
+	}
+	d.revision = max(d.revision, revision)
+	for id, at := range d.gone {
+		if at < revision {
+			delete(d.gone, id)
+		}
+	}
+	return changed
+}
+
+// Expire drops servers whose grace after a store outage is over. It reports
+// whether the listing changed.
+func (d *Directory) Expire(now time.Time) bool {
+	changed := false
+	for id, s := range d.servers {
+		if !s.LapsedAt.IsZero() && now.Sub(s.LapsedAt) >= d.LapseGrace {
+			delete(d.servers, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Listing returns the present view.
+func (d *Directory) Listing() *Listing {
+	l := &Listing{Revision: d.revision, ByID: make(map[string]*Server, len(d.servers)), ByService: map[string][]*Server{}}
+	for id, s := range d.servers {
+		l.ByID[id] = s
+		l.ByService[s.Service] = append(l.ByService[s.Service], s)
+	}
+	for _, list := range l.ByService {
+		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return l
+}
--- /dev/null
+++ b/internal/fleet/gateway/gateway.go
@@ -0,0 +1,368 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
+	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
+	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+)
+
+// Store is the platform's store.
+type Store interface {
+	follower.Store
+	// Grant opens a lease, Keep renews it and reports whether it lives, End
+	// ends it with its keys.
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	Keep(ctx context.Context, lease int64) (bool, error)
+	End(ctx context.Context, lease int64) error
+	// Register announces this instance for as long as the lease lives.
+	Register(ctx context.Context, lease int64, i follower.Instance) error
+	// Drive makes the instance the driver of roll-outs for as long as the
+	// lease lives, unless there is one. It reports whether it became the
+	// driver.
+	Drive(ctx context.Context, lease int64, instance string) (bool, error)
+	// Record writes a stage if its record is at the known revision and the
+	// driver's entry is at its own, and tells the operator.
+	Record(ctx context.Context, s follower.Stage, driver follower.Driver) (bool, error)
+}
+
+// Codec translates headers.
+type Codec interface {
+	pipeline.Envelope
+	attempt.Dialect
+}
+
+// Admission is what the callers' handler needs of the instance.
+type Admission interface {
+	// Table returns the routing table in force, or nil.
+	Table() *route.Table
+	// Enter counts a request in; the function that it returns counts it out.
+	Enter() func()
+	// IsStopping reports whether the instance is being stopped.
+	IsStopping() bool
+}
+
+// Parts is what a gateway is built from.
+type Parts struct {
+	Settings Settings
+	Store    Store
+	Codec    Codec
+	// Callers makes the handler of callers.
+	Callers func(a Admission, f *pipeline.Forwarder) http.Handler
+	// Guard wraps the callers' listener and marks its connections.
+	Guard       func(net.Listener) net.Listener
+	ConnContext func(context.Context, net.Conn) context.Context
+	// ReadyPath is where readiness is asked for.
+	ReadyPath string
+	Clock     clockwork.Clock
+	Log       *zap.Logger
+}
+
+// Gateway is an instance on the platform. Build it with New.
+type Gateway struct {
+	Parts
+	follower   *follower.Follower
+	dispatcher *dispatch.Dispatcher
+	forwarder  *pipeline.Forwarder
+	carrier    *attempt.Client
+	releases   *releases
+	member     *membership
+
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mu         sync.Mutex
+	allowances map[string]*allowance.Allowance
+	changed    chan struct{}
+}
+
+const (
+	// nearRoundTrip and farRoundTrip are the round trips within a data centre
+	// and within a region, from the users' sheets.
+	nearRoundTrip = 500 * time.Microsecond
+	farRoundTrip  = 9 * time.Millisecond
+	// crossingCost weighs the price of a request's bytes between data centres
+	// as a wait.
+	crossingCost = 20 * time.Millisecond
+	// failureCost is what an attempt that fails costs a caller, about half a
+	// route's goal.
+	failureCost = time.Second
+	// idlePerServer, idleLimit and connectionAge bound kept connections.
+	idlePerServer = 4
+	idleLimit     = 8 * time.Second
+	connectionAge = 5 * time.Minute
+	// memoryShare is the part of the memory limit that the runtime aims at;
+	// the rest covers stacks, sockets and what is not returned at once.
+	memoryShare = 0.6
+	// confirmShare is the part of the time to revoke a key for which a
+	// confirmation holds; the rest covers the way to the server.
+	confirmShare = 0.55
+	// readyShare is the part for which the instance calls itself ready.
+	readyShare = 0.5
+)
+
+// New returns a gateway that is not started.
+func New(p Parts) *Gateway {
+	s := p.Settings
+	g := &Gateway{Parts: p, allowances: map[string]*allowance.Allowance{}, changed: make(chan struct{})}
+	g.follower = follower.New(p.Store, follower.WithClock(p.Clock), follower.WithLogger(p.Log))
+	g.dispatcher = dispatch.New(dispatch.Settings{
+		Instance: s.Instance, DataCentre: s.DataCentre, Near: nearRoundTrip, Far: farRoundTrip,
+		CrossingCost: crossingCost, FailureCost: failureCost, ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
+	})
+	g.carrier = attempt.New(attempt.WithClock(p.Clock), attempt.WithIdle(idlePerServer, idleLimit, connectionAge))
+	g.releases = newReleases(g)
+	g.member = &membership{gateway: g}
+	g.forwarder = pipeline.NewForwarder(g, g.carrier, p.Codec, p.Codec, pipeline.WithForwardClock(p.Clock), pipeline.WithForwardLogger(p.Log))
+	return g
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(g.Settings.MemoryBytes)))
+	ready, err := net.Listen("tcp", g.Settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", g.Settings.CallersAddress)
+	if err != nil {
+		return err
+	}
+	g.Log.Info("Started", zap.String("Instance", g.Settings.Instance), zap.String("DataCentre", g.Settings.DataCentre),
+		zap.String("Callers", g.Settings.CallersAddress))
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	group.Go(func() { g.follower.Run(work) })
+	group.Go(func() { g.watchView(work) })
+	group.Go(func() { g.member.run(work) })
+	group.Go(func() { g.releases.run(work) })
+	readiness := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: time.Second}
+	group.Go(func() { g.serve(readiness, ready) })
+	front := g.callersServer()
+	group.Go(func() { g.serve(front, g.Guard(callers)) })
+	<-ctx.Done()
+	g.stop(front)
+	cancel()
+	readiness.Close()
+	g.member.leave()
+	group.Wait()
+	g.Log.Info("Stopped", zap.Int64("CutOff", g.inFlight.Load()))
+	return nil
+}
+
+func (g *Gateway) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.Log.Error("ListenerFailed", zap.String("Address", l.Addr().String()), zap.Error(err))
+	}
+}
+
+// Limits on callers' connections. The routing table states its own; these are
+// the least strict ones that instances hold to whatever it says.
+const (
+	callersHeaderBytes   = 16 << 10
+	callersHeaderTimeout = 3 * time.Second
+	callersIdleTimeout   = 60 * time.Second
+)
+
+func (g *Gateway) callersServer() *http.Server {
+	return &http.Server{
+		Handler: g.Callers(g, g.forwarder), ConnContext: g.ConnContext, MaxHeaderBytes: callersHeaderBytes,
+		ReadHeaderTimeout: callersHeaderTimeout, IdleTimeout: callersIdleTimeout,
+		ErrorLog: zap.NewStdLog(g.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+}
+
+func (g *Gateway) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+g.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.IsReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// IsReady reports whether the instance can take new callers.
+func (g *Gateway) IsReady() bool {
+	return !g.stopping.Load() && g.Table() != nil && g.follower.View.Servers.Get() != nil && g.confirmedWithin(readyShare)
+}
+
+// confirmedWithin reports whether the table was confirmed within a share of
+// the time to revoke a key.
+func (g *Gateway) confirmedWithin(share float64) bool {
+	age, ok := g.follower.Confirmed()
+	if !g.Settings.StrictRevocation {
+		return ok
+	}
+	return ok && age < time.Duration(share*float64(g.Settings.RevokeWithin))
+}
+
+const (
+	// balancerLag is how long after it turned unready an instance gets new
+	// connections: two checks a second apart, and the way.
+	balancerLag = 3 * time.Second
+	// exitMargin is kept back from the time to SIGKILL.
+	exitMargin = 500 * time.Millisecond
+	// stopPoll is how often a stopping instance looks for requests.
+	stopPoll = 20 * time.Millisecond
+)
+
+// stop turns unready, goes on serving until the balancer has noticed, and then
+// finishes what is under way.
+func (g *Gateway) stop(front *http.Server) {
+	began := g.Clock.Now()
+	g.stopping.Store(true)
+	g.Log.Info("Stopping", zap.Int64("InFlight", g.inFlight.Load()))
+	front.SetKeepAlivesEnabled(false)
+	end := began.Add(g.Settings.Grace - exitMargin)
+	for g.Clock.Now().Before(end) {
+		if g.inFlight.Load() == 0 && g.Clock.Since(began) >= balancerLag {
+			break
+		}
+		g.Clock.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.Clock.Now()))
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		g.Log.Warn("RequestsCutOff", zap.Int64("InFlight", g.inFlight.Load()), zap.Error(err))
+	}
+}
+
+// watchView wakes requests that wait for a server when the view changes.
+func (g *Gateway) watchView(ctx context.Context) {
+	servers, endServers := g.follower.View.Servers.Subscribe()
+	defer endServers()
+	fleet, endFleet := g.follower.View.Fleet.Subscribe()
+	defer endFleet()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-servers:
+			g.dispatcher.Forget(g.follower.View.Servers.Get())
+		case <-fleet:
+		}
+		g.mu.Lock()
+		close(g.changed)
+		g.changed = make(chan struct{})
+		g.mu.Unlock()
+	}
+}
+
+// Changed implements pipeline.Forwarding.
+func (g *Gateway) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+// Table implements pipeline.Forwarding and Admission.
+func (g *Gateway) Table() *route.Table { return g.follower.View.Table.Get() }
+
+// IsConfirmed implements pipeline.Forwarding.
+func (g *Gateway) IsConfirmed() bool { return g.confirmedWithin(confirmShare) }
+
+// IsStopping implements Admission.
+func (g *Gateway) IsStopping() bool { return g.stopping.Load() }
+
+// Enter implements Admission.
+func (g *Gateway) Enter() func() {
+	g.inFlight.Add(1)
+	return func() { g.inFlight.Add(-1) }
+}
+
+// fleet returns the view of the fleet, empty before the first reading.
+func (g *Gateway) fleet() follower.Fleet {
+	if f := g.follower.View.Fleet.Get(); f != nil {
+		return *f
+	}
+	return follower.Fleet{}
+}
+
+// members returns the names of all instances, this one included.
+func (g *Gateway) members() []string {
+	fleet := g.fleet()
+	names := make([]string, 0, len(fleet.Instances)+1)
+	for name := range fleet.Instances {
+		names = append(names, name)
+	}
+	if _, ok := fleet.Instances[g.Settings.Instance]; !ok {
+		names = append(names, g.Settings.Instance)
+	}
+	return names
+}
+
+func (g *Gateway) query(ask pipeline.Ask) *dispatch.Query {
+	service := g.Table().Services[ask.Service]
+	return &dispatch.Query{
+		Service: ask.Service, Model: ask.Model, Size: ask.Size, Parts: ask.Parts, Exclude: ask.Exclude,
+		Versions: g.releases.versions(ask.Service, ask.Session), Closed: g.fleet().Closed, Members: g.members(),
+		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
+	}
+}
+
+// Place implements pipeline.Forwarding.
+func (g *Gateway) Place(ask pipeline.Ask) (*dispatch.Work, error) {
+	return g.dispatcher.Place(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
+}
+
+// Predict implements pipeline.Forwarding.
+func (g *Gateway) Predict(ask pipeline.Ask) (time.Duration, error) {
+	return g.dispatcher.Predict(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
+}
+
+// Check implements pipeline.Forwarding.
+func (g *Gateway) Check(w *dispatch.Work, ask pipeline.Ask) bool {
+	return w.Check(g.follower.View.Servers.Get(), g.releases.versions(ask.Service, ask.Session), g.fleet().Closed)
+}
+
+func (g *Gateway) allowance(service string) *allowance.Allowance {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.allowances[service]
+	if a == nil {
+		a = allowance.New(allowance.Settings{Ratio: g.Settings.RetryRatio, Slack: g.Settings.RetrySlack, Window: g.Settings.RetryWindow})
+		g.allowances[service] = a
+	}
+	return a
+}
+
+// stepReserve is the part of the allowance that steps up to a larger model
+// leave to attempts that replace failed ones.
+const stepReserve = 0.3
+
+// Request implements pipeline.Forwarding.
+func (g *Gateway) Request(service string) { g.allowance(service).Request(g.Clock.Now()) }
+
+// Repeat implements pipeline.Forwarding.
+func (g *Gateway) Repeat(service string, urgent bool) bool {
+	reserve := stepReserve
+	if urgent {
+		reserve = 0
+	}
+	return g.allowance(service).Take(g.Clock.Now(), len(g.members()), reserve)
+}
+
+// Observe implements pipeline.Forwarding.
+func (g *Gateway) Observe(o pipeline.Observation) { g.releases.observe(o) }
+
+// jitter spreads d by a quarter each way, so that instances that started
+// together do not call together.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
+}
--- /dev/null
+++ b/internal/fleet/gateway/releases.go
@@ -0,0 +1,352 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
+	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
+	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+)
+
+// releases chooses the version that a session runs on while a roll-out goes
+// on, collects how the versions do, and, on the driving instance, decides.
+type releases struct {
+	gateway *Gateway
+
+	mu sync.Mutex
+	// trials holds this instance's own evidence by service.
+	trials map[string]*trial
+	// merged holds all instances' evidence on the driver.
+	merged map[string]map[string]verdict.Evidence
+	pins   map[string]pin
+	// vacantSince is when a driver was first missed.
+	vacantSince time.Time
+}
+
+// trial is one roll-out as this instance sees it.
+type trial struct {
+	order    int64
+	target   string
+	seenAt   time.Time
+	evidence verdict.Evidence
+	// bad says that this instance's own evidence is enough against the target.
+	bad     bool
+	changed bool
+}
+
+// pin is the version that a session's last request ran on.
+type pin struct {
+	version string
+	at      time.Time
+}
+
+const (
+	// releaseEvery is how often roll-outs are looked at.
+	releaseEvery = 300 * time.Millisecond
+	// driverStep is how long each further instance waits for the one before
+	// it to become the driver.
+	driverStep = 600 * time.Millisecond
+	// maxPins bounds the sessions that are remembered.
+	maxPins = 20000
+	// slowFactor and slowFloor say when an answer is slow: it took so many
+	// times the prediction, and so much at least.
+	slowFactor = 4
+	slowFloor  = 250 * time.Millisecond
+	// evidenceBytes bounds one message of evidence.
+	evidenceBytes = 16 << 10
+)
+
+func newReleases(g *Gateway) *releases {
+	return &releases{gateway: g, trials: map[string]*trial{}, merged: map[string]map[string]verdict.Evidence{}, pins: map[string]pin{}}
+}
+
+// versions returns the versions that a request of a session may run on.
+func (r *releases) versions(service, session string) dispatch.Versions {
+	fleet := r.gateway.fleet()
+	stage, recorded := fleet.Stages[service]
+	order, ordered := fleet.Orders[service]
+	if ordered && (!recorded || stage.Order != order.Revision) {
+		return dispatch.Versions{Not: order.Target}
+	}
+	if !recorded {
+		return dispatch.Versions{}
+	}
+	switch stage.State {
+	case follower.StageReverted:
+		return dispatch.Versions{Not: stage.Target}
+	case follower.StageComplete:
+		if r.ready(service, stage.Target) > 0 {
+			return dispatch.Versions{Only: stage.Target}
+		}
+		return dispatch.Versions{}
+	}
+	if r.isNew(stage, service, session) {
+		return dispatch.Versions{Only: stage.Target}
+	}
+	return dispatch.Versions{Not: stage.Target}
+}
+
+// isNew decides for one session of a roll-out under way. Sessions are chosen
+// by their name, so that all instances agree and a growing share moves none
+// back; one that runs already stays where it is while the share is a trial's.
+func (r *releases) isNew(stage follower.Stage, service, session string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trials[service]; t != nil && t.order == stage.Order && t.bad {
+		return false
+	}
+	p, pinned := r.pins[session]
+	if pinned && r.gateway.Clock.Since(p.at) < r.gateway.Settings.SessionWindow {
+		if p.version == stage.Target {
+			return true
+		}
+		if stage.Share <= r.gateway.Settings.ExposureShare {
+			return false
+		}
+	}
+	return float64(xxhash.Sum64String(session))/math.MaxUint64 < stage.Share
+}
+
+// ready counts a service's servers of a version that take work.
+func (r *releases) ready(service, version string) int {
+	l := r.gateway.follower.View.Servers.Get()
+	if l == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range l.ByService[service] {
+		if s.Version == version && s.State == backend.Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// observe adds an attempt to the evidence of its service's roll-out.
+func (r *releases) observe(o pipeline.Observation) {
+	now := r.gateway.Clock.Now()
+	s := o.Work.Server
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.First > 0 && !o.Failed {
+		if len(r.pins) >= maxPins {
+			clear(r.pins)
+		}
+		r.pins[o.Session] = pin{s.Version, now}
+	}
+	t := r.trials[s.Service]
+	if t == nil || o.First <= 0 && !o.Failed {
+		return
+	}
+	c := verdict.Counts{Answers: 1}
+	if o.Failed {
+		c.Failed = 1
+	} else if o.First > slowFloor && o.First > slowFactor*o.Predicted {
+		c.Slow = 1
+	}
+	pair := verdict.Pair{Old: c}
+	if s.Version == t.target {
+		pair = verdict.Pair{New: c}
+	}
+	t.evidence.Add(verdict.Evidence{o.Route: pair})
+	t.changed = true
+	if !t.bad && verdict.IsBad(t.evidence) {
+		t.bad = true
+		r.gateway.Log.Warn("VersionDistrusted", zap.String("Service", s.Service), zap.String("Version", t.target), zap.Any("Evidence", t.evidence))
+	}
+}
+
+// run follows the roll-outs until the context ends.
+func (r *releases) run(ctx context.Context) {
+	conn, err := net.ListenPacket("udp", r.gateway.Settings.PeerAddress)
+	if err != nil {
+		r.gateway.Log.Error("EvidenceNotShared", zap.Error(err))
+		return
+	}
+	defer conn.Close()
+	go r.receive(conn)
+	for ctx.Err() == nil {
+		r.step(ctx, conn)
+		select {
+		case <-ctx.Done():
+		case <-r.gateway.Clock.After(releaseEvery):
+		}
+	}
+}
+
+// open returns the orders that have not been decided, and renews the trials.
+func (r *releases) open(fleet follower.Fleet) []follower.Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var orders []follower.Order
+	for service, order := range fleet.Orders {
+		stage := fleet.Stages[service]
+		if stage.Order == order.Revision && stage.State != follower.StageActive {
+			continue
+		}
+		orders = append(orders, order)
+		if t := r.trials[service]; t == nil || t.order != order.Revision {
+			r.trials[service] = &trial{order: order.Revision, target: order.Target, seenAt: r.gateway.Clock.Now(), evidence: verdict.Evidence{}}
+			delete(r.merged, service)
+		}
+	}
+	return orders
+}
+
+func (r *releases) step(ctx context.Context, conn net.PacketConn) {
+	fleet := r.gateway.fleet()
+	orders := r.open(fleet)
+	if len(orders) == 0 {
+		r.vacantSince = time.Time{}
+		return
+	}
+	switch fleet.Driver.Instance {
+	case "":
+		r.candidate(ctx)
+	case r.gateway.Settings.Instance:
+		for _, order := range orders {
+			r.drive(ctx, order, fleet)
+		}
+	default:
+		r.vacantSince = time.Time{}
+		for _, order := range orders {
+			r.send(conn, order, fleet.Instances[fleet.Driver.Instance].PeerAddress)
+		}
+	}
+}
+
+// candidate takes the office of driver if it is vacant. Instances wait their
+// turn, so that one call is enough as a rule.
+func (r *releases) candidate(ctx context.Context) {
+	g := r.gateway
+	now := g.Clock.Now()
+	if r.vacantSince.IsZero() {
+		r.vacantSince = now
+	}
+	names := g.members()
+	slices.Sort(names)
+	turn := time.Duration(slices.Index(names, g.Settings.Instance)) * driverStep
+	lease := g.member.current()
+	if now.Sub(r.vacantSince) < turn || lease == 0 || !g.IsReady() {
+		return
+	}
+	r.vacantSince = now
+	taken, err := g.Store.Drive(ctx, lease, g.Settings.Instance)
+	g.Log.Info("DriverSought", zap.Bool("Taken", taken), zap.Error(err))
+}
+
+// drive decides on one roll-out and records the decision.
+func (r *releases) drive(ctx context.Context, order follower.Order, fleet follower.Fleet) {
+	g := r.gateway
+	stage := fleet.Stages[order.Service]
+	revision := stage.Revision
+	if stage.Order != order.Revision {
+		stage = follower.Stage{}
+	}
+	evidence, seenAt := r.all(order.Service)
+	elapsed := max(g.Clock.Since(seenAt), stage.Elapsed)
+	decision := verdict.Decide(verdict.Query{
+		Elapsed: elapsed, Duration: order.Duration, Exposure: g.Settings.ExposureShare, Evidence: evidence,
+		Ready: r.ready(order.Service, order.Target), Share: stage.Share,
+	})
+	next := follower.Stage{
+		Service: order.Service, Order: order.Revision, Target: order.Target, State: follower.StageActive, Share: decision.Share,
+		Elapsed: elapsed, Revision: revision,
+	}
+	switch {
+	case decision.Revert:
+		next.State, next.Share = follower.StageReverted, 0
+	case decision.Complete:
+		next.State, next.Share = follower.StageComplete, 1
+	}
+	if stage.Order == next.Order && stage.State == next.State && stage.Share == next.Share {
+		return
+	}
+	done, err := g.Store.Record(ctx, next, fleet.Driver)
+	g.Log.Info("StageRecorded", zap.Bool("Done", done), zap.Any("Stage", next), zap.Any("Evidence", evidence), zap.Error(err))
+	if err == nil && done {
+		// The watch brings the record; until then nothing is decided anew.
+		g.Clock.Sleep(releaseEvery)
+	}
+}
+
+// all merges the evidence of all instances.
+func (r *releases) all(service string) (verdict.Evidence, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.trials[service]
+	sum := verdict.Evidence{}
+	sum.Add(t.evidence)
+	for _, e := range r.merged[service] {
+		sum.Add(e)
+	}
+	return sum, t.seenAt
+}
+
+// evidenceMessage is one instance's evidence on its way to the driver. Counts
+// grow only, so that a lost message does no harm.
+type evidenceMessage struct {
+	Instance string
+	Service  string
+	Order    int64
+	Evidence verdict.Evidence
+}
+
+func (r *releases) send(conn net.PacketConn, order follower.Order, address string) {
+	r.mu.Lock()
+	t := r.trials[order.Service]
+	changed := t.changed
+	t.changed = false
+	raw, err := json.Marshal(evidenceMessage{r.gateway.Settings.Instance, order.Service, t.order, t.evidence})
+	r.mu.Unlock()
+	if !changed || address == "" {
+		return
+	}
+	to, resolveErr := net.ResolveUDPAddr("udp", address)
+	if err == nil && resolveErr == nil {
+		_, err = conn.WriteTo(raw, to)
+	}
+	if err != nil || resolveErr != nil {
+		r.gateway.Log.Warn("EvidenceNotSent", zap.String("Address", address), zap.NamedError("Resolve", resolveErr), zap.Error(err))
+	}
+}
+
+// receive takes in other instances' evidence until the connection is closed.
+func (r *releases) receive(conn net.PacketConn) {
+	buf := make([]byte, evidenceBytes)
+	for {
+		n, _, err := conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		var m evidenceMessage
+		if err := json.Unmarshal(buf[:n], &m); err != nil {
+			r.gateway.Log.Warn("EvidenceUnreadable", zap.Error(err))
+			continue
+		}
+		r.merge(m)
+	}
+}
+
+func (r *releases) merge(m evidenceMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.trials[m.Service]; t == nil || t.order != m.Order {
+		return
+	}
+	if r.merged[m.Service] == nil {
+		r.merged[m.Service] = map[string]verdict.Evidence{}
+	}
+	r.merged[m.Service][m.Instance] = m.Evidence
+}
--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -25,6 +25,9 @@
 	reader    *bufio.Reader
 	dialledAt time.Time
 	idleSince time.Time
+	// idleLimit is how long the server says that it keeps the connection
+	// idle; 0 if it has not said.
+	idleLimit time.Duration
 
 	mu       sync.Mutex
 	timer    clockwork.Timer
@@ -48,6 +51,13 @@
 	return c
 }
 
+// keepFor notes how long the server keeps the connection idle.
+func (c *conn) keepFor(limit time.Duration) {
+	if limit > 0 {
+		c.idleLimit = limit
+	}
+}
+
 // Read counts any byte as a sign of life.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/relay/attempt/error.go
+++ b/internal/relay/attempt/error.go
@@ -36,6 +36,13 @@
 	CallerGone       Kind = "CallerGone"
 	Cancelled        Kind = "Cancelled"
 	Deadline         Kind = "Deadline"
+	// Misdirected means that another server has the address now.
+	Misdirected Kind = "Misdirected"
+	// Unsigned means that an answer lacks the server's signature or is not in
+	// the form that was asked for.
+	Unsigned Kind = "Unsigned"
+	// Unwanted means that the receiver declined the answer at its head.
+	Unwanted Kind = "Unwanted"
 )
 
 // Error reports an attempt that did not bring back a whole answer.
@@ -71,7 +78,7 @@
 // server. Whether it may be sent again at all is the caller's decision.
 func (e *Error) Elsewhere() bool {
 	switch e.Kind {
-	case BadRequest, AnswerTooLarge, CallerGone, Cancelled, Deadline:
+	case BadRequest, AnswerTooLarge, CallerGone, Cancelled, Deadline, Unwanted:
 		return false
 	case Status:
 		return e.Status >= 500
--- a/internal/relay/attempt/exchange.go
+++ b/internal/relay/attempt/exchange.go
@@ -87,8 +87,9 @@
 	return Cancelled
 }
 
-// send writes the request. The run state moves before the first byte does.
-func (x *exchange) send(req *fasthttp.Request) error {
+// prepare makes the last check and moves the run state; the first byte may be
+// written after it.
+func (x *exchange) prepare() error {
 	if x.before != nil {
 		if err := x.before(); err != nil {
 			return x.fail(NotStarted, err)
@@ -97,6 +98,19 @@
 	x.advance(call.MayHaveRun)
 	x.conn.written = 0
 	x.conn.arm(WriteTimeout, x.limits.Write)
+	return nil
+}
+
+// requestWriter is a request that can write itself.
+type requestWriter interface {
+	Write(w *bufio.Writer) error
+}
+
+// send writes the request. The run state moves before the first byte does.
+func (x *exchange) send(req requestWriter) error {
+	if err := x.prepare(); err != nil {
+		return err
+	}
 	w := bufio.NewWriter(x.conn)
 	err := req.Write(w)
 	if err == nil {
--- a/internal/relay/attempt/pool.go
+++ b/internal/relay/attempt/pool.go
@@ -39,7 +39,7 @@
 			return nil
 		}
 		switch {
-		case now.Sub(c.idleSince) >= p.idleLimit || now.Sub(c.dialledAt) >= p.ageLimit:
+		case now.Sub(c.idleSince) >= p.idleFor(c) || now.Sub(c.dialledAt) >= p.ageLimit:
 			connections.Add("Aged", 1)
 		case c.reader.Buffered() > 0 || !isQuiet(c.Conn):
 			connections.Add("Unusable", 1)
@@ -50,6 +50,17 @@
 	}
 }
 
+// idleMargin is taken off the time that a server says it keeps an idle
+// connection: a request on its way must arrive before the server closes.
+const idleMargin = 500 * time.Millisecond
+
+func (p *pool) idleFor(c *conn) time.Duration {
+	if c.idleLimit > 0 {
+		return min(p.idleLimit, c.idleLimit-idleMargin)
+	}
+	return p.idleLimit
+}
+
 func (p *pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/relay/pipeline/forward.go
@@ -0,0 +1,323 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
+)
+
+// Forward is a call that is passed on as it came, along a route.
+type Forward struct {
+	// ID is the caller's own; each of the caller's tries has one.
+	ID     string
+	Method string
+	// URI is the path and query as sent; Path is the part before the query.
+	URI    string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Key is the customer's key, Customer its owner's name.
+	Key      string
+	Customer string
+	Priority int
+	Route    *route.Route
+	Arrived  time.Time
+	// Deadline is when the caller gives up or the route's timeout is reached.
+	Deadline time.Time
+	// Model is what the caller named; the router chooses if the route has
+	// models of its own.
+	Model     string
+	Parts     []dispatch.Part
+	Read      int
+	Generated int
+	// ResumeFrom is the last event that the caller has.
+	ResumeFrom int
+}
+
+// ForwardOutput takes an answer towards the caller. An error means that the
+// caller can't be reached any more.
+type ForwardOutput interface {
+	// Begin comes once, before the first event.
+	Begin(head attempt.Head) error
+	Event(raw []byte) error
+	// Whole delivers an answer that has no events.
+	Whole(reply attempt.Reply) error
+}
+
+// Stamp is what the router adds to a call for one attempt.
+type Stamp struct {
+	Server     string
+	Customer   string
+	Model      string
+	Priority   int
+	ResumeFrom int
+	// Left is the time that the server has.
+	Left time.Duration
+}
+
+// Envelope writes stamps.
+type Envelope interface {
+	Header(base http.Header, s Stamp) http.Header
+}
+
+// Forwarding is the state of the instance that forwarded calls are decided by.
+type Forwarding interface {
+	// Table returns the routing table in force, or nil.
+	Table() *route.Table
+	// IsConfirmed reports whether the table is known to be in force.
+	IsConfirmed() bool
+	// Place chooses a server and enters the attempt into the account.
+	Place(ask Ask) (*dispatch.Work, error)
+	// Predict returns the wait at the best server.
+	Predict(ask Ask) (time.Duration, error)
+	// Check reports whether the server may still take the request.
+	Check(w *dispatch.Work, ask Ask) bool
+	// Request notes a request of a service, Repeat asks for another attempt.
+	Request(service string)
+	Repeat(service string, urgent bool) bool
+	// Observe notes how an attempt went.
+	Observe(o Observation)
+	// Changed is closed when the servers or the table next change.
+	Changed() <-chan struct{}
+}
+
+// Ask is what is to be placed.
+type Ask struct {
+	Service string
+	Model   string
+	Size    int
+	Parts   []dispatch.Part
+	// Session ties requests that should run on one version.
+	Session string
+	Exclude []string
+}
+
+// Observation is how one attempt went.
+type Observation struct {
+	Work    *dispatch.Work
+	Route   string
+	Session string
+	Model   string
+	// Failed says that the server failed the request by itself.
+	Failed bool
+	// First and Duration are 0 if there was no answer.
+	First    time.Duration
+	Duration time.Duration
+	// Predicted is the wait that was expected.
+	Predicted time.Duration
+	Events    int
+}
+
+// ForwardAttempts carries single attempts.
+type ForwardAttempts interface {
+	Forward(ctx context.Context, target attempt.Target, f attempt.Forward, sink attempt.EventSink) (attempt.Reply, error)
+}
+
+// Forwarder runs forwarded calls. Build it with NewForwarder.
+type Forwarder struct {
+	fleet    Forwarding
+	carrier  ForwardAttempts
+	envelope Envelope
+	dialect  attempt.Dialect
+	clock    clockwork.Clock
+	log      *zap.Logger
+	random   func() float64
+}
+
+// ForwarderOption changes a Forwarder.
+type ForwarderOption func(*Forwarder)
+
+// WithForwardClock sets the clock.
+func WithForwardClock(c clockwork.Clock) ForwarderOption { return func(f *Forwarder) { f.clock = c } }
+
+// WithForwardLogger sets the log.
+func WithForwardLogger(l *zap.Logger) ForwarderOption { return func(f *Forwarder) { f.log = l } }
+
+// WithForwardRandom sets the source of random numbers, 0 to 1.
+func WithForwardRandom(r func() float64) ForwarderOption { return func(f *Forwarder) { f.random = r } }
+
+// NewForwarder returns a Forwarder.
+func NewForwarder(fleet Forwarding, carrier ForwardAttempts, envelope Envelope, dialect attempt.Dialect, opts ...ForwarderOption) *Forwarder {
+	f := &Forwarder{
+		fleet: fleet, carrier: carrier, envelope: envelope, dialect: dialect,
+		clock: clockwork.NewRealClock(), log: zap.NewNop(), random: rand.Float64,
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// passage is one forwarded call under way.
+type passage struct {
+	*Forwarder
+	call    *Forward
+	out     ForwardOutput
+	service string
+	// ran is the furthest that any attempt can have run.
+	ran call.RunState
+	// attempts counts those that reached a server, tries all of them.
+	attempts int
+	tries    int
+	tried    []string
+	size     int
+	model    string
+	query    sizing.Query
+	// last is the last event delivered; begun says that the caller has the
+	// head of the answer.
+	last  int
+	begun bool
+	// failure is a server's own failure, kept for the case that no attempt
+	// does better.
+	failure *attempt.Reply
+}
+
+const (
+	// maxTries bounds the attempts of one call, those included that reached
+	// no server.
+	maxTries = 8
+	// returnMargin is kept back from the time that a server gets, for the way
+	// of its answer to the caller.
+	returnMargin = 15 * time.Millisecond
+)
+
+// Run carries a call out and delivers its answer. On an error the answer was
+// not delivered as whole; the error holds a *call.Refusal.
+func (f *Forwarder) Run(ctx context.Context, c *Forward, out ForwardOutput) error {
+	p := &passage{Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model}
+	p.service = c.Route.Target(positionOf(c))
+	f.fleet.Request(p.service)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := f.clock.AfterFunc(c.Deadline.Sub(f.clock.Now()), cancel)
+	defer timer.Stop()
+	err := p.run(ctx)
+	p.note(err)
+	return err
+}
+
+// run goes from attempt to attempt until one brings the answer.
+func (p *passage) run(ctx context.Context) error {
+	p.chooseModel()
+	for {
+		work, err := p.place(ctx)
+		if err != nil {
+			return p.giveUp(ctx, err)
+		}
+		reply, err := p.attempt(ctx, work)
+		if err == nil {
+			return p.deliver(reply)
+		}
+		var e *attempt.Error
+		if errors.As(err, &e) && e.Kind == attempt.Status && !p.mayFail(reply) {
+			return p.deliver(reply)
+		}
+		if !p.mayRepeat(ctx, err) {
+			return p.giveUp(ctx, err)
+		}
+	}
+}
+
+// deliver hands an answer without events to the caller.
+func (p *passage) deliver(reply attempt.Reply) error {
+	if p.begun || reply.Body == nil && p.last > p.call.ResumeFrom {
+		return nil
+	}
+	if err := p.out.Whole(reply); err != nil {
+		return &call.Refusal{Reason: call.ReasonCallerGone, State: p.ran, Detail: err.Error()}
+	}
+	return nil
+}
+
+// mayFail reports whether a server's own failure may be answered by another
+// attempt; if not, it is the answer.
+func (p *passage) mayFail(reply attempt.Reply) bool {
+	if reply.Status < http.StatusInternalServerError || !p.call.Route.Idempotent() || p.begun {
+		return p.begun
+	}
+	p.failure = &reply
+	return true
+}
+
+// positionOf spreads requests over a split route: those of one session, or
+// with one prompt, go the same way.
+func positionOf(c *Forward) uint64 {
+	if len(c.Parts) > 1 {
+		return xxhash.Sum64String(c.Parts[len(c.Parts)-2].ID)
+	}
+	return xxhash.Sum64String(c.ID)
+}
+
+// session is what ties the call to those before it: the prompt's own part, or
+// nothing but the call itself.
+func (p *passage) session() string {
+	if n := len(p.call.Parts); n > 0 {
+		return p.call.Parts[n-1].ID
+	}
+	return p.call.ID
+}
+
+func (p *passage) ask(model string, size int) Ask {
+	return Ask{Service: p.service, Model: model, Size: size, Parts: p.call.Parts, Session: p.session(), Exclude: p.tried}
+}
+
+// chooseModel picks the first model on routes that leave it to the router.
+func (p *passage) chooseModel() {
+	r := p.call.Route
+	if len(r.Models) == 0 {
+		return
+	}
+	p.predict()
+	p.size = sizing.First(&p.query)
+	p.model = r.Models[p.size]
+}
+
+// predict renews what the choice of a model depends on.
+func (p *passage) predict() {
+	r := p.call.Route
+	table := p.fleet.Table()
+	p.query = sizing.Query{
+		Read: p.call.Read, Generated: p.call.Generated, Steps: r.MaxAttempts - p.attempts - 1,
+		Left: p.call.Arrived.Add(r.Goal).Sub(p.clock.Now()),
+	}
+	for size, name := range r.Models {
+		m := sizing.Model{Name: name}
+		for _, known := range table.Services[p.service].Models {
+			if known.Name == name {
+				m.Cost = known.Cost
+			}
+		}
+		wait, err := p.fleet.Predict(p.ask(name, size))
+		m.Wait, m.Blocked = wait, err != nil
+		p.query.Models = append(p.query.Models, m)
+	}
+}
+
+// errUnsure declines a small model's answer for a larger one's.
+var errUnsure = errors.New("the model is not confident of its answer")
+
+// decide keeps or declines an answer by its head.
+func (p *passage) decide(h attempt.Head) error {
+	r := p.call.Route
+	if len(r.Models) == 0 || p.begun || p.size >= len(r.Models)-1 {
+		return nil
+	}
+	p.predict()
+	if sizing.Keep(&p.query, p.size, h.Remark.Confidence) || !p.fleet.Repeat(p.service, false) {
+		return nil
+	}
+	return errUnsure
+}
--- /dev/null
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -0,0 +1,333 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+)
+
+const (
+	// waitShare is the part of a route's goal that a call may wait for a
+	// server: what waits longer is better off with a refusal.
+	waitShare = 0.5
+	// connectLimit bounds a connection's opening. It covers one lost packet
+	// within a region, whose round trip is below 20 ms.
+	connectLimit = 350 * time.Millisecond
+	// patienceShare is the part of a route's goal after which an attempt that
+	// shows nothing is given up for another server.
+	patienceShare = 0.6
+	// patienceFactor is how many times the predicted wait an attempt gets at
+	// least.
+	patienceFactor = 3
+	// gapShare is the part of the longest pause of an answer that is on time
+	// after which a stream goes on at another server.
+	gapShare = 0.6
+	// refusalRetryAfter is the shortest time that a refused caller is told to
+	// wait; the longest is twice that, so that callers do not return together.
+	refusalRetryAfter = 250 * time.Millisecond
+)
+
+// place waits until a server can take the call.
+func (p *passage) place(ctx context.Context) (*dispatch.Work, error) {
+	limit := p.clock.Now().Add(time.Duration(waitShare * float64(p.call.Route.Goal)))
+	if limit.After(p.call.Deadline) {
+		limit = p.call.Deadline
+	}
+	for {
+		changed := p.fleet.Changed()
+		work, err := p.fleet.Place(p.ask(p.model, p.size))
+		if err == nil {
+			return work, nil
+		}
+		if len(p.tried) > 0 {
+			// A server that was tried before is better than none.
+			p.tried = nil
+			continue
+		}
+		left := limit.Sub(p.clock.Now())
+		if left <= 0 {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &call.Refusal{Reason: call.ReasonCallerGone}
+		case <-changed:
+		case <-p.clock.After(min(left, placeInterval)):
+		}
+	}
+}
+
+// attempt sends the call to one server.
+func (p *passage) attempt(ctx context.Context, w *dispatch.Work) (attempt.Reply, error) {
+	p.tries++
+	r := p.call.Route
+	began := p.clock.Now()
+	sink := &passageSink{passage: p, work: w, began: began}
+	stamp := Stamp{
+		Server: w.Server.ID, Customer: p.call.Customer, Model: p.model, Priority: p.call.Priority, ResumeFrom: p.last,
+		Left: p.call.Deadline.Sub(began) - returnMargin,
+	}
+	reply, err := p.carrier.Forward(ctx, attempt.Target{Server: w.Server.ID, Address: w.Server.Address, DataCentre: w.Server.DataCentre}, attempt.Forward{
+		RequestID: p.call.ID, Method: p.call.Method, URI: p.call.URI, Host: p.call.Host, Body: p.call.Body,
+		Header: p.envelope.Header(p.call.Header, stamp), Events: r.Kind == route.Streaming, ResumeFrom: p.last,
+		Pooled: r.Idempotent(), Limits: p.limits(w, began), Dialect: p.dialect,
+		BeforeWrite: func() error { return p.check(w) },
+	}, sink)
+	p.settle(w, reply, err, began)
+	return reply, err
+}
+
+// limits bounds one attempt. Where no other attempt can follow, a server's
+// silence is no reason to end it before the deadline.
+func (p *passage) limits(w *dispatch.Work, now time.Time) attempt.Limits {
+	r := p.call.Route
+	left := max(p.call.Deadline.Sub(now), time.Millisecond)
+	l := attempt.Limits{Connect: min(connectLimit, left), Write: left, FirstByte: left, Progress: left}
+	if !r.Idempotent() || p.attempts+1 >= r.MaxAttempts {
+		return l
+	}
+	patience := max(time.Duration(patienceShare*float64(r.Goal)), patienceFactor*w.Wait)
+	l.FirstByte = min(left, patience)
+	l.Write = l.FirstByte
+	if r.Kind == route.Streaming && r.Gap > 0 {
+		l.Progress = min(left, time.Duration(gapShare*float64(r.Gap)))
+	}
+	return l
+}
+
+// check is the last one before the first byte: against the newest table and
+// servers, not those that the call was planned under.
+func (p *passage) check(w *dispatch.Work) error {
+	if !p.fleet.IsConfirmed() {
+		return &call.Refusal{Reason: call.ReasonNotReady, Detail: "the routing table in force can't be confirmed", RetryAfter: p.retryAfter()}
+	}
+	if err := p.checkTable(); err != nil {
+		return err
+	}
+	if !p.fleet.Check(w, p.ask(p.model, p.size)) {
+		return &movedError{errServerLeft}
+	}
+	return nil
+}
+
+var errServerLeft = errors.New("the server may not be used any more")
+
+// checkTable refuses a call that the table in force no longer allows.
+func (p *passage) checkTable() error {
+	table := p.fleet.Table()
+	r := table.Match(p.call.Host, p.call.Path)
+	if r == nil {
+		return &call.Refusal{Reason: call.ReasonUnknownPath, Detail: "the route was taken away"}
+	}
+	if table.NeedsKey(r) {
+		if c := table.Customer(p.call.Key); c == nil || c.Name != p.call.Customer {
+			return &call.Refusal{Reason: call.ReasonUnauthorised, Detail: "the key was taken away"}
+		}
+	}
+	if r != p.call.Route {
+		p.call.Route = r
+		if !r.Serves(p.service) {
+			p.service = r.Target(positionOf(p.call))
+			return &movedError{errServerLeft}
+		}
+	}
+	return nil
+}
+
+// settle takes the attempt off the account and notes how it went.
+func (p *passage) settle(w *dispatch.Work, reply attempt.Reply, err error, began time.Time) {
+	now := p.clock.Now()
+	if l := reply.Remark.Load; l != nil {
+		w.Load(l.Running, l.Waiting, now)
+	}
+	var e *attempt.Error
+	result := dispatch.Fine
+	ran := call.Ran
+	if errors.As(err, &e) {
+		result, ran = resultOf(e), e.State
+	} else if reply.FirstEvent > 0 {
+		w.Begun(reply.FirstEvent)
+	}
+	p.ran = max(p.ran, ran)
+	if ran != call.NotRun {
+		p.attempts++
+	}
+	if err != nil {
+		p.tried = append(p.tried, w.Server.ID)
+	}
+	w.Done(result, now)
+	p.fleet.Observe(Observation{
+		Work: w, Route: p.call.Route.Name, Session: p.session(), Model: p.model, Failed: e != nil && e.Kind == attempt.Status && result == dispatch.Faulty,
+		First: reply.FirstEvent, Duration: now.Sub(began), Predicted: w.Wait, Events: reply.Last,
+	})
+	fields := []zap.Field{
+		zap.String("RequestId", p.call.ID), zap.String("Server", w.Server.ID), zap.String("Version", w.Server.Version), zap.String("Model", p.model),
+		zap.Duration("Predicted", w.Wait), zap.Duration("First", reply.FirstEvent), zap.Duration("Took", now.Sub(began)), zap.Int("Held", w.Held),
+		zap.Int("Confidence", reply.Remark.Confidence), zap.Int("Status", reply.Status), zap.Int("Last", reply.Last),
+	}
+	if err != nil {
+		p.log.Info("AttemptFailed", append(fields, zap.Error(err))...)
+		return
+	}
+	p.log.Debug("AttemptAnswered", fields...)
+}
+
+// resultOf says what a failed attempt tells of its server.
+func resultOf(e *attempt.Error) dispatch.Result {
+	switch e.Kind {
+	case attempt.NotStarted, attempt.Cancelled, attempt.Deadline, attempt.CallerGone, attempt.Unwanted, attempt.Misdirected, attempt.AnswerTooLarge:
+		return dispatch.Neutral
+	case attempt.Refused503:
+		return dispatch.Neutral
+	case attempt.Status:
+		if e.Status < http.StatusInternalServerError {
+			return dispatch.Fine
+		}
+		return dispatch.Faulty
+	case attempt.DialRefused, attempt.DialTimeout, attempt.DialFailed, attempt.FirstByteTimeout, attempt.ProgressTimeout, attempt.WriteTimeout:
+		return dispatch.Dead
+	}
+	return dispatch.Faulty
+}
+
+// mayRepeat decides whether another attempt follows a failed one.
+func (p *passage) mayRepeat(ctx context.Context, err error) bool {
+	var e *attempt.Error
+	if !errors.As(err, &e) || ctx.Err() != nil || p.tries >= maxTries || !p.clock.Now().Before(p.call.Deadline) {
+		return false
+	}
+	r := p.call.Route
+	switch {
+	case e.Kind == attempt.NotStarted:
+		var moved *movedError
+		return errors.As(err, &moved)
+	case e.Kind == attempt.Unwanted:
+		return p.stepUp()
+	case e.Kind == attempt.CallerGone:
+		return false
+	case e.State != call.NotRun && !r.Idempotent():
+		return false
+	case p.attempts >= r.MaxAttempts:
+		return false
+	}
+	// An attempt that reached no server is no arrival there.
+	if e.Kind == attempt.DialRefused || e.Kind == attempt.DialTimeout || e.Kind == attempt.DialFailed {
+		return true
+	}
+	return p.fleet.Repeat(p.service, true)
+}
+
+// stepUp goes on with the largest model.
+func (p *passage) stepUp() bool {
+	p.size = len(p.call.Route.Models) - 1
+	p.model = p.call.Route.Models[p.size]
+	return true
+}
+
+// giveUp turns the end of the last attempt into what the caller sees.
+func (p *passage) giveUp(ctx context.Context, err error) error {
+	if p.failure != nil && !p.begun && ctx.Err() == nil {
+		return p.deliver(*p.failure)
+	}
+	refusal := &call.Refusal{Reason: call.ReasonBackendFailed, State: p.ran, Detail: err.Error()}
+	var given *call.Refusal
+	var e *attempt.Error
+	var none *dispatch.NoServerError
+	switch {
+	case p.begun:
+		refusal.Reason = call.ReasonIncomplete
+	case errors.As(err, &given):
+		refusal.Reason, refusal.Detail = given.Reason, given.Detail
+	case errors.As(err, &none):
+		refusal.Reason = call.ReasonNoServer
+	case errors.As(err, &e):
+		refusal.Reason = reasonOf(e)
+	}
+	if !p.clock.Now().Before(p.call.Deadline) {
+		refusal.Reason = call.ReasonDeadline
+	}
+	if refusal.State == call.NotRun {
+		refusal.RetryAfter = p.retryAfter()
+	}
+	return refusal
+}
+
+func reasonOf(e *attempt.Error) call.Reason {
+	switch e.Kind {
+	case attempt.CallerGone, attempt.Cancelled:
+		return call.ReasonCallerGone
+	case attempt.FirstByteTimeout, attempt.ProgressTimeout, attempt.DialTimeout, attempt.Deadline:
+		return call.ReasonBackendTimeout
+	case attempt.Refused503:
+		return call.ReasonOverloaded
+	case attempt.NotStarted:
+		return call.ReasonNoServer
+	}
+	return call.ReasonBackendFailed
+}
+
+// retryAfter spreads callers that are refused at the same moment.
+func (p *passage) retryAfter() time.Duration {
+	return refusalRetryAfter + time.Duration(p.random()*float64(refusalRetryAfter))
+}
+
+// note logs how the call ended.
+func (p *passage) note(err error) {
+	fields := []zap.Field{
+		zap.String("RequestId", p.call.ID), zap.String("Route", p.call.Route.Name), zap.String("Customer", p.call.Customer),
+		zap.String("Model", p.model), zap.Int("Attempts", p.attempts), zap.Int("Tries", p.tries), zap.String("RunState", p.ran.String()),
+		zap.Int64("TableVersion", p.fleet.Table().Version), zap.Duration("Elapsed", p.clock.Since(p.call.Arrived)), zap.Int("LastEvent", p.last),
+	}
+	if err != nil {
+		p.log.Info("RequestEnded", append(fields, zap.Error(err))...)
+		return
+	}
+	p.log.Info("RequestAnswered", fields...)
+}
+
+// passageSink hands the events of one attempt to the caller.
+type passageSink struct {
+	*passage
+	work  *dispatch.Work
+	began time.Time
+	head  attempt.Head
+	first bool
+}
+
+// Head implements attempt.EventSink.
+func (s *passageSink) Head(h attempt.Head) error {
+	if err := s.decide(h); err != nil {
+		return err
+	}
+	s.head = h
+	return nil
+}
+
+// Event implements attempt.EventSink.
+func (s *passageSink) Event(number int, raw []byte) error {
+	if !s.first {
+		s.first = true
+		s.work.Begun(s.clock.Since(s.began))
+	}
+	if !s.begun {
+		s.begun = true
+		if err := s.out.Begin(s.head); err != nil {
+			return err
+		}
+	}
+	if err := s.out.Event(raw); err != nil {
+		return err
+	}
+	if number > 0 {
+		s.last = number
+	}
+	return nil
+}
--- a/internal/relay/pipeline/place.go
+++ b/internal/relay/pipeline/place.go
@@ -34,23 +34,23 @@
 	counts placement.Counts
 }
 
-// route is where the attempts of one step may go and where they went.
-type route struct {
+// itinerary is where the attempts of one step may go and where they went.
+type itinerary struct {
 	query placement.Query
 	// tried lists servers that failed this request; it is kept apart from
 	// those that were only full at one moment.
 	tried []string
 }
 
-func (p *Pipeline) newRoute(service, model, version string, prefix []uint64) *route {
-	return &route{query: placement.Query{
+func (p *Pipeline) newItinerary(service, model, version string, prefix []uint64) *itinerary {
+	return &itinerary{query: placement.Query{
 		Service: service, Model: model, Version: version, DataCentre: p.DataCentre, Prefix: prefix, Plain: version == "",
 	}}
 }
 
 // failed makes the next attempt go to another server, and to another data
 // centre if there is one.
-func (r *route) failed(s *board.Server) {
+func (r *itinerary) failed(s *board.Server) {
 	r.tried = append(r.tried, s.Name)
 	if !slices.Contains(r.query.AvoidDataCentres, s.DataCentre) {
 		r.query.AvoidDataCentres = append(r.query.AvoidDataCentres, s.DataCentre)
@@ -58,7 +58,7 @@
 }
 
 // place waits until a server can take the request, up to its deadline.
-func (p *Pipeline) place(ctx context.Context, f *flight, r *route) (place, error) {
+func (p *Pipeline) place(ctx context.Context, f *flight, r *itinerary) (place, error) {
 	for {
 		found, err := p.tryPlace(f, r)
 		if err == nil {
@@ -77,7 +77,7 @@
 }
 
 // tryPlace goes through the servers, best first, until one grants a permit.
-func (p *Pipeline) tryPlace(f *flight, r *route) (place, error) {
+func (p *Pipeline) tryPlace(f *flight, r *itinerary) (place, error) {
 	r.query.ExcludeServers = append(r.query.ExcludeServers[:0], r.tried...)
 	for {
 		choice, err := p.Placer.Choose(&r.query, f.rnd)
@@ -102,7 +102,7 @@
 
 // check is the second check, right before the first byte: against the newest
 // configuration and list of servers, not those the request was planned under.
-func (p *Pipeline) check(f *flight, r *route, at place) error {
+func (p *Pipeline) check(f *flight, r *itinerary, at place) error {
 	now := p.Clock.Now()
 	if !p.Board.Confirmation.Get().Allows(now) {
 		return &call.Refusal{Reason: call.ReasonNotReady, Detail: "the configuration in force can't be confirmed", RetryAfter: retryAfter}
@@ -172,7 +172,7 @@
 }
 
 // note adds one step to the request's decision record.
-func (p *Pipeline) note(f *flight, r *route, attemptID, outcome string, at place) {
+func (p *Pipeline) note(f *flight, r *itinerary, attemptID, outcome string, at place) {
 	step := explanation.Step{At: p.Clock.Now(), Model: r.query.Model, Version: r.query.Version, AttemptID: attemptID, Outcome: outcome}
 	if at.server != nil {
 		step.Server = at.server.Name
--- a/internal/relay/pipeline/plain.go
+++ b/internal/relay/pipeline/plain.go
@@ -99,7 +99,7 @@
 
 // runPlain tries backend servers until one answers or no more may be tried.
 func (p *Pipeline) runPlain(ctx context.Context, f *flight, c *Plain) (*PlainAnswer, error) {
-	r := p.newRoute(c.Service, c.Service, "", nil)
+	r := p.newItinerary(c.Service, c.Service, "", nil)
 	bill := ledger.Bill{ID: f.request.ID, Keyed: f.request.Keyed, Customer: f.request.Customer, Service: c.Service, OpenedAt: p.Clock.Now(), Steps: 1}
 	p.Budget.Deposit()
 	for {
@@ -118,7 +118,7 @@
 	}
 }
 
-func (p *Pipeline) attemptPlain(ctx context.Context, f *flight, c *Plain, r *route) (attempt.PlainAnswer, error) {
+func (p *Pipeline) attemptPlain(ctx context.Context, f *flight, c *Plain, r *itinerary) (attempt.PlainAnswer, error) {
 	at, err := p.place(ctx, f, r)
 	if err != nil {
 		return attempt.PlainAnswer{}, err
--- a/internal/relay/pipeline/step.go
+++ b/internal/relay/pipeline/step.go
@@ -21,7 +21,7 @@
 // attempts are allowed. A broken stream goes on at its next token.
 func (p *Pipeline) runStep(ctx context.Context, f *chatFlight, model string, sink take) (attempt.Answer, error) {
 	version := f.session.Versions[model]
-	r := p.newRoute(f.doc.Model(model).Service, model, version, f.chat.Prefix)
+	r := p.newItinerary(f.doc.Model(model).Service, model, version, f.chat.Prefix)
 	delivered := 0
 	counted := func(id string, c attempt.Chunk) error {
 		if err := sink(id, c); err != nil {
@@ -43,7 +43,7 @@
 const minWhole = 100 * time.Millisecond
 
 // runAttempt places and carries one attempt.
-func (p *Pipeline) runAttempt(ctx context.Context, f *chatFlight, r *route, delivered int, sink take) (attempt.Answer, error) {
+func (p *Pipeline) runAttempt(ctx context.Context, f *chatFlight, r *itinerary, delivered int, sink take) (attempt.Answer, error) {
 	at, err := p.place(ctx, f.flight, r)
 	if err != nil {
 		return attempt.Answer{}, err
@@ -67,7 +67,7 @@
 
 // start is the last step before the first byte: the second check, then the
 // announcement of the bill.
-func (p *Pipeline) start(f *chatFlight, r *route, at place) error {
+func (p *Pipeline) start(f *chatFlight, r *itinerary, at place) error {
 	if err := p.check(f.flight, r, at); err != nil {
 		return err
 	}
@@ -78,7 +78,7 @@
 }
 
 // resolve records how an attempt ended and moves the request's run state.
-func (p *Pipeline) resolve(f *flight, r *route, at place, id string, err error) {
+func (p *Pipeline) resolve(f *flight, r *itinerary, at place, id string, err error) {
 	outcome := "answered"
 	state := call.Ran
 	var e *attempt.Error
@@ -95,7 +95,7 @@
 
 // observe records how the version did, for the roll-out that it may be part of,
 // and that the server now holds the prompt's prefix.
-func (p *Pipeline) observe(f *chatFlight, r *route, at place, answer attempt.Answer, err error) {
+func (p *Pipeline) observe(f *chatFlight, r *itinerary, at place, answer attempt.Answer, err error) {
 	var e *attempt.Error
 	failed := errors.As(err, &e)
 	if failed && !isServerFault(e) {
@@ -112,7 +112,7 @@
 
 // openBill announces the bill, so that it can be settled if this instance is
 // lost before the answer is complete.
-func (p *Pipeline) openBill(f *chatFlight, r *route) {
+func (p *Pipeline) openBill(f *chatFlight, r *itinerary) {
 	f.bill.Model, f.bill.Version, f.bill.Service, f.bill.State = r.query.Model, r.query.Version, r.query.Service, ledger.BillOpen
 	p.Ledger.Open(f.bill)
 }
