Ask before a silent attempt is given up; tie sessions by the shared part

Ruled out: the SIGTERM path itself, which waited for all requests.

Change: the connection's watchdog asks before it gives up; the answer is yes only if another attempt is allowed, paid and placeable. A stopping instance refuses what may outlast it once the balancer has had its time.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -55,6 +55,9 @@
 	Enter() func()
 	// IsStopping reports whether the instance is being stopped.
 	IsStopping() bool
+	// MayFinish reports whether a call that arrives now is sure to end before
+	// the instance does.
+	MayFinish(deadline time.Time) bool
 }
 
 // Parts is what a gateway is built from.
@@ -84,6 +87,10 @@
 	member     *membership
 
 	stopping atomic.Bool
+	// stopsAt is when a stopping instance ends, refusesAt when it no longer
+	// takes calls that may last longer.
+	stopsAt   atomic.Pointer[time.Time]
+	refusesAt atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 
 	mu         sync.Mutex
@@ -215,7 +222,7 @@
 const (
 	// balancerLag is how long after it turned unready an instance gets new
 	// connections: two checks a second apart, and the way.
-	balancerLag = 3 * time.Second
+	balancerLag = 2800 * time.Millisecond
 	// exitMargin is kept back from the time to SIGKILL.
 	exitMargin = 500 * time.Millisecond
 	// stopPoll is how often a stopping instance looks for requests.
@@ -226,10 +233,12 @@
 // finishes what is under way.
 func (g *Gateway) stop(front *http.Server) {
 	began := g.Clock.Now()
+	end, refuse := began.Add(g.Settings.Grace-exitMargin), began.Add(balancerLag)
+	g.stopsAt.Store(&end)
+	g.refusesAt.Store(&refuse)
 	g.stopping.Store(true)
 	g.Log.Info("Stopping", zap.Int64("InFlight", g.inFlight.Load()))
 	front.SetKeepAlivesEnabled(false)
-	end := began.Add(g.Settings.Grace - exitMargin)
 	for g.Clock.Now().Before(end) {
 		if g.inFlight.Load() == 0 && g.Clock.Since(began) >= balancerLag {
 			break
@@ -280,6 +289,14 @@
 // IsStopping implements Admission.
 func (g *Gateway) IsStopping() bool { return g.stopping.Load() }
 
+// MayFinish implements Admission.
+func (g *Gateway) MayFinish(deadline time.Time) bool {
+	if !g.stopping.Load() {
+		return true
+	}
+	return g.Clock.Now().Before(*g.refusesAt.Load()) || deadline.Before(*g.stopsAt.Load())
+}
+
 // Enter implements Admission.
 func (g *Gateway) Enter() func() {
 	g.inFlight.Add(1)
--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -33,6 +33,7 @@
 	timer    clockwork.Timer
 	deadline time.Time
 	kind     Kind
+	limit    time.Duration
 	cause    Kind
 	closed   bool
 	// provenAt is when the connection last showed that it works.
@@ -42,6 +43,8 @@
 	written    int
 	// readErr is the error that the network itself gave; libraries hide it.
 	readErr error
+	// mayAbandon is asked before a silent exchange is given up; nil means yes.
+	mayAbandon func() bool
 }
 
 func newConn(nc net.Conn, target Target, clock clockwork.Clock) *conn {
@@ -58,6 +61,13 @@
 	}
 }
 
+// askBefore sets what is asked before a silent exchange is given up.
+func (c *conn) askBefore(mayAbandon func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mayAbandon = mayAbandon
+}
+
 // Read counts any byte as a sign of life.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -86,7 +96,7 @@
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.kind, c.deadline, c.quietSince = kind, now.Add(limit), now
+	c.kind, c.limit, c.deadline, c.quietSince = kind, limit, now.Add(limit), now
 	if c.timer == nil {
 		c.timer = c.clock.AfterFunc(limit, c.expire)
 		return
@@ -107,11 +117,27 @@
 	now := c.clock.Now()
 	c.mu.Lock()
 	late := !c.deadline.IsZero() && !now.Before(c.deadline)
-	kind := c.kind
+	kind, limit, mayAbandon := c.kind, c.limit, c.mayAbandon
 	c.mu.Unlock()
-	if late {
-		c.abort(kind)
+	if !late {
+		return
+	}
+	if kind != WriteTimeout && mayAbandon != nil && !mayAbandon() {
+		c.extend(limit)
+		return
 	}
+	c.abort(kind)
+}
+
+// extend gives a silent exchange the same time again.
+func (c *conn) extend(limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deadline.IsZero() || c.closed {
+		return
+	}
+	c.deadline = c.clock.Now().Add(limit)
+	c.timer.Reset(limit)
 }
 
 // abort closes the connection at once, dropping what was not yet sent. The
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -33,6 +33,9 @@
 	Dialect Dialect
 	// BeforeWrite is as in Chat.
 	BeforeWrite func() error
+	// MayAbandon is asked before the attempt is given up for the server's
+	// silence; if it declines, the server gets the same time again.
+	MayAbandon func() bool
 }
 
 // Dialect reads what the head of a server's answer says beyond HTTP.
@@ -112,6 +115,7 @@
 	if err := x.connect(ctx, f.Pooled); err != nil {
 		return Reply{}, err
 	}
+	x.conn.askBefore(f.MayAbandon)
 	sent, err := x.sendForward(f)
 	if err != nil {
 		return Reply{}, err
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -180,6 +181,8 @@
 	// head of the answer.
 	last  int
 	begun bool
+	// prepaid says that the next attempt's repeat was taken already.
+	prepaid atomic.Bool
 	// failure is a server's own failure, kept for the case that no attempt
 	// does better.
 	failure *attempt.Reply
@@ -261,11 +264,11 @@
 	return xxhash.Sum64String(c.ID)
 }
 
-// session is what ties the call to those before it: the prompt's own part, or
-// nothing but the call itself.
+// session is what ties the call to those before it: the last part of the
+// prompt that others share, or nothing but the call itself.
 func (p *passage) session() string {
-	if n := len(p.call.Parts); n > 0 {
-		return p.call.Parts[n-1].ID
+	if n := len(p.call.Parts); n > 1 {
+		return p.call.Parts[n-2].ID
 	}
 	return p.call.ID
 }
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -80,6 +80,7 @@
 		Header: p.envelope.Header(p.call.Header, stamp), Events: r.Kind == route.Streaming, ResumeFrom: p.last,
 		Pooled: r.Idempotent(), Limits: p.limits(w, began), Dialect: p.dialect,
 		BeforeWrite: func() error { return p.check(w) },
+		MayAbandon:  p.mayAbandon,
 	}, sink)
 	p.settle(w, reply, err, began)
 	return reply, err
@@ -132,14 +133,35 @@
 			return &call.Refusal{Reason: call.ReasonUnauthorised, Detail: "the key was taken away"}
 		}
 	}
-	if r != p.call.Route {
+	if !r.Serves(p.service) {
+		return &movedError{errServerLeft}
+	}
+	return nil
+}
+
+// renew takes the route from the table in force, if it still leads somewhere.
+func (p *passage) renew() {
+	if r := p.fleet.Table().Match(p.call.Host, p.call.Path); r != nil && r != p.call.Route {
 		p.call.Route = r
 		if !r.Serves(p.service) {
 			p.service = r.Target(positionOf(p.call))
-			return &movedError{errServerLeft}
 		}
 	}
-	return nil
+}
+
+// mayAbandon decides whether a silent attempt is given up for another one. It
+// is only if that one may start at once: the attempt under way may yet answer.
+// It runs on a timer's goroutine while the call's own one waits for the server.
+func (p *passage) mayAbandon() bool {
+	r := p.call.Route
+	if !r.Idempotent() || p.attempts+1 >= r.MaxAttempts || !p.fleet.IsConfirmed() || p.checkTable() != nil {
+		return false
+	}
+	if _, err := p.fleet.Predict(p.ask(p.model, p.size)); err != nil || !p.fleet.Repeat(p.service, true) {
+		return false
+	}
+	p.prepaid.Store(true)
+	return true
 }
 
 // settle takes the attempt off the account and notes how it went.
@@ -208,6 +230,7 @@
 	switch {
 	case e.Kind == attempt.NotStarted:
 		var moved *movedError
+		p.renew()
 		return errors.As(err, &moved)
 	case e.Kind == attempt.Unwanted:
 		return p.stepUp()
@@ -222,7 +245,7 @@
 	if e.Kind == attempt.DialRefused || e.Kind == attempt.DialTimeout || e.Kind == attempt.DialFailed {
 		return true
 	}
-	return p.fleet.Repeat(p.service, true)
+	return p.prepaid.Swap(false) || p.fleet.Repeat(p.service, true)
 }
 
 // stepUp goes on with the largest model.
