Learn what a model's confidence is worth, and count attention in the predicted work

Cause: small answers were kept or dropped by a fixed rule (confidence as a probability), and prompts of 20,000 tokens and more were predicted too fast.

Change: sizing.Calibration compares the small model's counts with the largest one's on each route; First weighs stepping up, keeping and asking the large one at once; a token's reading time grows with the context.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -91,7 +91,7 @@
 	// takes calls that may last longer.
 	stopsAt   atomic.Pointer[time.Time]
 	refusesAt atomic.Pointer[time.Time]
-	inFlight atomic.Int64
+	inFlight  atomic.Int64
 
 	mu         sync.Mutex
 	allowances map[string]*allowance.Allowance
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -136,6 +136,8 @@
 	clock    clockwork.Clock
 	log      *zap.Logger
 	random   func() float64
+	// calibration learns what the models' confidence is worth.
+	calibration *sizing.Calibration
 }
 
 // ForwarderOption changes a Forwarder.
@@ -155,6 +157,7 @@
 	f := &Forwarder{
 		fleet: fleet, carrier: carrier, envelope: envelope, dialect: dialect,
 		clock: clockwork.NewRealClock(), log: zap.NewNop(), random: rand.Float64,
+		calibration: sizing.NewCalibration(),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -305,6 +308,7 @@
 		}
 		wait, err := p.fleet.Predict(p.ask(name, size))
 		m.Wait, m.Blocked = wait, err != nil
+		m.Opinion = p.calibration.Of(r.Name, size, len(r.Models))
 		p.query.Models = append(p.query.Models, m)
 	}
 }
@@ -315,7 +319,11 @@
 // decide keeps or declines an answer by its head.
 func (p *passage) decide(h attempt.Head) error {
 	r := p.call.Route
-	if len(r.Models) == 0 || p.begun || p.size >= len(r.Models)-1 {
+	if len(r.Models) == 0 || p.begun {
+		return nil
+	}
+	p.calibration.Observe(r.Name, p.size, len(r.Models), h.Remark.Confidence)
+	if p.size >= len(r.Models)-1 {
 		return nil
 	}
 	p.predict()
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -247,7 +247,7 @@
 		if home {
 			c.held = max(c.held, homeShare(q.Parts))
 		}
-		c.work = d.pace.work(q.Model, q.Size, tokens(q.Parts)-c.held)
+		c.work = d.pace.work(q.Model, q.Size, c.held, tokens(q.Parts)-c.held)
 	}
 	backlog := a.pending + time.Duration(a.decayed(now)*float64(d.average)*othersWeight)
 	if q.Model == "" {
@@ -323,7 +323,7 @@
 	w.account.pending -= w.work
 	w.account.slowness.observe(after, w.Wait)
 	if w.alone && w.query.Model != "" {
-		d.pace.observe(w.query.Model, w.query.Size, w.fresh, after)
+		d.pace.observe(w.query.Model, w.query.Size, w.Held, w.fresh, after)
 	}
 }
 
--- a/internal/routing/dispatch/learn.go
+++ b/internal/routing/dispatch/learn.go
@@ -101,14 +101,24 @@
 	return priorPaces[max(0, min(size, len(priorPaces)-1))]
 }
 
-func (p paces) work(model string, size, tokens int) time.Duration {
-	return time.Duration(tokens) * p.of(model, size)
+// attentionTokens is the length of the context at which reading a token takes
+// twice as long as in an empty one, for engines of the users' kind.
+const attentionTokens = 30000
+
+// length is how many tokens of an empty context the reading of so many tokens
+// after those held takes as long as.
+func length(held, tokens int) float64 {
+	return float64(tokens) * (1 + (float64(held)+float64(tokens)/2)/attentionTokens)
 }
 
-func (p paces) observe(model string, size, tokens int, took time.Duration) {
+func (p paces) work(model string, size, held, tokens int) time.Duration {
+	return time.Duration(length(held, tokens) * float64(p.of(model, size)))
+}
+
+func (p paces) observe(model string, size, held, tokens int, took time.Duration) {
 	if tokens < paceTokens {
 		return
 	}
 	pace := p.of(model, size)
-	p.perToken[model] = pace + time.Duration(paceWeight*float64(took/time.Duration(tokens)-pace))
+	p.perToken[model] = pace + time.Duration(paceWeight*(float64(took)/length(held, tokens)-float64(pace)))
 }
--- /dev/null
+++ b/internal/routing/sizing/calibration.go
@@ -0,0 +1,107 @@
+package sizing
+
+import "sync"
+
+// confidenceBins is how many steps confidence, 0 to 100, is counted in.
+const confidenceBins = 10
+
+// Shape is how often each step of confidence comes, from the lowest on.
+type Shape [confidenceBins]float64
+
+// priorWeight is how many answers the priors stand for.
+const priorWeight = 60
+
+// priorGood is the usual shape of the confidence in good answers, priorMixed
+// that of a small model, whose answers are partly too simple. They hold until
+// a route's own answers are counted.
+var (
+	priorGood  = Shape{0, 0, 0, 0.005, 0.035, 0.085, 0.105, 0.115, 0.095, 0.56}
+	priorMixed = Shape{0.177, 0.064, 0.065, 0.055, 0.064, 0.061, 0.066, 0.061, 0.054, 0.333}
+)
+
+// clearBins are the steps of confidence, from this one on, in which an answer
+// that is too simple hardly ever is.
+const clearBins = 7
+
+// Calibration learns what a model's confidence is worth, on each route. No one
+// tells whether an answer was good; but the largest model's answers are, so
+// that the shape of its confidence is that of good answers. What a small
+// model has beyond that shape, mostly at low confidence, are answers that are
+// too simple.
+type Calibration struct {
+	mu     sync.Mutex
+	counts map[string][]Shape
+}
+
+// NewCalibration returns a calibration that knows the priors only.
+func NewCalibration() *Calibration { return &Calibration{counts: map[string][]Shape{}} }
+
+// Observe counts an answer's confidence, 0 to 100; below 0 it has not said.
+func (c *Calibration) Observe(route string, size, models, confidence int) {
+	if confidence < 0 || size >= models {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.counts[route]
+	if len(list) != models {
+		list = make([]Shape, models)
+		c.counts[route] = list
+	}
+	list[size][binOf(confidence)]++
+}
+
+func binOf(confidence int) int { return max(0, min(confidence*confidenceBins/100, confidenceBins-1)) }
+
+// Opinion is what a model's confidence is worth on a route.
+type Opinion struct {
+	// Shape is how often each step of confidence comes.
+	Shape Shape
+	// Good is the probability at each step that the answer is good.
+	Good Shape
+}
+
+// Of returns the opinion of a route's model, by its position.
+func (c *Calibration) Of(route string, size, models int) Opinion {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if size >= models-1 {
+		o := Opinion{Shape: priorGood}
+		for i := range o.Good {
+			o.Good[i] = 1
+		}
+		return o
+	}
+	var own, top Shape
+	if list := c.counts[route]; len(list) == models {
+		own, top = list[size], list[models-1]
+	}
+	shape, good := blend(own, priorMixed), blend(top, priorGood)
+	// The steps of clear confidence tell the share of good answers.
+	clearOwn, clearGood := 0.0, 0.0
+	for i := clearBins; i < confidenceBins; i++ {
+		clearOwn += shape[i]
+		clearGood += good[i]
+	}
+	share := min(1, clearOwn/clearGood)
+	o := Opinion{Shape: shape}
+	for i := range shape {
+		if shape[i] > 0 {
+			o.Good[i] = min(1, share*good[i]/shape[i])
+		}
+	}
+	return o
+}
+
+// blend adds a prior to counts and returns shares.
+func blend(counts, prior Shape) Shape {
+	total := float64(priorWeight)
+	for _, n := range counts {
+		total += n
+	}
+	var s Shape
+	for i := range s {
+		s[i] = (counts[i] + priorWeight*prior[i]) / total
+	}
+	return s
+}
--- a/internal/routing/sizing/sizing.go
+++ b/internal/routing/sizing/sizing.go
@@ -7,7 +7,10 @@
 // than one that may be too simple.
 package sizing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Model is one of a route's models.
 type Model struct {
@@ -18,6 +21,7 @@
 	Wait time.Duration
 	// Blocked says that no server can take the request for this model now.
 	Blocked bool
+	Opinion Opinion
 }
 
 // Query is a request whose model is to be chosen.
@@ -39,78 +43,89 @@
 const (
 	worthBase    = 0.3
 	worthPerRead = 0.35 / 1000
+	// poorShare is the worth of an answer that is too simple.
+	poorShare = 0.05
+	// lateShare is the worth of a late answer.
+	lateShare = 0.3
 )
 
 // Worth returns what a good answer to the request is worth.
 func (q *Query) Worth() float64 { return worthBase + worthPerRead*float64(q.Read) }
 
 // price returns what running a model costs.
-func (q *Query) price(m Model) float64 {
-	return m.Cost * (float64(q.Generated) + float64(q.Read)/4) / 1000
+func (q *Query) price(size int) float64 {
+	return q.Models[size].Cost * (float64(q.Generated) + float64(q.Read)/4) / 1000
 }
 
-// priorQuality is how many answers of a model are good, by its distance from
-// the largest one, until its own confidence is known.
-var priorQuality = []float64{1, 0.65, 0.56}
+const (
+	// certainShare is the part of the time left at which a prediction is as
+	// likely to be missed as kept: predictions know little of the work that
+	// other instances send meanwhile.
+	certainShare = 0.7
+	// certainWidth is how far from there, as a part of the time left, the
+	// outcome becomes clear.
+	certainWidth = 0.15
+)
 
-func quality(size, models int) float64 {
-	return priorQuality[min(models-1-size, len(priorQuality)-1)]
+// onTime returns the expected share of the worth that remains if the answer is
+// predicted to begin after the wait.
+func (q *Query) onTime(wait time.Duration) float64 {
+	if q.Left <= 0 {
+		return lateShare
+	}
+	x := (float64(wait)/float64(q.Left) - certainShare) / certainWidth
+	return lateShare + (1-lateShare)/(1+math.Exp(x))
 }
 
 // First returns the position of the model to ask first.
 func First(q *Query) int {
-	best, highest := 0, 0.0
-	top := len(q.Models) - 1
-	for size, m := range q.Models {
-		if m.Blocked {
+	best, highest := -1, 0.0
+	for size := range q.Models {
+		if q.Models[size].Blocked {
 			continue
 		}
-		value := q.direct(size)
-		if size < top && q.Steps > 0 && !q.Models[top].Blocked && m.Wait+q.Models[top].Wait < q.Left {
-			value = max(value, q.stepped(size))
-		}
-		if best == 0 && highest == 0 || value > highest {
+		if value := q.first(size); best < 0 || value > highest {
 			best, highest = size, value
 		}
 	}
-	return best
+	return max(best, 0)
 }
 
-// lateShare is the worth of a late answer.
-const lateShare = 0.3
-
-// direct is the expected value of delivering the model's answer as it comes.
-func (q *Query) direct(size int) float64 {
+// first is the expected value of asking the model first.
+func (q *Query) first(size int) float64 {
 	m := q.Models[size]
-	value := quality(size, len(q.Models)) * q.Worth()
-	if m.Wait > q.Left {
-		value *= lateShare
+	value := -q.price(size)
+	step, mayStep := q.stepped(m.Wait)
+	for i, share := range m.Opinion.Shape {
+		keep := q.kept(m.Opinion.Good[i], m.Wait)
+		if mayStep && size < len(q.Models)-1 {
+			keep = max(keep, step)
+		}
+		value += share * keep
 	}
-	return value - q.price(m)
+	return value
 }
 
-// stepped is the expected value of asking the model first and the largest one
-// if the answer lacks confidence.
-func (q *Query) stepped(size int) float64 {
-	top := len(q.Models) - 1
-	good := quality(size, len(q.Models))
-	return spotted*q.Worth() - q.price(q.Models[size]) - (1-good)*q.price(q.Models[top])
+// kept is the value of an answer that is good with a probability.
+func (q *Query) kept(good float64, wait time.Duration) float64 {
+	return q.Worth() * (good + (1-good)*poorShare) * q.onTime(wait)
 }
 
-// spotted is the part of the worth that remains where a small model's opinion
-// decides on the step up: some answers that are too simple pass.
-const spotted = 0.93
-
-// Keep reports whether an answer of the model is good enough to be delivered,
-// by its own confidence, 0 to 100; below 0 it has not said.
-func Keep(q *Query, size, confidence int) bool {
+// stepped is the value of asking the largest model after a wait.
+func (q *Query) stepped(after time.Duration) (float64, bool) {
 	top := len(q.Models) - 1
-	if size >= top || q.Steps <= 0 || confidence < 0 || q.Models[top].Blocked {
-		return true
+	if q.Steps <= 0 || q.Models[top].Blocked {
+		return 0, false
 	}
-	if q.Models[top].Wait > q.Left {
+	return q.Worth()*q.onTime(after+q.Models[top].Wait) - q.price(top), true
+}
+
+// Keep reports whether an answer of the model is to be delivered, by its own
+// confidence, 0 to 100; below 0 it has not said. Its wait is over.
+func Keep(q *Query, size, confidence int) bool {
+	if size >= len(q.Models)-1 || confidence < 0 {
 		return true
 	}
-	gain := (1 - float64(confidence)/100) * q.Worth()
-	return gain <= q.price(q.Models[top])
+	step, mayStep := q.stepped(0)
+	return !mayStep || q.kept(q.Models[size].Opinion.Good[binOf(confidence)], 0) >= step
 }
