Instances tell each other their pending work and the sessions of a trial

Cause: each instance saw a ninth of the load and took stale load headers for the rest, so that predictions were far too low in a burst; sessions that other instances had just sent to the old version were moved to the new one in the first half of a roll-out.

Change: datagrams among instances (peers.go), at a rate that does not grow with the fleet. Nothing that must hold depends on them.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -85,6 +85,9 @@
 	carrier    *attempt.Client
 	releases   *releases
 	member     *membership
+	peers      *peers
+	// run tells this run of the instance from others.
+	run int64
 
 	stopping atomic.Bool
 	// stopsAt is when a stopping instance ends, refusesAt when it no longer
@@ -135,6 +138,8 @@
 	g.carrier = attempt.New(attempt.WithClock(p.Clock), attempt.WithIdle(idlePerServer, idleLimit, connectionAge))
 	g.releases = newReleases(g)
 	g.member = &membership{gateway: g}
+	g.peers = &peers{gateway: g}
+	g.run = p.Clock.Now().UnixNano()
 	g.forwarder = pipeline.NewForwarder(g, g.carrier, p.Codec, p.Codec, pipeline.WithForwardClock(p.Clock), pipeline.WithForwardLogger(p.Log))
 	return g
 }
@@ -150,6 +155,9 @@
 	if err != nil {
 		return err
 	}
+	if err := g.peers.open(); err != nil {
+		return err
+	}
 	g.Log.Info("Started", zap.String("Instance", g.Settings.Instance), zap.String("DataCentre", g.Settings.DataCentre),
 		zap.String("Callers", g.Settings.CallersAddress))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -158,6 +166,8 @@
 	group.Go(func() { g.watchView(work) })
 	group.Go(func() { g.member.run(work) })
 	group.Go(func() { g.releases.run(work) })
+	group.Go(func() { g.peers.run(work) })
+	group.Go(g.peers.receive)
 	readiness := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: time.Second}
 	group.Go(func() { g.serve(readiness, ready) })
 	front := g.callersServer()
@@ -166,6 +176,7 @@
 	g.stop(front)
 	cancel()
 	readiness.Close()
+	g.peers.conn.Close()
 	g.member.leave()
 	group.Wait()
 	g.Log.Info("Stopped", zap.Int64("CutOff", g.inFlight.Load()))
@@ -335,7 +346,11 @@
 
 // Place implements pipeline.Forwarding.
 func (g *Gateway) Place(ask pipeline.Ask) (*dispatch.Work, error) {
-	return g.dispatcher.Place(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
+	work, err := g.dispatcher.Place(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
+	if err == nil {
+		g.releases.place(ask.Service, ask.Session, work.Server.Version)
+	}
+	return work, err
 }
 
 // Predict implements pipeline.Forwarding.
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -43,6 +41,8 @@
 	// bad says that this instance's own evidence is enough against the target.
 	bad     bool
 	changed bool
+	// decided says that the roll-out is over.
+	decided bool
 }
 
 // pin is the version that a session's last request ran on.
@@ -63,8 +63,6 @@
 	// times the prediction, and so much at least.
 	slowFactor = 4
 	slowFloor  = 250 * time.Millisecond
-	// evidenceBytes bounds one message of evidence.
-	evidenceBytes = 16 << 10
 )
 
 func newReleases(g *Gateway) *releases {
@@ -103,19 +101,50 @@
 func (r *releases) isNew(stage follower.Stage, service, session string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := r.trials[service]; t != nil && t.order == stage.Order && t.bad {
+	t := r.trials[service]
+	if t == nil || t.order != stage.Order || t.bad {
+		return false
+	}
+	if !chosen(session, stage.Share) {
 		return false
 	}
+	if stage.Share > r.gateway.Settings.ExposureShare {
+		return true
+	}
 	p, pinned := r.pins[session]
-	if pinned && r.gateway.Clock.Since(p.at) < r.gateway.Settings.SessionWindow {
-		if p.version == stage.Target {
-			return true
-		}
-		if stage.Share <= r.gateway.Settings.ExposureShare {
-			return false
-		}
+	if pinned && p.version == stage.Target {
+		return true
+	}
+	// During the trial a session in progress stays where it is. Whether one is
+	// in progress at another instance is known after a session's longest pause.
+	window := r.gateway.Settings.SessionWindow + sessionMargin
+	if r.gateway.Clock.Since(t.seenAt) < window {
+		return false
+	}
+	return !pinned || r.gateway.Clock.Since(p.at) >= window
+}
+
+// sessionMargin covers the time that an answer goes on after it was placed.
+const sessionMargin = 3 * time.Second
+
+// chosen reports whether a session is among a share of all.
+func chosen(session string, share float64) bool {
+	return float64(xxhash.Sum64String(session))/math.MaxUint64 < share
+}
+
+// place notes where a request of a session is sent, and tells the others if
+// the session is one of a trial's.
+func (r *releases) place(service, session, version string) {
+	r.mu.Lock()
+	t := r.trials[service]
+	tell := t != nil && !t.decided && chosen(session, r.gateway.Settings.ExposureShare)
+	if tell {
+		r.pin(session, version)
+	}
+	r.mu.Unlock()
+	if tell {
+		r.gateway.peers.broadcast(&message{Sessions: []sessionMessage{{service, session, version}}})
 	}
-	return float64(xxhash.Sum64String(session))/math.MaxUint64 < stage.Share
 }
 
 // ready counts a service's servers of a version that take work.
@@ -135,16 +164,9 @@
 
 // observe adds an attempt to the evidence of its service's roll-out.
 func (r *releases) observe(o pipeline.Observation) {
-	now := r.gateway.Clock.Now()
 	s := o.Work.Server
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o.First > 0 && !o.Failed {
-		if len(r.pins) >= maxPins {
-			clear(r.pins)
-		}
-		r.pins[o.Session] = pin{s.Version, now}
-	}
 	t := r.trials[s.Service]
 	if t == nil || o.First <= 0 && !o.Failed {
 		return
@@ -169,15 +191,8 @@
 
 // run follows the roll-outs until the context ends.
 func (r *releases) run(ctx context.Context) {
-	conn, err := net.ListenPacket("udp", r.gateway.Settings.PeerAddress)
-	if err != nil {
-		r.gateway.Log.Error("EvidenceNotShared", zap.Error(err))
-		return
-	}
-	defer conn.Close()
-	go r.receive(conn)
 	for ctx.Err() == nil {
-		r.step(ctx, conn)
+		r.step(ctx)
 		select {
 		case <-ctx.Done():
 		case <-r.gateway.Clock.After(releaseEvery):
@@ -193,6 +208,9 @@
 	for service, order := range fleet.Orders {
 		stage := fleet.Stages[service]
 		if stage.Order == order.Revision && stage.State != follower.StageActive {
+			if t := r.trials[service]; t != nil {
+				t.decided = true
+			}
 			continue
 		}
 		orders = append(orders, order)
@@ -204,7 +222,7 @@
 	return orders
 }
 
-func (r *releases) step(ctx context.Context, conn net.PacketConn) {
+func (r *releases) step(ctx context.Context) {
 	fleet := r.gateway.fleet()
 	orders := r.open(fleet)
 	if len(orders) == 0 {
@@ -221,7 +239,7 @@
 	default:
 		r.vacantSince = time.Time{}
 		for _, order := range orders {
-			r.send(conn, order, fleet.Instances[fleet.Driver.Instance].PeerAddress)
+			r.send(order, fleet.Instances[fleet.Driver.Instance].PeerAddress)
 		}
 	}
 }
@@ -294,52 +312,22 @@
 	return sum, t.seenAt
 }
 
-// evidenceMessage is one instance's evidence on its way to the driver. Counts
-// grow only, so that a lost message does no harm.
-type evidenceMessage struct {
-	Instance string
-	Service  string
-	Order    int64
-	Evidence verdict.Evidence
-}
-
-func (r *releases) send(conn net.PacketConn, order follower.Order, address string) {
+// send tells the driver this instance's evidence if there is something new.
+func (r *releases) send(order follower.Order, address string) {
 	r.mu.Lock()
 	t := r.trials[order.Service]
 	changed := t.changed
 	t.changed = false
-	raw, err := json.Marshal(evidenceMessage{r.gateway.Settings.Instance, order.Service, t.order, t.evidence})
+	evidence := verdict.Evidence{}
+	evidence.Add(t.evidence)
 	r.mu.Unlock()
-	if !changed || address == "" {
-		return
-	}
-	to, resolveErr := net.ResolveUDPAddr("udp", address)
-	if err == nil && resolveErr == nil {
-		_, err = conn.WriteTo(raw, to)
-	}
-	if err != nil || resolveErr != nil {
-		r.gateway.Log.Warn("EvidenceNotSent", zap.String("Address", address), zap.NamedError("Resolve", resolveErr), zap.Error(err))
-	}
-}
-
-// receive takes in other instances' evidence until the connection is closed.
-func (r *releases) receive(conn net.PacketConn) {
-	buf := make([]byte, evidenceBytes)
-	for {
-		n, _, err := conn.ReadFrom(buf)
-		if err != nil {
-			return
-		}
-		var m evidenceMessage
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
-			r.gateway.Log.Warn("EvidenceUnreadable", zap.Error(err))
-			continue
-		}
-		r.merge(m)
+	if changed {
+		r.gateway.peers.send(address, &message{Evidence: &evidenceMessage{order.Service, t.order, evidence}})
 	}
 }
 
-func (r *releases) merge(m evidenceMessage) {
+// merge takes in another instance's evidence.
+func (r *releases) merge(from string, m evidenceMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.trials[m.Service]; t == nil || t.order != m.Order {
@@ -348,5 +336,19 @@
 	if r.merged[m.Service] == nil {
 		r.merged[m.Service] = map[string]verdict.Evidence{}
 	}
-	r.merged[m.Service][m.Instance] = m.Evidence
+	r.merged[m.Service][from] = m.Evidence
+}
+
+// seen notes on which version a session's request ran at another instance.
+func (r *releases) seen(s sessionMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pin(s.Session, s.Version)
+}
+
+func (r *releases) pin(session, version string) {
+	if len(r.pins) >= maxPins {
+		clear(r.pins)
+	}
+	r.pins[session] = pin{version, r.gateway.Clock.Now()}
 }
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -98,6 +98,7 @@
 	mu      sync.Mutex
 	servers map[string]*account
 	cache   *cache
+	peers   map[string]*peer
 	pace    paces
 	average time.Duration
 }
@@ -109,6 +110,8 @@
 	// pending is the predicted work of requests that wait for their first
 	// event.
 	pending time.Duration
+	// waiting holds when each request that waits for its first event was sent.
+	waiting map[*Work]time.Time
 	// others is the work of other instances as the server last stated it.
 	others   float64
 	othersAt time.Time
@@ -120,7 +123,7 @@
 
 // New returns a dispatcher without work.
 func New(settings Settings) *Dispatcher {
-	return &Dispatcher{settings: settings, servers: map[string]*account{}, cache: newCache(), pace: newPaces(), average: 100 * time.Millisecond}
+	return &Dispatcher{settings: settings, servers: map[string]*account{}, cache: newCache(), peers: map[string]*peer{}, pace: newPaces(), average: 100 * time.Millisecond}
 }
 
 // Work is one attempt that is placed.
@@ -165,6 +168,7 @@
 	}
 	a.inFlight++
 	a.pending += best.work
+	a.waiting[w] = now
 	a.usedAt = now
 	a.sends.add(now)
 	if q.Model != "" {
@@ -249,7 +253,7 @@
 		}
 		c.work = d.pace.work(q.Model, q.Size, c.held, tokens(q.Parts)-c.held)
 	}
-	backlog := a.pending + time.Duration(a.decayed(now)*float64(d.average)*othersWeight)
+	backlog := a.pending + d.elsewhere(s.ID, a, now)
 	if q.Model == "" {
 		backlog = time.Duration((float64(a.inFlight) + a.decayed(now)) / float64(max(1, s.Slots)) * float64(plainWork))
 	}
@@ -258,6 +262,9 @@
 		distance = d.settings.Far
 	}
 	c.wait = distance + time.Duration(a.slowness.factor()*float64(backlog+c.work))
+	if q.Model != "" {
+		c.wait = max(c.wait, a.oldest(now))
+	}
 	c.rank = c.wait + time.Duration(a.failing.now(now)*float64(d.settings.FailureCost))
 	if s.DataCentre != d.settings.DataCentre {
 		c.rank += d.settings.CrossingCost
@@ -321,6 +328,7 @@
 	}
 	w.begun = true
 	w.account.pending -= w.work
+	delete(w.account.waiting, w)
 	w.account.slowness.observe(after, w.Wait)
 	if w.alone && w.query.Model != "" {
 		d.pace.observe(w.query.Model, w.query.Size, w.Held, w.fresh, after)
@@ -360,6 +368,7 @@
 	if !w.begun {
 		w.begun = true
 		w.account.pending -= w.work
+		delete(w.account.waiting, w)
 	}
 	w.account.failing.observe(result, now)
 }
@@ -368,7 +377,7 @@
 func (d *Dispatcher) account(s *backend.Server) *account {
 	a := d.servers[s.ID]
 	if a == nil || a.born != s.Born {
-		a = &account{born: s.Born}
+		a = &account{born: s.Born, waiting: map[*Work]time.Time{}}
 		d.servers[s.ID] = a
 	}
 	return a
