Probe a silent server before another one reads the prompt again

Cause: a gap of 0.6 of the longest pause ended an attempt, and its prompt was read again elsewhere. Ruled out: too few servers (those left could bear the small model's load several times over).

Change: at the limit the server is asked for a new connection. One that takes it gets the same time again, and is given up after that only if the wait elsewhere is less than half of the silence.

--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -44,7 +44,7 @@
 	// readErr is the error that the network itself gave; libraries hide it.
 	readErr error
 	// mayAbandon is asked before a silent exchange is given up; nil means yes.
-	mayAbandon func() bool
+	mayAbandon func(Silence) bool
 }
 
 func newConn(nc net.Conn, target Target, clock clockwork.Clock) *conn {
@@ -62,7 +62,7 @@
 }
 
 // askBefore sets what is asked before a silent exchange is given up.
-func (c *conn) askBefore(mayAbandon func() bool) {
+func (c *conn) askBefore(mayAbandon func(Silence) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.mayAbandon = mayAbandon
@@ -117,25 +117,43 @@
 	now := c.clock.Now()
 	c.mu.Lock()
 	late := !c.deadline.IsZero() && !now.Before(c.deadline)
-	kind, limit, mayAbandon := c.kind, c.limit, c.mayAbandon
+	kind, limit, since, mayAbandon := c.kind, c.limit, c.quietSince, c.mayAbandon
 	c.mu.Unlock()
 	if !late {
 		return
 	}
-	if kind != WriteTimeout && mayAbandon != nil && !mayAbandon() {
-		c.extend(limit)
-		return
+	if kind != WriteTimeout && mayAbandon != nil {
+		abandon := mayAbandon(Silence{For: now.Sub(since), Limit: limit})
+		if !c.isSilent(since) {
+			return
+		}
+		if !abandon {
+			c.extend(limit)
+			return
+		}
 	}
 	c.abort(kind)
 }
 
+// Silence is how long a server has shown nothing, against the limit that it
+// missed, once or more often.
+type Silence struct {
+	For   time.Duration
+	Limit time.Duration
+}
+
+// isSilent reports whether the watchdog still waits for what it waited for
+// since then.
+func (c *conn) isSilent(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.deadline.IsZero() && c.quietSince.Equal(since) && !c.closed
+}
+
 // extend gives a silent exchange the same time again.
 func (c *conn) extend(limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.deadline.IsZero() || c.closed {
-		return
-	}
 	c.deadline = c.clock.Now().Add(limit)
 	c.timer.Reset(limit)
 }
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -34,8 +34,9 @@
 	// BeforeWrite is as in Chat.
 	BeforeWrite func() error
 	// MayAbandon is asked before the attempt is given up for the server's
-	// silence; if it declines, the server gets the same time again.
-	MayAbandon func() bool
+	// silence; if it declines, the server gets the same time again. It may
+	// block.
+	MayAbandon func(Silence) bool
 }
 
 // Dialect reads what the head of a server's answer says beyond HTTP.
@@ -139,6 +140,20 @@
 	return x.readForward(resp, reply, sent)
 }
 
+// Reachable reports whether a server takes a new connection within the limit. A
+// server that is busy does, one that is gone does not.
+func (c *Client) Reachable(ctx context.Context, address string, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	nc, err := c.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	connections.Add("Probed", 1)
+	nc.Close()
+	return true
+}
+
 var errUnsigned = errors.New("the answer is not signed or not in the form that was asked for")
 
 // Write writes the request line, the header and the body.
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -125,6 +125,7 @@
 // ForwardAttempts carries single attempts.
 type ForwardAttempts interface {
 	Forward(ctx context.Context, target attempt.Target, f attempt.Forward, sink attempt.EventSink) (attempt.Reply, error)
+	Reachable(ctx context.Context, address string, limit time.Duration) bool
 }
 
 // Forwarder runs forwarded calls. Build it with NewForwarder.
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +28,9 @@
 	// patienceFactor is how many times the predicted wait an attempt gets at
 	// least.
 	patienceFactor = 3
+	// lostFactor is how many times the wait elsewhere a server that can be
+	// reached must have been silent before an attempt there is given up.
+	lostFactor = 2
 	// gapShare is the part of the longest pause of an answer that is on time
 	// after which a stream goes on at another server.
 	gapShare = 0.6
@@ -80,7 +84,9 @@
 		Header: p.envelope.Header(p.call.Header, stamp), Events: r.Kind == route.Streaming, ResumeFrom: p.last,
 		Pooled: r.Idempotent(), Limits: p.limits(w, began), Dialect: p.dialect,
 		BeforeWrite: func() error { return p.check(w) },
-		MayAbandon:  p.mayAbandon,
+		MayAbandon: func(silence attempt.Silence) bool {
+			return p.isLost(ctx, w, silence) && p.mayAbandon()
+		},
 	}, sink)
 	p.settle(w, reply, err, began)
 	return reply, err
@@ -149,6 +155,20 @@
 	}
 }
 
+// isLost reports whether a silent attempt would better start anew elsewhere. A
+// server that reads long prompts is silent towards all its callers, and a new
+// attempt would make another server read them too; so a server that can be
+// reached gets more time, unless the wait elsewhere is short against it.
+func (p *passage) isLost(ctx context.Context, w *dispatch.Work, silence attempt.Silence) bool {
+	ask := p.ask(p.model, p.size)
+	ask.Exclude = append(slices.Clone(ask.Exclude), w.Server.ID)
+	wait, err := p.fleet.Predict(ask)
+	if err != nil {
+		return false
+	}
+	return silence.For > silence.Limit*3/2 && lostFactor*wait < silence.For || !p.carrier.Reachable(ctx, w.Server.Address, connectLimit)
+}
+
 // mayAbandon decides whether a silent attempt is given up for another one. It
 // is only if that one may start at once: the attempt under way may yet answer.
 // It runs on a timer's goroutine while the call's own one waits for the server.
