Take ended entries for lapsed only after a call to the store failed

Silence of the store above 1 s counted as its outage, and 1 s is how long a watch and the pause between confirmations last. Ruled out: late announcements of the server (none in the log); the directory ignores those from now on too.

Change: silence counts only with a failed call in it.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -68,14 +68,26 @@
 	LapseGrace time.Duration
 
 	servers map[string]*Server
-	// gone holds the revision at which an announcement ended.
-	gone     map[string]int64
+	// gone remembers how announcements ended.
+	gone     map[string]departure
 	revision int64
 }
 
+// departure is the end of a server's announcement, and its last one.
+type departure struct {
+	revision int64
+	born     int64
+	sequence int64
+	at       time.Time
+}
+
+// departureMemory is how long a departure is remembered: longer than an
+// announcement may be under way.
+const departureMemory = time.Minute
+
 // NewDirectory returns an empty directory.
 func NewDirectory(lapseGrace time.Duration) *Directory {
-	return &Directory{LapseGrace: lapseGrace, servers: map[string]*Server{}, gone: map[string]int64{}}
+	return &Directory{LapseGrace: lapseGrace, servers: map[string]*Server{}, gone: map[string]departure{}}
 }
 
 // Announce takes in a server's announcement. It reports whether the listing
@@ -83,7 +95,8 @@
 // that is older than what is known, is ignored.
 func (d *Directory) Announce(s Server, now time.Time) bool {
 	d.revision = max(d.revision, s.Revision)
-	if s.Revision <= d.gone[s.ID] {
+	left, departed := d.gone[s.ID]
+	if departed && (s.Revision <= left.revision || s.Born == left.born && s.Sequence <= left.sequence) {
 		return false
 	}
 	delete(d.gone, s.ID)
@@ -101,10 +114,10 @@
 	}
 	sameRun := s.Born == old.Born && s.Address == old.Address
 	if sameRun {
-		s.SeenAt = old.SeenAt
-		if old.State == Draining && s.Sequence <= old.Sequence {
-			s.State = Draining
+		if s.Sequence < old.Sequence {
+			return false
 		}
+		s.SeenAt = old.SeenAt
 	}
 	d.servers[s.ID] = &s
 	return !sameRun || s.State != old.State || s.Service != old.Service || s.Version != old.Version || s.DataCentre != old.DataCentre ||
@@ -119,9 +132,13 @@
 	if old != nil && revision != 0 && revision <= old.Revision {
 		return false
 	}
-	if revision != 0 {
-		d.gone[id] = revision
+	left := departure{revision: max(revision, d.gone[id].revision), at: now}
+	if old != nil {
+		left.born, left.sequence, left.revision = old.Born, old.Sequence, max(left.revision, old.Revision)
+	} else {
+		left.born, left.sequence = d.gone[id].born, d.gone[id].sequence
 	}
+	d.gone[id] = left
 	if old == nil {
 		return false
 	}
@@ -155,11 +172,6 @@
 		}
 	}
 	d.revision = max(d.revision, revision)
-	for id, at := range d.gone {
-		if at < revision {
-			delete(d.gone, id)
-		}
-	}
 	return changed
 }
 
@@ -167,6 +179,11 @@
 // whether the listing changed.
 func (d *Directory) Expire(now time.Time) bool {
 	changed := false
+	for id, left := range d.gone {
+		if now.Sub(left.at) >= departureMemory {
+			delete(d.gone, id)
+		}
+	}
 	for id, s := range d.servers {
 		if !s.LapsedAt.IsZero() && now.Sub(s.LapsedAt) >= d.LapseGrace {
 			delete(d.servers, id)
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"sync"
 	"time"
 
@@ -86,6 +87,8 @@
 	confirmed   bool
 	// contactAt is when the store last answered.
 	contactAt time.Time
+	// failures counts the calls that failed since then.
+	failures int
 	// troubledUntil is when entries that end are gone for good again.
 	troubledUntil time.Time
 	unreachable   bool
@@ -200,6 +203,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	events.Add("CallFailed", 1)
+	f.failures++
 	if !f.unreachable && f.clock.Since(f.contactAt) > f.settings.Trouble {
 		f.unreachable = true
 		f.log.Warn("StoreLost", zap.Duration("Since", f.clock.Since(f.contactAt)), zap.Error(err))
@@ -210,12 +214,13 @@
 // for a while taken for lapsed.
 func (f *Follower) reached() {
 	now := f.clock.Now()
-	if silence := now.Sub(f.contactAt); silence > f.settings.Trouble {
+	// Without a failed call the silence was our own pause.
+	if silence := now.Sub(f.contactAt); silence > f.settings.Trouble && f.failures > 0 {
 		f.troubledUntil = now.Add(f.settings.Settling)
 		f.unreachable = false
 		f.log.Info("StoreRegained", zap.Duration("After", silence))
 	}
-	f.contactAt = now
+	f.contactAt, f.failures = now, 0
 }
 
 // take applies changes of the store. A whole reading replaces the directory.
@@ -292,13 +297,22 @@
 		f.applyTable(s, c.Revision)
 		return false
 	case backend.Server:
-		return f.directory.Announce(s, now)
+		changed := f.directory.Announce(s, now)
+		f.log.Info("ServerAnnounced", zap.String("Server", s.ID), zap.String("State", string(s.State)), zap.String("Version", s.Version),
+			zap.Duration("ColdLeft", s.ColdLeft), zap.Int64("Sequence", s.Sequence), zap.Int64("Born", s.Born), zap.Int64("Revision", c.Revision),
+			zap.Bool("Changed", changed))
+		return changed
 	case ServerGone:
-		return f.directory.Withdraw(s.ID, c.Revision, now.Before(f.troubledUntil), now)
+		trouble := now.Before(f.troubledUntil)
+		changed := f.directory.Withdraw(s.ID, c.Revision, trouble, now)
+		if changed {
+			f.log.Info("ServerGone", zap.String("Server", s.ID), zap.Int64("Revision", c.Revision), zap.Bool("StoreTrouble", trouble))
+		}
+		return changed
 	}
 	fleet := f.fleet.clone()
 	if fleet.apply(c.Subject) {
-		f.log.Info("FleetChanged", zap.String("Key", c.Key), zap.Int64("Revision", c.Revision), zap.Any("Subject", c.Subject))
+		f.log.Info("FleetChanged", zap.String("Key", c.Key), zap.Int64("Revision", c.Revision), zap.String("Subject", fmt.Sprintf("%+v", c.Subject)))
 		f.publish(fleet)
 	}
 	return false
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"slices"
 	"sync"
@@ -185,7 +186,7 @@
 	t.changed = true
 	if !t.bad && verdict.IsBad(t.evidence) {
 		t.bad = true
-		r.gateway.Log.Warn("VersionDistrusted", zap.String("Service", s.Service), zap.String("Version", t.target), zap.Any("Evidence", t.evidence))
+		r.gateway.Log.Warn("VersionDistrusted", zap.String("Service", s.Service), zap.String("Version", t.target), zap.String("Evidence", fmt.Sprintf("%+v", t.evidence)))
 	}
 }
 
@@ -292,7 +293,7 @@
 		return
 	}
 	done, err := g.Store.Record(ctx, next, fleet.Driver)
-	g.Log.Info("StageRecorded", zap.Bool("Done", done), zap.Any("Stage", next), zap.Any("Evidence", evidence), zap.Error(err))
+	g.Log.Info("StageRecorded", zap.Bool("Done", done), zap.String("Stage", fmt.Sprintf("%+v", next)), zap.String("Evidence", fmt.Sprintf("%+v", evidence)), zap.Error(err))
 	if err == nil && done {
 		// The watch brings the record; until then nothing is decided anew.
 		g.Clock.Sleep(releaseEvery)
