Let a few instances read the store and feed the others

Change: two instances, or one in sixteen, follow the store; the others follow one of them over HTTP and take its confirmation with its age on the boot clock. A feed that fails or grows old is left for the store at once. Watches wait 5 s; a confirmation that shows a newer revision renews one that hangs.

--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -49,7 +49,7 @@
 	}
 	log := logline.New(os.Stdout, c.level)
 	g := gateway.New(gateway.Parts{
-		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{},
+		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{}, Decode: platform.Decode,
 		Callers: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
 			return &platform.Door{Admission: a, Forwarder: f, Log: log}
 		},
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"fmt"
 	"sync"
@@ -29,25 +28,26 @@
 	Fleet   board.Section[Fleet]
 }
 
-// Fleet is the part of the view that concerns operators' orders and the
-// instances themselves. It is immutable.
-type Fleet struct {
-	// Closed holds the data centres that are out of service.
-	Closed    map[string]bool
-	Orders    map[string]Order
-	Stages    map[string]Stage
-	Instances map[string]Instance
-	Driver    Driver
-}
-
 // Settings of a follower.
 type Settings struct {
-	// WatchWait is how long a watch waits for a change.
+	// WatchWait is how long a watch of the store waits for a change.
 	WatchWait time.Duration
 	// WatchPause is the least time between the starts of two watches.
 	WatchPause time.Duration
+	// WatchLag is how long a watch may lack a change that a confirmation has
+	// seen, before it is taken for silent.
+	WatchLag time.Duration
 	// ConfirmEvery is how often the routing table's entry is read.
 	ConfirmEvery time.Duration
+	// FeedWait is how long another instance's feed waits for a change.
+	FeedWait time.Duration
+	// FeedTimeout bounds the time that it may take beyond that.
+	FeedTimeout time.Duration
+	// FeedAge is how old a confirmation from a feed may be before the store
+	// is asked itself.
+	FeedAge time.Duration
+	// DirectFor is how long the store is followed itself after a feed failed.
+	DirectFor time.Duration
 	// Trouble is how long the store may be out of reach before entries that
 	// end are taken for lapsed and not for gone.
 	Trouble time.Duration
@@ -57,30 +57,42 @@
 	LapseGrace time.Duration
 }
 
-// DefaultSettings are the settings that instances use.
+// DefaultSettings are the settings that instances use. A leaving server must
+// be known within 2 s and a key's end within 5 s, whatever fails on the way.
 var DefaultSettings = Settings{
-	WatchWait:    time.Second,
-	WatchPause:   350 * time.Millisecond,
-	ConfirmEvery: time.Second,
+	WatchWait:    5 * time.Second,
+	WatchPause:   250 * time.Millisecond,
+	WatchLag:     150 * time.Millisecond,
+	ConfirmEvery: 900 * time.Millisecond,
+	FeedWait:     500 * time.Millisecond,
+	FeedTimeout:  250 * time.Millisecond,
+	FeedAge:      1800 * time.Millisecond,
+	DirectFor:    3 * time.Second,
 	Trouble:      time.Second,
 	Settling:     3 * time.Second,
 	LapseGrace:   2200 * time.Millisecond,
 }
 
-// Follower follows the store. Build it with New.
+// Follower follows the store, or another instance that does. Build it with New.
 type Follower struct {
 	View     View
 	settings Settings
 	store    Store
+	decode   func(Item) Change
+	upstream func() Feed
 	clock    clockwork.Clock
 	boot     BootClock
 	log      *zap.Logger
+	history  *history
 
 	mu        sync.Mutex
 	directory *backend.Directory
 	fleet     Fleet
 	table     int64 // revision of the table's entry
 	version   int64 // version of the table in force
+	// revision is the store's up to which everything is known; below 0
+	// nothing is.
+	revision int64
 	// confirmedAt is the boot clock's time at which the last successful
 	// reading of the table's entry was asked for.
 	confirmedAt time.Duration
@@ -92,6 +104,10 @@
 	// troubledUntil is when entries that end are gone for good again.
 	troubledUntil time.Time
 	unreachable   bool
+	// directUntil is when a feed may be followed again.
+	directUntil time.Time
+	// stopWatch ends the watch under way.
+	stopWatch context.CancelFunc
 }
 
 var events = expvar.NewMap("Follower")
@@ -111,80 +127,205 @@
 // WithSettings replaces the default settings.
 func WithSettings(s Settings) Option { return func(f *Follower) { f.settings = s } }
 
+// WithUpstream sets the choice of another instance's feed; nil stands for the
+// store itself.
+func WithUpstream(choose func() Feed) Option { return func(f *Follower) { f.upstream = choose } }
+
 // New returns a follower that knows nothing yet.
-func New(store Store, opts ...Option) *Follower {
-	f := &Follower{settings: DefaultSettings, store: store, clock: clockwork.NewRealClock(), boot: systemBoot{}, log: zap.NewNop()}
+func New(store Store, decode func(Item) Change, opts ...Option) *Follower {
+	f := &Follower{
+		settings: DefaultSettings, store: store, decode: decode, upstream: func() Feed { return nil },
+		clock: clockwork.NewRealClock(), boot: systemBoot{}, log: zap.NewNop(), revision: -1, history: newHistory(),
+	}
 	for _, opt := range opts {
 		opt(f)
 	}
 	f.directory = backend.NewDirectory(f.settings.LapseGrace)
-	f.fleet = Fleet{Closed: map[string]bool{}, Orders: map[string]Order{}, Stages: map[string]Stage{}, Instances: map[string]Instance{}}
+	f.fleet = newFleet()
 	f.contactAt = f.clock.Now()
 	return f
 }
 
-// Run follows the store until the context ends.
+// Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { f.confirmLoop(ctx) })
-	f.watchLoop(ctx)
+	group.Go(func() { f.expireLoop(ctx) })
+	f.followLoop(ctx)
 	group.Wait()
 }
 
 // retryPause is the pause after a call that failed.
 const retryPause = 150 * time.Millisecond
 
-func (f *Follower) watchLoop(ctx context.Context) {
-	revision := int64(-1)
+// followLoop takes in changes, from a feed where there is one.
+func (f *Follower) followLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := f.clock.Now()
-		changes, next, err := f.step(ctx, revision)
-		var lost *HistoryLostError
-		switch {
-		case errors.As(err, &lost):
-			events.Add("HistoryLost", 1)
-			f.log.Warn("StoreHistoryLost", zap.Int64("After", revision))
-			revision = -1
+		if feed := f.feed(); feed != nil {
+			f.followFeed(ctx, feed)
 			continue
-		case err != nil:
+		}
+		if err := f.watch(ctx); err != nil {
 			f.failed(err)
 			f.pause(ctx, retryPause)
 			continue
 		}
-		f.take(changes, next, revision < 0)
-		revision = max(next, 0)
 		f.pause(ctx, f.settings.WatchPause-f.clock.Since(began))
 	}
 }
 
-func (f *Follower) step(ctx context.Context, revision int64) ([]Change, int64, error) {
+// feed returns the feed to follow now, or nil for the store.
+func (f *Follower) feed() Feed {
+	f.mu.Lock()
+	direct := f.revision < 0 || f.clock.Now().Before(f.directUntil)
+	f.mu.Unlock()
+	if direct {
+		return nil
+	}
+	return f.upstream()
+}
+
+// watch follows the store itself for one call.
+func (f *Follower) watch(ctx context.Context) error {
+	f.mu.Lock()
+	revision := f.revision
+	ctx, f.stopWatch = context.WithCancel(ctx)
+	stop := f.stopWatch
+	f.mu.Unlock()
+	defer stop()
 	if revision < 0 {
-		return f.store.Load(ctx)
+		items, at, err := f.store.Load(ctx)
+		if err == nil {
+			f.take(Batch{Items: items, Revision: at, Whole: true})
+		}
+		return err
+	}
+	items, at, err := f.store.Watch(ctx, revision, f.settings.WatchWait)
+	if isHistoryLost(err) {
+		events.Add("HistoryLost", 1)
+		f.log.Warn("StoreHistoryLost", zap.Int64("After", revision))
+		f.forgetRevision()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.take(Batch{Items: items, Revision: at})
+	return nil
+}
+
+func (f *Follower) forgetRevision() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = -1
+}
+
+// followFeed follows another instance for one call.
+func (f *Follower) followFeed(ctx context.Context, feed Feed) {
+	f.mu.Lock()
+	revision := f.revision
+	f.mu.Unlock()
+	asked := f.boot.Elapsed()
+	limited, cancel := context.WithTimeout(ctx, f.settings.FeedWait+f.settings.FeedTimeout)
+	defer cancel()
+	batch, err := feed.Next(limited, revision, f.settings.FeedWait)
+	if err != nil {
+		f.leaveFeed(err)
+		return
+	}
+	f.take(batch)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if batch.Table > 0 && batch.Table == f.table {
+		f.confirm(asked - batch.Age)
+	}
+	if f.boot.Elapsed()-f.confirmedAt > f.settings.FeedAge {
+		f.goDirect("confirmation too old", nil)
 	}
-	return f.store.Watch(ctx, revision, f.settings.WatchWait)
 }
 
+// leaveFeed goes back to the store after a feed failed.
+func (f *Follower) leaveFeed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.goDirect("feed failed", err)
+}
+
+func (f *Follower) goDirect(why string, err error) {
+	events.Add("FeedLeft", 1)
+	f.directUntil = f.clock.Now().Add(f.settings.DirectFor)
+	f.log.Info("FeedLeft", zap.String("Why", why), zap.Error(err))
+}
+
+// confirmLoop reads the routing table's entry as long as the store is followed
+// itself.
 func (f *Follower) confirmLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		known := f.table
-		f.mu.Unlock()
+		if f.feed() != nil {
+			f.pause(ctx, retryPause)
+			continue
+		}
 		asked := f.boot.Elapsed()
-		change, err := f.store.Confirm(ctx, known)
+		item, revision, err := f.store.Confirm(ctx)
 		if err != nil {
 			f.failed(err)
 			f.pause(ctx, retryPause)
 			continue
 		}
+		f.confirmedBy(item, revision, asked)
+		f.pause(ctx, f.settings.ConfirmEvery)
+	}
+}
+
+// confirmedBy takes in a reading of the table's entry. The store's revision
+// tells whether the watch has missed something.
+func (f *Follower) confirmedBy(item Item, revision int64, asked time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached()
+	if item.Revision == 0 {
+		return // there is no table yet
+	}
+	if item.Revision > f.table {
+		f.apply(f.decode(item))
+	}
+	if f.table >= item.Revision {
+		f.confirm(asked)
+	}
+	if f.revision >= 0 && f.revision < revision {
+		f.clock.AfterFunc(f.settings.WatchLag, func() { f.checkWatch(revision) })
+	}
+}
+
+// checkWatch starts the watch anew if it lacks a revision. A watch can hang on
+// a connection that has gone silent.
+func (f *Follower) checkWatch(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.revision >= 0 && f.revision < revision && f.stopWatch != nil {
+		events.Add("WatchLagged", 1)
+		f.log.Info("WatchRenewed", zap.Int64("Revision", f.revision), zap.Int64("Store", revision))
+		f.stopWatch()
+	}
+}
+
+func (f *Follower) confirm(at time.Duration) {
+	if !f.confirmed || at > f.confirmedAt {
+		f.confirmedAt, f.confirmed = at, true
+	}
+}
+
+// expireLoop ends the grace of lapsed servers in time, also while no change
+// comes.
+func (f *Follower) expireLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.pause(ctx, f.settings.LapseGrace/8)
 		f.mu.Lock()
-		f.reached()
-		f.apply(change)
-		// Only a table that was read confirms: without one nothing is known.
-		if f.table > 0 && change.Revision > 0 {
-			f.confirmedAt, f.confirmed = asked, true
+		if f.directory.Expire(f.clock.Now()) {
+			f.View.Servers.Publish(f.directory.Listing())
 		}
 		f.mu.Unlock()
-		f.pause(ctx, f.settings.ConfirmEvery)
 	}
 }
 
@@ -223,69 +364,48 @@
 	f.contactAt, f.failures = now, 0
 }
 
-// take applies changes of the store. A whole reading replaces the directory.
-func (f *Follower) take(changes []Change, revision int64, whole bool) {
+// take applies a batch of changes. A whole reading replaces the directory.
+func (f *Follower) take(b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reached()
 	now := f.clock.Now()
-	trouble := now.Before(f.troubledUntil)
+	if b.Troubled > 0 {
+		f.troubledUntil = now.Add(b.Troubled)
+	}
+	changes := make([]Change, 0, len(b.Items))
+	for _, item := range b.Items {
+		changes = append(changes, f.decode(item))
+	}
 	changed := f.directory.Expire(now)
-	var listed []backend.Server
+	if b.Whole {
+		f.replace(changes, b.Revision, now)
+	}
 	for _, c := range changes {
-		if s, ok := c.Subject.(backend.Server); ok && whole {
-			listed = append(listed, s)
-			continue
-		}
 		if f.apply(c) {
 			changed = true
 		}
 	}
-	if whole {
-		f.forget(changes)
-		if f.directory.Replace(listed, revision, trouble, now) {
-			changed = true
-		}
+	f.history.add(b)
+	if b.Whole || b.Revision > f.revision {
+		f.revision = b.Revision
 	}
-	if changed || whole {
+	if changed || b.Whole {
 		f.View.Servers.Publish(f.directory.Listing())
 	}
 }
 
-// forget drops what a whole reading no longer holds.
-func (f *Follower) forget(changes []Change) {
-	present := map[any]bool{}
+// replace drops what a whole reading no longer holds.
+func (f *Follower) replace(changes []Change, revision int64, now time.Time) {
+	var listed []backend.Server
 	for _, c := range changes {
-		switch s := c.Subject.(type) {
-		case Closure:
-			present[Closure{DataCentre: s.DataCentre}] = true
-		case Order:
-			present[Order{Service: s.Service}] = true
-		case Instance:
-			present[Instance{Name: s.Name}] = true
-		case Driver:
-			present[Driver{}] = true
+		if s, ok := c.Subject.(backend.Server); ok {
+			listed = append(listed, s)
 		}
 	}
+	f.directory.Replace(listed, revision, now.Before(f.troubledUntil), now)
 	fleet := f.fleet.clone()
-	for name := range fleet.Closed {
-		if !present[Closure{DataCentre: name}] {
-			delete(fleet.Closed, name)
-		}
-	}
-	for name := range fleet.Orders {
-		if !present[Order{Service: name}] {
-			delete(fleet.Orders, name)
-		}
-	}
-	for name := range fleet.Instances {
-		if !present[Instance{Name: name}] {
-			delete(fleet.Instances, name)
-		}
-	}
-	if !present[Driver{}] {
-		fleet.Driver = Driver{}
-	}
+	fleet.retain(changes)
 	f.publish(fleet)
 }
 
@@ -298,9 +418,10 @@
 		return false
 	case backend.Server:
 		changed := f.directory.Announce(s, now)
-		f.log.Info("ServerAnnounced", zap.String("Server", s.ID), zap.String("State", string(s.State)), zap.String("Version", s.Version),
-			zap.Duration("ColdLeft", s.ColdLeft), zap.Int64("Sequence", s.Sequence), zap.Int64("Born", s.Born), zap.Int64("Revision", c.Revision),
-			zap.Bool("Changed", changed))
+		if changed {
+			f.log.Info("ServerAnnounced", zap.String("Server", s.ID), zap.String("State", string(s.State)), zap.String("Version", s.Version),
+				zap.Duration("ColdLeft", s.ColdLeft), zap.Int64("Sequence", s.Sequence), zap.Int64("Revision", c.Revision))
+		}
 		return changed
 	case ServerGone:
 		trouble := now.Before(f.troubledUntil)
@@ -344,52 +465,3 @@
 	defer f.mu.Unlock()
 	return f.boot.Elapsed() - f.confirmedAt, f.confirmed
 }
-
-func (l Fleet) clone() Fleet {
-	clone := Fleet{Closed: map[string]bool{}, Orders: map[string]Order{}, Stages: map[string]Stage{}, Instances: map[string]Instance{}, Driver: l.Driver}
-	for k, v := range l.Closed {
-		clone.Closed[k] = v
-	}
-	for k, v := range l.Orders {
-		clone.Orders[k] = v
-	}
-	for k, v := range l.Stages {
-		clone.Stages[k] = v
-	}
-	for k, v := range l.Instances {
-		clone.Instances[k] = v
-	}
-	return clone
-}
-
-// apply reports whether the subject changed anything.
-func (l *Fleet) apply(subject any) bool {
-	switch s := subject.(type) {
-	case Closure:
-		return put(l.Closed, s.DataCentre, true, s.Ended)
-	case Order:
-		return put(l.Orders, s.Service, s, s.Ended)
-	case Stage:
-		return put(l.Stages, s.Service, s, s.Ended)
-	case Instance:
-		return put(l.Instances, s.Name, s, s.Ended)
-	case Driver:
-		if s.Ended {
-			s = Driver{}
-		}
-		changed := l.Driver != s
-		l.Driver = s
-		return changed
-	}
-	return false
-}
-
-func put[V comparable](m map[string]V, key string, value V, ended bool) bool {
-	old, had := m[key]
-	if ended {
-		delete(m, key)
-		return had
-	}
-	m[key] = value
-	return !had || old != value
-}
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -89,11 +89,11 @@
 type Store interface {
 	// Load reads everything. Changes up to the revision are included; later
 	// ones may be.
-	Load(ctx context.Context) (changes []Change, revision int64, err error)
+	Load(ctx context.Context) (items []Item, revision int64, err error)
 	// Watch returns the changes after a revision, waiting for the first one
 	// at most as long as given. The error may be a *HistoryLostError.
-	Watch(ctx context.Context, after int64, wait time.Duration) (changes []Change, revision int64, err error)
-	// Confirm reads the routing table's entry linearizably. The change's
-	// subject is nil if it is still at the known revision.
-	Confirm(ctx context.Context, known int64) (Change, error)
+	Watch(ctx context.Context, after int64, wait time.Duration) (items []Item, revision int64, err error)
+	// Confirm reads the routing table's entry linearizably, and the store's
+	// revision. The item's revision is 0 if there is no table.
+	Confirm(ctx context.Context) (table Item, revision int64, err error)
 }
--- /dev/null
+++ b/internal/fleet/gateway/feeds.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+)
+
+// feeds lets a few instances read the store for all. The others take the
+// changes, and the word that nothing newer is in force, from one of them.
+type feeds struct {
+	gateway *Gateway
+	client  *http.Client
+}
+
+const (
+	// membersPerReader is how many instances one reader feeds; at the target
+	// size of 360 instances the store serves about two dozen.
+	membersPerReader = 16
+	// leastReaders remain in small fleets, so that the loss of one leaves one.
+	leastReaders = 2
+	// feedPath is where an instance is asked for its feed.
+	feedPath = "/feed"
+	// feedDialTimeout bounds the opening of a connection to a reader.
+	feedDialTimeout = 250 * time.Millisecond
+	// feedBytes bounds an answer, a routing table of a megabyte included.
+	feedBytes = 16 << 20
+)
+
+func newFeedClient() *http.Client {
+	dialer := net.Dialer{Timeout: feedDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+	}}
+}
+
+// choose implements follower.WithUpstream: the feed of a reader, of the own
+// data centre if there is one; nil if this instance reads the store itself.
+func (f *feeds) choose() follower.Feed {
+	fleet := f.gateway.fleet()
+	self := f.gateway.Settings.Instance
+	if _, known := fleet.Instances[self]; !known {
+		return nil
+	}
+	readers := chooseReaders(fleet.Instances)
+	if slices.ContainsFunc(readers, func(i follower.Instance) bool { return i.Name == self }) {
+		return nil
+	}
+	reader := readers[xxhash.Sum64String(self)%uint64(len(readers))]
+	for _, r := range readers {
+		if r.DataCentre == f.gateway.Settings.DataCentre {
+			reader = r
+			break
+		}
+	}
+	return &feed{f.client, reader.PeerAddress}
+}
+
+// chooseReaders picks the instances that read the store. All that know the same
+// instances pick the same ones.
+func chooseReaders(instances map[string]follower.Instance) []follower.Instance {
+	list := make([]follower.Instance, 0, len(instances))
+	for _, i := range instances {
+		list = append(list, i)
+	}
+	weight := func(i follower.Instance) uint64 { return xxhash.Sum64String(i.Name) }
+	slices.SortFunc(list, func(a, b follower.Instance) int {
+		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Name, b.Name))
+	})
+	return list[:min(len(list), max(leastReaders, (len(list)+membersPerReader-1)/membersPerReader))]
+}
+
+// feed is another instance's feed over HTTP.
+type feed struct {
+	client  *http.Client
+	address string
+}
+
+// Next implements follower.Feed.
+func (f *feed) Next(ctx context.Context, after int64, wait time.Duration) (follower.Batch, error) {
+	query := url.Values{"After": {strconv.FormatInt(after, 10)}, "Wait": {wait.String()}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return follower.Batch{}, fmt.Errorf("build feed request: %w", err)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return follower.Batch{}, fmt.Errorf("ask %s for its feed: %w", f.address, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, feedBytes))
+	if err != nil {
+		return follower.Batch{}, fmt.Errorf("read the feed of %s: %w", f.address, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return follower.Batch{}, fmt.Errorf("feed of %s: status %d", f.address, resp.StatusCode)
+	}
+	var b follower.Batch
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return follower.Batch{}, fmt.Errorf("decode the feed of %s: %w", f.address, err)
+	}
+	return b, nil
+}
+
+// handler serves this instance's own feed.
+func (f *feeds) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+feedPath, func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseInt(r.FormValue("After"), 10, 64)
+		if err != nil {
+			http.Error(w, "After must be a revision", http.StatusBadRequest)
+			return
+		}
+		wait, err := time.ParseDuration(r.FormValue("Wait"))
+		if err != nil {
+			http.Error(w, "Wait must be a duration", http.StatusBadRequest)
+			return
+		}
+		b, err := f.gateway.follower.Next(r.Context(), after, wait)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if err := json.NewEncoder(w).Encode(b); err != nil {
+			return // the instance that asked is gone
+		}
+	})
+	return mux
+}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -65,6 +65,8 @@
 	Settings Settings
 	Store    Store
 	Codec    Codec
+	// Decode reads the store's entries.
+	Decode func(follower.Item) follower.Change
 	// Callers makes the handler of callers.
 	Callers func(a Admission, f *pipeline.Forwarder) http.Handler
 	// Guard wraps the callers' listener and marks its connections.
@@ -86,6 +88,7 @@
 	releases   *releases
 	member     *membership
 	peers      *peers
+	feeds      *feeds
 	// run tells this run of the instance from others.
 	run int64
 
@@ -121,16 +124,17 @@
 	memoryShare = 0.6
 	// confirmShare is the part of the time to revoke a key for which a
 	// confirmation holds; the rest covers the way to the server.
-	confirmShare = 0.55
+	confirmShare = 0.85
 	// readyShare is the part for which the instance calls itself ready.
-	readyShare = 0.5
+	readyShare = 0.6
 )
 
 // New returns a gateway that is not started.
 func New(p Parts) *Gateway {
 	s := p.Settings
 	g := &Gateway{Parts: p, allowances: map[string]*allowance.Allowance{}, changed: make(chan struct{})}
-	g.follower = follower.New(p.Store, follower.WithClock(p.Clock), follower.WithLogger(p.Log))
+	g.feeds = &feeds{gateway: g, client: newFeedClient()}
+	g.follower = follower.New(p.Store, p.Decode, follower.WithClock(p.Clock), follower.WithLogger(p.Log), follower.WithUpstream(g.feeds.choose))
 	g.dispatcher = dispatch.New(dispatch.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Near: nearRoundTrip, Far: farRoundTrip,
 		CrossingCost: crossingCost, FailureCost: failureCost, ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
@@ -158,6 +162,10 @@
 	if err := g.peers.open(); err != nil {
 		return err
 	}
+	peerListener, err := net.Listen("tcp", g.Settings.PeerAddress)
+	if err != nil {
+		return err
+	}
 	g.Log.Info("Started", zap.String("Instance", g.Settings.Instance), zap.String("DataCentre", g.Settings.DataCentre),
 		zap.String("Callers", g.Settings.CallersAddress))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -170,12 +178,15 @@
 	group.Go(g.peers.receive)
 	readiness := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: time.Second}
 	group.Go(func() { g.serve(readiness, ready) })
+	peerServer := &http.Server{Handler: g.feeds.handler(), ReadHeaderTimeout: time.Second}
+	group.Go(func() { g.serve(peerServer, peerListener) })
 	front := g.callersServer()
 	group.Go(func() { g.serve(front, g.Guard(callers)) })
 	<-ctx.Done()
 	g.stop(front)
 	cancel()
 	readiness.Close()
+	peerServer.Close()
 	g.peers.conn.Close()
 	g.member.leave()
 	group.Wait()
