--- /dev/null
+++ b/internal/fleet/backend/backend_test.go
@@ -0,0 +1,94 @@
+package backend
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// script runs one sequence of the data file.
+type script struct {
+	t         *testing.T
+	directory *Directory
+	start     time.Time
+	now       time.Time
+}
+
+func TestDirectory(t *testing.T) {
+	raw, err := os.ReadFile("testdata/directory.txt")
+	is.New(t).NoErr(err)
+	for block := range strings.SplitSeq(string(raw), "\n\n") {
+		lines := strings.Split(strings.TrimSpace(block), "\n")
+		name, ok := strings.CutPrefix(lines[0], "name ")
+		if !ok {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			s := &script{t: t, directory: NewDirectory(2200 * time.Millisecond), start: start, now: start}
+			for _, line := range lines[1:] {
+				s.run(strings.Fields(line))
+			}
+		})
+	}
+}
+
+func (s *script) run(words []string) {
+	args := map[string]string{}
+	var plain []string
+	for _, w := range words[1:] {
+		if key, value, ok := strings.Cut(w, "="); ok {
+			args[key] = value
+		} else {
+			plain = append(plain, w)
+		}
+	}
+	number := func(key string) int64 {
+		n, _ := strconv.ParseInt(args[key], 10, 64)
+		return n
+	}
+	trouble := strings.Contains(strings.Join(plain, " "), "trouble")
+	switch words[0] {
+	case "at":
+		seconds, err := strconv.ParseFloat(words[1], 64)
+		is.New(s.t).NoErr(err)
+		s.now = s.start.Add(time.Duration(seconds * float64(time.Second)))
+	case "announce":
+		s.directory.Announce(Server{
+			ID: plain[0], Service: "assistant", Address: plain[0], State: State(args["state"]),
+			Sequence: number("seq"), Born: number("born"), Revision: number("rev"),
+		}, s.now)
+	case "gone":
+		s.directory.Withdraw(plain[0], number("rev"), trouble, s.now)
+	case "whole":
+		var list []Server
+		for _, id := range plain {
+			if known := s.directory.Listing().ByID[id]; known != nil {
+				list = append(list, *known)
+			}
+		}
+		s.directory.Replace(list, number("rev"), trouble, s.now)
+	case "expire":
+		s.directory.Expire(s.now)
+	case "expect":
+		s.expect(words[1:])
+	default:
+		s.t.Fatalf("unknown line %q", words)
+	}
+}
+
+func (s *script) expect(want []string) {
+	var got []string
+	for id, server := range s.directory.Listing().ByID {
+		got = append(got, fmt.Sprintf("%s=%s", id, server.State))
+	}
+	sort.Strings(got)
+	sort.Strings(want)
+	is.New(s.t).Equal(strings.Join(got, " "), strings.Join(want, " "))
+}
--- /dev/null
+++ b/internal/relay/attempt/forward_test.go
@@ -0,0 +1,251 @@
+package attempt
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+// testDialect names the headers of the scripted server.
+type testDialect struct{}
+
+func (testDialect) Read(status int, h http.Header) Remark {
+	return Remark{
+		RequestID: h.Get("Id"), Signed: h.Get("Sealed") != "", Confidence: -1,
+		NotRun:      h.Get("NotRun") != "" || status == http.StatusMisdirectedRequest,
+		Misdirected: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// eventList collects events.
+type eventList struct {
+	heads   int
+	events  []string
+	decline bool
+}
+
+func (l *eventList) Head(Head) error {
+	l.heads++
+	if l.decline {
+		return errors.New("declined")
+	}
+	return nil
+}
+
+func (l *eventList) Event(_ int, raw []byte) error {
+	l.events = append(l.events, string(raw))
+	return nil
+}
+
+// scriptedServer answers one request on each connection with the steps given.
+func scriptedServer(t *testing.T, steps []string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveSteps(c.(*net.TCPConn), steps)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveSteps(c *net.TCPConn, steps []string) {
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		c.Close()
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	for _, step := range steps {
+		switch {
+		case step == "close":
+			c.Close()
+			return
+		case step == "reset":
+			_ = c.SetLinger(0)
+			c.Close()
+			return
+		case strings.HasPrefix(step, "> "):
+			text, err := strconv.Unquote(`"` + strings.ReplaceAll(step[2:], `"`, `\"`) + `"`)
+			if err != nil {
+				panic(err)
+			}
+			_, _ = c.Write([]byte(text))
+		}
+	}
+}
+
+func TestForwardAnswers(t *testing.T) {
+	raw, err := os.ReadFile("testdata/forward.txt")
+	is.New(t).NoErr(err)
+	for block := range strings.SplitSeq(string(raw), "\n\n") {
+		lines := strings.Split(strings.TrimSpace(block), "\n")
+		if name, ok := strings.CutPrefix(lines[0], "name "); ok {
+			t.Run(name, func(t *testing.T) { runForward(t, lines[1:]) })
+		}
+	}
+}
+
+func runForward(t *testing.T, lines []string) {
+	is := is.New(t)
+	f := Forward{RequestID: "r1", Method: http.MethodPost, URI: "/path?q=1", Host: "host.example", Body: []byte("hello"), Dialect: testDialect{}, Pooled: true}
+	var steps []string
+	want := map[string]string{}
+	for _, line := range lines {
+		switch words := strings.Fields(line); words[0] {
+		case "events":
+			f.Events = true
+		case "resume":
+			f.ResumeFrom, _ = strconv.Atoi(words[1])
+		case "expect":
+			for _, w := range words[1:] {
+				key, value, _ := strings.Cut(w, "=")
+				want[key] = value
+			}
+		default:
+			steps = append(steps, line)
+		}
+	}
+	address := scriptedServer(t, steps)
+	client := New(WithLimits(Limits{FirstByte: 5 * time.Second, Progress: 5 * time.Second}))
+	defer client.Close()
+	var list eventList
+	reply, err := client.Forward(t.Context(), Target{Server: "s", Address: address}, f, &list)
+	kind, state := "whole", "Ran"
+	var e *Error
+	if errors.As(err, &e) {
+		kind, state = string(e.Kind), e.State.String()
+	}
+	is.Equal(kind, want["kind"])
+	is.Equal(state, want["state"])
+	if body, ok := want["body"]; ok {
+		is.Equal(string(reply.Body), body)
+	}
+	if events, ok := want["events"]; ok {
+		is.Equal(strconv.Itoa(len(list.events)), events)
+	}
+	if reuse, ok := want["reuse"]; ok {
+		is.Equal(strconv.FormatBool(client.pool.take(address, time.Now()) != nil), reuse)
+	}
+}
+
+// The request goes out as it came, with nothing of the library's own.
+func TestForwardWritesWhatCame(t *testing.T) {
+	is := is.New(t)
+	f := Forward{
+		Method: "PUT", URI: "/a//b/../c?x=%20&y", Host: "h.example:81", Header: http.Header{"X-One": {"1", "2"}}, Body: []byte("body"),
+	}
+	var b bytes.Buffer
+	w := bufio.NewWriter(&b)
+	is.NoErr(f.Write(w))
+	is.NoErr(w.Flush())
+	is.Equal(b.String(), "PUT /a//b/../c?x=%20&y HTTP/1.1\r\nHost: h.example:81\r\nContent-Length: 4\r\nX-One: 1\r\nX-One: 2\r\n\r\nbody")
+}
+
+// An answer that is declined at its head ends the attempt and closes the
+// connection, so that the server stops.
+func TestForwardDeclined(t *testing.T) {
+	is := is.New(t)
+	address := scriptedServer(t, []string{`> HTTP/1.1 200 OK\r\nId: r1\r\nSealed: y\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n`})
+	client := New()
+	defer client.Close()
+	list := eventList{decline: true}
+	_, err := client.Forward(t.Context(), Target{Server: "s", Address: address},
+		Forward{RequestID: "r1", Method: "POST", URI: "/", Host: "h", Dialect: testDialect{}, Events: true}, &list)
+	var e *Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Kind, Unwanted)
+	is.Equal(len(list.events), 0)
+	is.True(client.pool.take(address, time.Now()) == nil)
+}
+
+// A server answers a long request before it has read it. The answer counts,
+// and the connection is not used again: the rest of the body is still due.
+func TestForwardEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = http.ReadRequest(bufio.NewReaderSize(c, 64))
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nNotRun: 1\r\nContent-Length: 0\r\n\r\n")
+		<-t.Context().Done()
+	}()
+	client := New()
+	defer client.Close()
+	_, err = client.Forward(t.Context(), Target{Server: "s", Address: l.Addr().String()},
+		Forward{RequestID: "r1", Method: "POST", URI: "/", Host: "h", Dialect: testDialect{}, Pooled: true, Body: make([]byte, 64<<20)}, nil)
+	var e *Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Kind, Refused503)
+	is.Equal(e.State.String(), "NotRun")
+	is.True(client.pool.take(l.Addr().String(), time.Now()) == nil)
+}
+
+// A silent server is given up only if the caller agrees; else it gets the same
+// time again. (Csatornakep, trouble-2: streams were cut although no other
+// attempt could follow.)
+func TestSilenceIsAskedAbout(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near, Target{}, clock)
+	asked, agree := make(chan Silence), make(chan bool)
+	c.askBefore(func(s Silence) bool {
+		asked <- s
+		return <-agree
+	})
+	c.arm(FirstByteTimeout, time.Second)
+	for i, answer := range []bool{false, false, true} {
+		is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(time.Second)
+		is.Equal(<-asked, Silence{For: time.Duration(i+1) * time.Second, Limit: time.Second})
+		agree <- answer
+	}
+	_, err := far.Read(make([]byte, 1)) // ends once the connection is closed
+	is.True(err != nil)
+	is.Equal(c.failure(Reset), FirstByteTimeout)
+}
+
+// A byte that arrives while the question is open keeps the attempt.
+func TestProgressWhileAsked(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near, Target{}, clock)
+	done := make(chan struct{})
+	c.askBefore(func(Silence) bool {
+		clock.Advance(time.Millisecond)
+		c.arm(ProgressTimeout, time.Second)
+		close(done)
+		return true
+	})
+	c.arm(FirstByteTimeout, time.Second)
+	clock.Advance(time.Second)
+	<-done
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+	is.Equal(c.failure(Reset), Reset)
+}
--- /dev/null
+++ b/internal/release/verdict/verdict_test.go
@@ -0,0 +1,75 @@
+package verdict
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDecide(t *testing.T) {
+	raw, err := os.ReadFile("testdata/rollouts.txt")
+	is.New(t).NoErr(err)
+	name := ""
+	for line := range strings.SplitSeq(strings.TrimSpace(string(raw)), "\n") {
+		if rest, ok := strings.CutPrefix(line, "name "); ok {
+			name = rest
+			continue
+		}
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			given, want, ok := strings.Cut(line, " -> ")
+			is.True(ok)
+			d := Decide(parseQuery(t, strings.Fields(given)))
+			switch want {
+			case "revert":
+				is.True(d.Revert)
+			case "complete":
+				is.True(d.Complete && !d.Revert)
+			default:
+				share, err := strconv.ParseFloat(want, 64)
+				is.NoErr(err)
+				is.True(!d.Revert && !d.Complete)
+				is.True(math.Abs(d.Share-share) < 1e-9)
+			}
+		})
+	}
+}
+
+func parseQuery(t *testing.T, fields []string) Query {
+	is := is.New(t)
+	q := Query{Exposure: 0.15, Evidence: Evidence{}}
+	for _, f := range fields {
+		key, value, _ := strings.Cut(f, "=")
+		number, _ := strconv.ParseFloat(value, 64)
+		switch key {
+		case "elapsed":
+			q.Elapsed = time.Duration(number * float64(time.Second))
+		case "duration":
+			q.Duration = time.Duration(number * float64(time.Second))
+		case "ready":
+			q.Ready = int(number)
+		case "share":
+			q.Share = number
+		case "old", "new":
+			route, counts, _ := strings.Cut(value, ":")
+			var c Counts
+			_, err := fmt.Sscanf(counts, "%d/%d/%d", &c.Answers, &c.Failed, &c.Slow)
+			is.NoErr(err)
+			pair := Pair{Old: c}
+			if key == "new" {
+				pair = Pair{New: c}
+			}
+			q.Evidence.Add(Evidence{route: pair})
+		}
+	}
+	return q
+}
--- /dev/null
+++ b/internal/routing/allowance/allowance_test.go
@@ -0,0 +1,77 @@
+package allowance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// When every attempt fails, all instances together stay within the bound in
+// any window, and use most of it.
+func TestBoundHoldsOverAllInstances(t *testing.T) {
+	is := is.New(t)
+	const instances = 9
+	settings := Settings{Ratio: 0.9, Slack: 58, Window: 10 * time.Second}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	all := make([]*Allowance, instances)
+	for i := range all {
+		all[i] = New(settings)
+	}
+	var requests, repeats []time.Time
+	start := time.Unix(1000, 0)
+	for ms := range 40_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		// A burst of five times the usual load, between seconds 15 and 20.
+		perSecond := 60.0
+		if ms > 15_000 && ms < 20_000 {
+			perSecond = 300
+		}
+		if rnd.Float64() > perSecond/1000 {
+			continue
+		}
+		a := all[rnd.IntN(instances)]
+		a.Request(now)
+		requests = append(requests, now)
+		for range 3 {
+			if a.Take(now, instances, 0) {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	within := func(list []time.Time, from, to time.Time) float64 {
+		n := 0.0
+		for _, at := range list {
+			if !at.Before(from) && at.Before(to) {
+				n++
+			}
+		}
+		return n
+	}
+	most := 0.0
+	for from := start; from.Before(start.Add(30 * time.Second)); from = from.Add(250 * time.Millisecond) {
+		to := from.Add(settings.Window)
+		bound := settings.Ratio*within(requests, from, to) + settings.Slack
+		used := within(repeats, from, to) / bound
+		is.True(used <= 1)
+		most = max(most, used)
+	}
+	is.True(most > 0.6)
+}
+
+func TestReserve(t *testing.T) {
+	is := is.New(t)
+	a := New(Settings{Ratio: 1, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	for range 100 {
+		a.Request(now)
+	}
+	taken := 0
+	for a.Take(now, 1, 0.5) {
+		taken++
+	}
+	is.Equal(taken, 40) // half of the 80 that the margin leaves
+	is.True(a.Take(now, 1, 0))
+	is.True(!a.Take(now.Add(time.Minute), 1, 0)) // nothing was asked for since
+}
--- /dev/null
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -0,0 +1,263 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func testSettings(instance string) Settings {
+	return Settings{
+		Instance: instance, DataCentre: "gulberg", Near: time.Millisecond, Far: 9 * time.Millisecond, CrossingCost: 20 * time.Millisecond,
+		FailureCost: time.Second, ColdOverrun: 1.5, ColdSlack: 5,
+	}
+}
+
+// listing returns n ready servers of the assistant in turn over two data
+// centres.
+func listing(n int, change func(i int, s *backend.Server)) *backend.Listing {
+	d := backend.NewDirectory(time.Second)
+	for i := range n {
+		s := backend.Server{
+			ID: fmt.Sprintf("s%02d", i), Service: "assistant", Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: []string{"gulberg", "johar"}[i%2],
+			Version: "v1", Slots: 64, State: backend.Ready, Revision: int64(i + 1),
+		}
+		if change != nil {
+			change(i, &s)
+		}
+		d.Announce(s, epoch)
+	}
+	return d.Listing()
+}
+
+func query(parts ...Part) *Query {
+	return &Query{Service: "assistant", Model: "large", Size: 2, Parts: parts, Members: []string{"a"}, MaxConnections: 370, ColdRate: 11}
+}
+
+// The sum of all instances' shares of a cold server never exceeds its limit,
+// whatever their number, and nothing of it is lost.
+func TestColdQuotaSum(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1, 2, 8, 9, 30, 73, 90, 360} {
+		members := make([]string, n)
+		for i := range members {
+			members[i] = fmt.Sprintf("edge-%d", i)
+		}
+		for _, limit := range []int{0, 3, 16, 21} {
+			sum := 0
+			for _, m := range members {
+				sum += ColdQuota("server", m, members, limit)
+			}
+			is.Equal(sum, limit)
+		}
+	}
+	is.Equal(ColdQuota("server", "stranger", []string{"a", "b"}, 16), 0)
+}
+
+// All instances together send a cold server no more than its bound in any
+// second, while all other servers are closed and every request wants it.
+func TestColdServerUnderLoad(t *testing.T) {
+	is := is.New(t)
+	const instances = 9
+	members := make([]string, instances)
+	for i := range members {
+		members[i] = fmt.Sprintf("edge-%d", i)
+	}
+	l := listing(1, func(_ int, s *backend.Server) { s.ColdLeft = 5 * time.Second })
+	dispatchers := make([]*Dispatcher, instances)
+	for i := range dispatchers {
+		dispatchers[i] = New(testSettings(members[i]))
+	}
+	var sent []time.Time
+	for ms := range 5000 {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		q := query()
+		q.Members = members
+		if w, err := dispatchers[ms%instances].Place(l, q, now); err == nil {
+			sent = append(sent, now)
+			w.Done(Fine, now)
+		}
+	}
+	bound := 21 // 11 a second, half as many more, and 5
+	for i, at := range sent {
+		n := 0
+		for _, other := range sent[i:] {
+			if other.Sub(at) < time.Second {
+				n++
+			}
+		}
+		is.True(n <= bound)
+	}
+	is.True(len(sent) > 5*bound/2) // the bound is used, too
+}
+
+// A burst of long prompts spreads by the work that is pending: no server ends
+// up with more than twice the mean.
+func TestBurstSpreadsByWork(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("testdata/bursts.txt")
+	is.NoErr(err)
+	d, l := New(testSettings("a")), listing(6, nil)
+	work, total := map[string]time.Duration{}, time.Duration(0)
+	for i, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
+		at, size, ok := strings.Cut(line, "|")
+		if !ok || strings.HasPrefix(line, "#") {
+			continue
+		}
+		ms, err := strconv.Atoi(strings.TrimSpace(at))
+		is.NoErr(err)
+		tokens, err := strconv.Atoi(strings.TrimSpace(size))
+		is.NoErr(err)
+		w, err := d.Place(l, query(Part{ID: fmt.Sprint(i), Tokens: tokens}), epoch.Add(time.Duration(ms)*time.Millisecond))
+		is.NoErr(err)
+		work[w.Server.ID] += w.work
+		total += w.work
+	}
+	for _, sum := range work {
+		is.True(sum <= 2*total/6)
+	}
+}
+
+// Work that other instances told of counts like the own.
+func TestPeersWorkCounts(t *testing.T) {
+	is := is.New(t)
+	d, l := New(testSettings("a")), listing(2, nil)
+	prompt := Part{ID: "p", Tokens: 9000}
+	d.Peer("b", 1, 1, map[string]Pending{"s00": {Requests: 5, Work: 3000}}, epoch)
+	w, err := d.Place(l, query(prompt), epoch)
+	is.NoErr(err)
+	is.Equal(w.Server.ID, "s01")
+	w.Done(Neutral, epoch)
+	d.Peer("b", 1, 3, map[string]Pending{"s01": {Requests: 5, Work: 3000}}, epoch)
+	d.Peer("b", 1, 2, map[string]Pending{"s00": {Requests: 5, Work: 3000}}, epoch) // overtaken
+	w, err = d.Place(l, query(Part{ID: "q", Tokens: 9000}), epoch)
+	is.NoErr(err)
+	is.Equal(w.Server.ID, "s00")
+	w.Done(Neutral, epoch)
+	later := epoch.Add(peerFresh)
+	wait, err := d.Predict(l, query(), later)
+	is.NoErr(err)
+	is.True(wait < 100*time.Millisecond) // an old word is forgotten
+}
+
+// Requests with the same shared part go to one server, chosen alike by all
+// instances, until it is too busy.
+func TestSharedPartsStayTogether(t *testing.T) {
+	is := is.New(t)
+	l := listing(12, func(_ int, s *backend.Server) { s.DataCentre = "gulberg" })
+	shared := []Part{{ID: "base", Tokens: 2500}, {ID: "subject", Tokens: 3800}}
+	var home string
+	for i := range 9 {
+		d := New(testSettings(fmt.Sprintf("edge-%d", i)))
+		w, err := d.Place(l, query(append(shared, Part{ID: fmt.Sprint(i), Tokens: 900})...), epoch)
+		is.NoErr(err)
+		if home == "" {
+			home = w.Server.ID
+		}
+		is.Equal(w.Server.ID, home)
+	}
+	d := New(testSettings("a"))
+	servers := map[string]bool{}
+	for i := range 6 {
+		w, err := d.Place(l, query(append(shared, Part{ID: fmt.Sprint(i), Tokens: 9000})...), epoch)
+		is.NoErr(err)
+		servers[w.Server.ID] = true
+	}
+	is.True(len(servers) > 1) // they do not queue up at the home
+}
+
+// A server that fails is avoided, though its health is said to be good, and
+// tried again after a while.
+func TestFailingServerIsAvoided(t *testing.T) {
+	is := is.New(t)
+	d, l := New(testSettings("a")), listing(2, func(_ int, s *backend.Server) { s.DataCentre = "gulberg" })
+	w, err := d.Place(l, query(), epoch)
+	is.NoErr(err)
+	bad := w.Server.ID
+	w.Done(Dead, epoch)
+	for range 10 {
+		w, err := d.Place(l, query(), epoch.Add(time.Second))
+		is.NoErr(err)
+		is.True(w.Server.ID != bad)
+		w.Done(Fine, epoch.Add(time.Second))
+	}
+	back := false
+	for i := range 20 {
+		w, err := d.Place(l, query(Part{ID: fmt.Sprint(i), Tokens: 5000}), epoch.Add(time.Minute))
+		is.NoErr(err)
+		back = back || w.Server.ID == bad
+	}
+	is.True(back)
+}
+
+func TestNoServerSaysWhy(t *testing.T) {
+	is := is.New(t)
+	d := New(testSettings("a"))
+	l := listing(5, func(i int, s *backend.Server) {
+		switch i {
+		case 0:
+			s.State = backend.Draining
+		case 1:
+			s.DataCentre = "dha"
+		case 2:
+			s.Version = "v2"
+		}
+	})
+	q := query()
+	q.Closed, q.Versions, q.Exclude = map[string]bool{"dha": true}, Versions{Not: "v2"}, []string{"s03", "s04"}
+	_, err := d.Place(l, q, epoch)
+	var none *NoServerError
+	is.True(errors.As(err, &none))
+	is.Equal(*none, NoServerError{Service: "assistant", Listed: 5, Draining: 1, Closed: 1, Versions: 1, Excluded: 2})
+}
+
+// The last check sees what changed after the choice.
+func TestCheckAfterChoice(t *testing.T) {
+	is := is.New(t)
+	d, l := New(testSettings("a")), listing(1, nil)
+	w, err := d.Place(l, query(), epoch)
+	is.NoErr(err)
+	is.True(w.Check(l, Versions{}, nil))
+	is.True(!w.Check(l, Versions{Not: "v1"}, nil))
+	is.True(!w.Check(l, Versions{}, map[string]bool{"gulberg": true}))
+	is.True(!w.Check(listing(0, nil), Versions{}, nil))
+	is.True(!w.Check(listing(1, func(_ int, s *backend.Server) { s.State = backend.Draining }), Versions{}, nil))
+	is.True(!w.Check(listing(1, func(_ int, s *backend.Server) { s.Born = 9 }), Versions{}, nil))
+}
+
+// A server's connections are shared out among the instances.
+func TestConnectionsAreShared(t *testing.T) {
+	is := is.New(t)
+	d, l := New(testSettings("a")), listing(1, nil)
+	q := query()
+	q.MaxConnections, q.Members = 100, []string{"a", "b", "c", "d"}
+	placed := 0
+	for range 100 {
+		if _, err := d.Place(l, q, epoch); err == nil {
+			placed++
+		}
+	}
+	is.Equal(placed, 20)
+}
+
+// The wait at a server is at least as long as that of the request which has
+// waited there longest.
+func TestOldestRequestBoundsTheWait(t *testing.T) {
+	is := is.New(t)
+	d, l := New(testSettings("a")), listing(1, nil)
+	_, err := d.Place(l, query(), epoch)
+	is.NoErr(err)
+	wait, err := d.Predict(l, query(), epoch.Add(1500*time.Millisecond))
+	is.NoErr(err)
+	is.True(wait >= 1500*time.Millisecond)
+}
--- a/internal/routing/sizing/sizing.go
+++ b/internal/routing/sizing/sizing.go
@@ -114,7 +114,8 @@
 // stepped is the value of asking the largest model after a wait.
 func (q *Query) stepped(after time.Duration) (float64, bool) {
 	top := len(q.Models) - 1
-	if q.Steps <= 0 || q.Models[top].Blocked {
+	// A step up that comes late anyway would only delay other requests.
+	if q.Steps <= 0 || q.Models[top].Blocked || after+q.Models[top].Wait > q.Left {
 		return 0, false
 	}
 	return q.Worth()*q.onTime(after+q.Models[top].Wait) - q.price(top), true
--- /dev/null
+++ b/internal/routing/sizing/sizing_test.go
@@ -0,0 +1,139 @@
+package sizing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// report is a long prompt with three models to choose from.
+func report(waits [3]time.Duration, left time.Duration) *Query {
+	c := NewCalibration()
+	q := &Query{Read: 9200, Generated: 54, Left: left, Steps: 2}
+	for i, cost := range []float64{0.017, 0.13, 0.26} {
+		q.Models = append(q.Models, Model{Cost: cost, Wait: waits[i], Opinion: c.Of("reports", i, 3)})
+	}
+	return q
+}
+
+const ms = time.Millisecond
+
+// In calm, the small model is asked first, since the large one remains.
+func TestSmallFirstInCalm(t *testing.T) {
+	is := is.New(t)
+	is.Equal(First(report([3]time.Duration{60 * ms, 200 * ms, 600 * ms}, 3*time.Second)), 0)
+}
+
+// Where the large model would be late, the small one's answer is kept, however
+// unsure it is.
+func TestOverloadKeepsTheSmallAnswer(t *testing.T) {
+	is := is.New(t)
+	q := report([3]time.Duration{300 * ms, 900 * ms, 4 * time.Second}, 2*time.Second)
+	is.Equal(First(q), 0)
+	is.True(Keep(q, 0, 3))
+	q = report([3]time.Duration{300 * ms, 900 * ms, 700 * ms}, 3*time.Second)
+	is.True(!Keep(q, 0, 3))
+	is.True(Keep(q, 0, 95))
+	q.Steps = 0
+	is.True(Keep(q, 0, 3)) // no further attempt is allowed
+	q = report([3]time.Duration{300 * ms, 900 * ms, 700 * ms}, 3*time.Second)
+	q.Models[2].Blocked = true
+	is.True(Keep(q, 0, 3))
+	is.True(Keep(report([3]time.Duration{0, 0, 0}, time.Second), 0, -1)) // the model has not said
+}
+
+func TestBlockedModelIsNotAsked(t *testing.T) {
+	is := is.New(t)
+	q := report([3]time.Duration{60 * ms, 200 * ms, 600 * ms}, 3*time.Second)
+	q.Models[0].Blocked = true
+	is.True(First(q) != 0)
+}
+
+// crowd draws answers of a route on which a part of the prompts is too hard
+// for the small model.
+func crowd(rnd *rand.Rand, good float64) (confidence int, isGood bool) {
+	isGood = rnd.Float64() < good
+	mean := 18.0
+	if isGood {
+		mean = 88
+	}
+	return int(max(0, min(100, mean+22*rnd.NormFloat64()))), isGood
+}
+
+// The calibration finds out, without being told which answers were good, how
+// many are and from which confidence on.
+func TestCalibrationLearns(t *testing.T) {
+	for _, good := range []float64{0.3, 0.56, 0.85} {
+		is := is.New(t)
+		rnd := rand.New(rand.NewPCG(7, 1))
+		c := NewCalibration()
+		var all, right Shape
+		for range 3000 {
+			small, isGood := crowd(rnd, good)
+			c.Observe("reports", 0, 3, small)
+			all[binOf(small)]++
+			if isGood {
+				right[binOf(small)]++
+			}
+			large, _ := crowd(rnd, 1)
+			c.Observe("reports", 2, 3, large)
+		}
+		o := c.Of("reports", 0, 3)
+		expected := 0.0
+		for i := range o.Shape {
+			expected += o.Shape[i] * o.Good[i]
+		}
+		is.True(expected > good-0.05 && expected < good+0.05)
+		for i := range all {
+			// Steps with few answers say little of the truth.
+			if truth := right[i] / all[i]; all[i] >= 150 {
+				is.True(o.Good[i] > truth-0.15 && o.Good[i] < truth+0.15)
+			}
+		}
+	}
+}
+
+// outcome adds up what a rule earns on a recorded crowd, in calm.
+func outcome(rule func(q *Query, confidence int, isGood bool) (size int, stepped bool)) float64 {
+	rnd := rand.New(rand.NewPCG(3, 9))
+	sum := 0.0
+	for range 20_000 {
+		q := report([3]time.Duration{60 * ms, 200 * ms, 600 * ms}, 3*time.Second)
+		confidence, isGood := crowd(rnd, 0.56)
+		size, stepped := rule(q, confidence, isGood)
+		if stepped {
+			sum -= q.price(0)
+		}
+		value := q.Worth()
+		if size == 0 && !isGood {
+			value *= poorShare
+		}
+		sum += value - q.price(size)
+	}
+	return sum / 20_000
+}
+
+// The rule comes close to an oracle that knows which answers are good, and
+// beats both always small and always large.
+func TestAgainstBaselines(t *testing.T) {
+	is := is.New(t)
+	small := outcome(func(*Query, int, bool) (int, bool) { return 0, false })
+	large := outcome(func(*Query, int, bool) (int, bool) { return 2, false })
+	oracle := outcome(func(_ *Query, _ int, good bool) (int, bool) {
+		if good {
+			return 0, false
+		}
+		return 2, false
+	})
+	ours := outcome(func(q *Query, confidence int, _ bool) (int, bool) {
+		if first := First(q); first > 0 || Keep(q, 0, confidence) {
+			return first, false
+		}
+		return 2, true
+	})
+	t.Logf("small %.3f large %.3f ours %.3f oracle %.3f", small, large, ours, oracle)
+	is.True(ours > small && ours > large)
+	is.True(ours > 0.95*oracle)
+}
