Add up the pending work by reader in large fleets; log a stream's longest pause

Cause: the interval at which an instance told its work grew with the fleet, to 2.7 s at 90 instances, beyond the 2 s for which a word holds: the grown deployments ran without it. Now a reader adds up its group's work, readers exchange sums, and each tells its group the total: a constant number of messages for each instance.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -112,15 +112,22 @@
 	if s.Revision <= old.Revision || s.Born < old.Born {
 		return false
 	}
-	sameRun := s.Born == old.Born && s.Address == old.Address
-	if sameRun {
-		if s.Sequence < old.Sequence {
-			return false
-		}
-		s.SeenAt = old.SeenAt
+	if s.Born != old.Born || s.Address != old.Address {
+		d.servers[s.ID] = &s
+		return true
 	}
+	if s.Sequence < old.Sequence {
+		return false
+	}
+	s.SeenAt = old.SeenAt
 	d.servers[s.ID] = &s
-	return !sameRun || s.State != old.State || s.Service != old.Service || s.Version != old.Version || s.DataCentre != old.DataCentre ||
+	return s.differs(old)
+}
+
+// differs reports whether the announcement says more than that the server still
+// runs as before.
+func (s *Server) differs(old *Server) bool {
+	return s.State != old.State || s.Service != old.Service || s.Version != old.Version || s.DataCentre != old.DataCentre ||
 		s.Slots != old.Slots || !old.LapsedAt.IsZero() || s.ColdLeft > 0 || !slices.Equal(s.Models, old.Models)
 }
 
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -29,6 +29,9 @@
 	// membersPerReader is how many instances one reader feeds; at the target
 	// size of 360 instances the store serves about two dozen.
 	membersPerReader = 16
+	// smallFleet is the size up to which instances tell each other everything
+	// themselves, and readers serve all data centres.
+	smallFleet = 16
 	// leastReaders remain in small fleets, so that the loss of one leaves one.
 	leastReaders = 2
 	// feedPath is where an instance is asked for its feed.
@@ -49,37 +52,64 @@
 // choose implements follower.WithUpstream: the feed of a reader, of the own
 // data centre if there is one; nil if this instance reads the store itself.
 func (f *feeds) choose() follower.Feed {
-	fleet := f.gateway.fleet()
-	self := f.gateway.Settings.Instance
-	if _, known := fleet.Instances[self]; !known {
+	reader, found := f.reader()
+	if !found || reader.Name == f.gateway.Settings.Instance {
 		return nil
 	}
-	readers := chooseReaders(fleet.Instances)
-	if slices.ContainsFunc(readers, func(i follower.Instance) bool { return i.Name == self }) {
-		return nil
+	return &feed{f.client, reader.PeerAddress}
+}
+
+// reader returns the reader that this instance belongs to, which may be itself.
+// There is none until the instance has announced itself.
+func (f *feeds) reader() (follower.Instance, bool) {
+	instances := f.gateway.fleet().Instances
+	self, known := instances[f.gateway.Settings.Instance]
+	if !known {
+		return follower.Instance{}, false
 	}
-	reader := readers[xxhash.Sum64String(self)%uint64(len(readers))]
+	readers := chooseReaders(instances)
+	var near []follower.Instance
 	for _, r := range readers {
-		if r.DataCentre == f.gateway.Settings.DataCentre {
-			reader = r
-			break
+		if r.Name == self.Name {
+			return r, true
+		}
+		if r.DataCentre == self.DataCentre {
+			near = append(near, r)
 		}
 	}
-	return &feed{f.client, reader.PeerAddress}
+	if len(near) > 0 {
+		readers = near
+	}
+	return readers[xxhash.Sum64String(self.Name)%uint64(len(readers))], true
 }
 
-// chooseReaders picks the instances that read the store. All that know the same
+// chooseReaders picks the instances that read the store: a few in a small
+// fleet, some in each data centre of a large one. All that know the same
 // instances pick the same ones.
 func chooseReaders(instances map[string]follower.Instance) []follower.Instance {
-	list := make([]follower.Instance, 0, len(instances))
+	places := map[string][]follower.Instance{}
 	for _, i := range instances {
-		list = append(list, i)
+		place := ""
+		if len(instances) > smallFleet {
+			place = i.DataCentre
+		}
+		places[place] = append(places[place], i)
 	}
-	weight := func(i follower.Instance) uint64 { return xxhash.Sum64String(i.Name) }
-	slices.SortFunc(list, func(a, b follower.Instance) int {
-		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Name, b.Name))
-	})
-	return list[:min(len(list), max(leastReaders, (len(list)+membersPerReader-1)/membersPerReader))]
+	least := 1
+	if len(instances) <= smallFleet {
+		least = leastReaders
+	}
+	var readers []follower.Instance
+	for _, list := range places {
+		slices.SortFunc(list, byWeight)
+		readers = append(readers, list[:min(len(list), max(least, (len(list)+membersPerReader-1)/membersPerReader))]...)
+	}
+	slices.SortFunc(readers, byWeight)
+	return readers
+}
+
+func byWeight(a, b follower.Instance) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 }
 
 // feed is another instance's feed over HTTP.
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -112,11 +112,11 @@
 // an instance that is not known.
 func TestReaders(t *testing.T) {
 	is := is.New(t)
-	for n, want := range map[int]int{1: 1, 2: 2, 9: 2, 32: 2, 90: 6, 360: 23} {
+	for n, want := range map[int]int{1: 1, 2: 2, 9: 2, 32: 4, 90: 8, 360: 24} {
 		instances := map[string]follower.Instance{}
 		for i := range n {
 			name := fmt.Sprintf("edge-%d", i)
-			instances[name] = follower.Instance{Name: name}
+			instances[name] = follower.Instance{Name: name, DataCentre: []string{"gulberg", "johar", "dha", "shadman"}[i%4]}
 		}
 		is.Equal(len(chooseReaders(instances)), want)
 		is.Equal(chooseReaders(instances), chooseReaders(instances))
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"expvar"
 	"net"
+	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 )
@@ -18,6 +21,10 @@
 type peers struct {
 	gateway *Gateway
 	conn    net.PacketConn
+
+	mu sync.Mutex
+	// told is the own work that the reader was last told.
+	told dispatch.Pending
 }
 
 // message is one datagram. A part that is missing says nothing.
@@ -28,11 +35,15 @@
 	Run      int64
 	Sequence int64
 	// Pending is the sender's work that waits at each server.
-	Pending map[string]dispatch.Pending `json:",omitempty"`
+	Pending dispatch.Pending `json:",omitzero"`
+	// Group is that of all instances that belong to the sender, a reader;
+	// Total that of the whole fleet.
+	Group dispatch.Pending `json:",omitzero"`
+	Total dispatch.Pending `json:",omitzero"`
 	// Evidence is the sender's on one roll-out.
-	Evidence *evidenceMessage `json:",omitempty"`
+	Evidence *evidenceMessage `json:",omitzero"`
 	// Sessions are those of a roll-out's trial that ran at the sender.
-	Sessions []sessionMessage `json:",omitempty"`
+	Sessions []sessionMessage `json:",omitzero"`
 }
 
 // evidenceMessage is one instance's evidence on its way to the driver. Counts
@@ -53,11 +64,12 @@
 const (
 	// datagramBytes bounds one datagram.
 	datagramBytes = 32 << 10
-	// shareEvery is how often an instance tells its pending work, for each
-	// instance that hears it: the messages that one instance gets in a second
-	// do not grow with the fleet.
-	shareEvery      = 30 * time.Millisecond
-	shareEveryLeast = 200 * time.Millisecond
+	// shareEvery is how often an instance tells its pending work: often
+	// against the second or two that a long prompt takes.
+	shareEvery = 250 * time.Millisecond
+	// groupPrefix and totalPrefix tell sums from a single instance's word.
+	groupPrefix = "group/"
+	totalPrefix = "total/"
 )
 
 var peerMessages = expvar.NewMap("PeerMessages")
@@ -89,8 +101,18 @@
 
 func (p *peers) take(m *message) {
 	g := p.gateway
+	now := g.Clock.Now()
 	if m.Pending != nil {
-		g.dispatcher.Peer(m.From, m.Run, m.Sequence, m.Pending, g.Clock.Now())
+		g.dispatcher.Peer(m.From, m.Run, m.Sequence, m.Pending, now)
+	}
+	if m.Group != nil {
+		g.dispatcher.Peer(groupPrefix+m.From, m.Run, m.Sequence, m.Group, now)
+	}
+	if m.Total != nil {
+		p.mu.Lock()
+		others := m.Total.Without(p.told)
+		p.mu.Unlock()
+		g.dispatcher.Peer(totalPrefix+m.From, m.Run, m.Sequence, others, now)
 	}
 	if m.Evidence != nil {
 		g.releases.merge(m.From, *m.Evidence)
@@ -134,20 +156,64 @@
 // run shares the pending work until the context ends.
 func (p *peers) run(ctx context.Context) {
 	g := p.gateway
-	sequence, quiet := int64(0), false
-	for {
-		pause := max(shareEveryLeast, time.Duration(len(g.members()))*shareEvery)
+	for sequence := int64(1); ; sequence++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.Clock.After(jitter(pause)):
+		case <-g.Clock.After(jitter(shareEvery)):
+			p.share(sequence)
 		}
-		pending := g.dispatcher.Pending()
-		if len(pending) == 0 && quiet {
-			continue
+	}
+}
+
+// share tells this instance's pending work: to all in a small fleet, else to
+// its reader. A reader adds up its group, exchanges the sums with the other
+// readers, and tells its group the total, so that what one instance sends and
+// gets does not grow with the fleet.
+func (p *peers) share(sequence int64) {
+	g := p.gateway
+	own := g.dispatcher.Pending()
+	instances := g.fleet().Instances
+	if len(instances) <= smallFleet {
+		p.broadcast(&message{Sequence: sequence, Pending: own})
+		return
+	}
+	reader, found := g.feeds.reader()
+	if !found {
+		return
+	}
+	if reader.Name != g.Settings.Instance {
+		p.mu.Lock()
+		p.told = own
+		p.mu.Unlock()
+		p.send(reader.PeerAddress, &message{Sequence: sequence, Pending: own})
+		return
+	}
+	p.shareSums(sequence, own, instances)
+}
+
+// shareSums is a reader's part of share.
+func (p *peers) shareSums(sequence int64, own dispatch.Pending, instances map[string]follower.Instance) {
+	g := p.gateway
+	var members, groups []string
+	for _, name := range g.dispatcher.Peers(g.Clock.Now()) {
+		switch {
+		case strings.HasPrefix(name, groupPrefix):
+			groups = append(groups, name)
+		case !strings.HasPrefix(name, totalPrefix):
+			members = append(members, name)
 		}
-		quiet = len(pending) == 0
-		sequence++
-		p.broadcast(&message{Sequence: sequence, Pending: pending})
+	}
+	group := g.dispatcher.PeersWork(members)
+	group.Add(own)
+	for _, other := range chooseReaders(instances) {
+		if other.Name != g.Settings.Instance {
+			p.send(other.PeerAddress, &message{Sequence: sequence, Group: group})
+		}
+	}
+	total := g.dispatcher.PeersWork(groups)
+	total.Add(group)
+	for _, name := range members {
+		p.send(instances[name].PeerAddress, &message{Sequence: sequence, Total: total})
 	}
 }
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -125,6 +125,8 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	// The exchange closes the connection itself, or keeps it for the next one.
+	defer resp.Body.Close()
 	x.conn.keepFor(head.Remark.IdleLimit)
 	reply := Reply{Head: head, Last: f.ResumeFrom, FirstEvent: x.elapsed()}
 	switch {
@@ -158,14 +160,19 @@
 
 // Write writes the request line, the header and the body.
 func (f *Forward) Write(w *bufio.Writer) error {
-	w.WriteString(f.Method + " " + f.URI + " HTTP/1.1\r\nHost: " + f.Host + "\r\n")
+	head := f.Method + " " + f.URI + " HTTP/1.1\r\nHost: " + f.Host + "\r\n"
 	if len(f.Body) > 0 || f.Method != http.MethodGet && f.Method != http.MethodHead {
-		w.WriteString("Content-Length: " + strconv.Itoa(len(f.Body)) + "\r\n")
+		head += "Content-Length: " + strconv.Itoa(len(f.Body)) + "\r\n"
+	}
+	if _, err := w.WriteString(head); err != nil {
+		return err
 	}
 	if err := f.Header.Write(w); err != nil {
 		return err
 	}
-	w.WriteString("\r\n")
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
 	_, err := w.Write(f.Body)
 	return err
 }
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -185,6 +185,10 @@
 	// head of the answer.
 	last  int
 	begun bool
+	// eventAt is when the last event was delivered, longestPause the longest
+	// time between two.
+	eventAt      time.Time
+	longestPause time.Duration
 	// prepaid says that the next attempt's repeat was taken already.
 	prepaid atomic.Bool
 	// failure is a server's own failure, kept for the case that no attempt
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -328,6 +328,7 @@
 		zap.String("RequestId", p.call.ID), zap.String("Route", p.call.Route.Name), zap.String("Customer", p.call.Customer),
 		zap.String("Model", p.model), zap.Int("Attempts", p.attempts), zap.Int("Tries", p.tries), zap.String("RunState", p.ran.String()),
 		zap.Int64("TableVersion", p.fleet.Table().Version), zap.Duration("Elapsed", p.clock.Since(p.call.Arrived)), zap.Int("LastEvent", p.last),
+		zap.Duration("LongestPause", p.longestPause),
 	}
 	if err != nil {
 		p.log.Info("RequestEnded", append(fields, zap.Error(err))...)
@@ -369,6 +370,11 @@
 	if err := s.out.Event(raw); err != nil {
 		return err
 	}
+	now := s.clock.Now()
+	if !s.eventAt.IsZero() {
+		s.longestPause = max(s.longestPause, now.Sub(s.eventAt))
+	}
+	s.eventAt = now
 	if number > 0 {
 		s.last = number
 	}
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -255,7 +255,8 @@
 	}
 	backlog := a.pending + d.elsewhere(s.ID, a, now)
 	if q.Model == "" {
-		backlog = time.Duration((float64(a.inFlight) + a.decayed(now)) / float64(max(1, s.Slots)) * float64(plainWork))
+		// Calls of plain services run side by side.
+		backlog /= time.Duration(max(1, s.Slots))
 	}
 	distance := d.settings.Near
 	if s.DataCentre != d.settings.DataCentre {
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -133,13 +133,13 @@
 	is := is.New(t)
 	d, l := New(testSettings("a")), listing(2, nil)
 	prompt := Part{ID: "p", Tokens: 9000}
-	d.Peer("b", 1, 1, map[string]Pending{"s00": {Requests: 5, Work: 3000}}, epoch)
+	d.Peer("b", 1, 1, Pending{"s00": 3000}, epoch)
 	w, err := d.Place(l, query(prompt), epoch)
 	is.NoErr(err)
 	is.Equal(w.Server.ID, "s01")
 	w.Done(Neutral, epoch)
-	d.Peer("b", 1, 3, map[string]Pending{"s01": {Requests: 5, Work: 3000}}, epoch)
-	d.Peer("b", 1, 2, map[string]Pending{"s00": {Requests: 5, Work: 3000}}, epoch) // overtaken
+	d.Peer("b", 1, 3, Pending{"s01": 3000}, epoch)
+	d.Peer("b", 1, 2, Pending{"s00": 3000}, epoch) // overtaken
 	w, err = d.Place(l, query(Part{ID: "q", Tokens: 9000}), epoch)
 	is.NoErr(err)
 	is.Equal(w.Server.ID, "s00")
--- a/internal/routing/dispatch/peers.go
+++ b/internal/routing/dispatch/peers.go
@@ -1,21 +1,38 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
-// Pending is one instance's work that waits at a server.
-type Pending struct {
-	// Requests is the number of requests under way, Work the predicted time
-	// that those without a first event take, in milliseconds.
-	Requests int
-	Work     int64
+// Pending is the work that waits at each server for its first event, in
+// milliseconds.
+type Pending map[string]int64
+
+// Add adds other work, in place.
+func (p Pending) Add(o Pending) {
+	for server, work := range o {
+		p[server] += work
+	}
+}
+
+// Without returns the work less what is counted twice.
+func (p Pending) Without(o Pending) Pending {
+	rest := maps.Clone(p)
+	for server, work := range o {
+		if rest[server] -= work; rest[server] <= 0 {
+			delete(rest, server)
+		}
+	}
+	return rest
 }
 
-// peer is what another instance last told of its work.
+// peer is what another source last told of work that is not this instance's.
 type peer struct {
 	run      int64
 	sequence int64
 	at       time.Time
-	pending  map[string]Pending
+	pending  Pending
 }
 
 // peerFresh is how long another instance's word holds: a few of the intervals
@@ -23,20 +40,21 @@
 const peerFresh = 2 * time.Second
 
 // Pending returns this instance's work at each server.
-func (d *Dispatcher) Pending() map[string]Pending {
+func (d *Dispatcher) Pending() Pending {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	pending := map[string]Pending{}
+	pending := Pending{}
 	for id, a := range d.servers {
-		if a.inFlight > 0 {
-			pending[id] = Pending{Requests: a.inFlight, Work: a.pending.Milliseconds()}
+		if work := a.pending.Milliseconds(); work > 0 {
+			pending[id] = work
 		}
 	}
 	return pending
 }
 
-// Peer takes in another instance's work. Words that were overtaken are ignored.
-func (d *Dispatcher) Peer(name string, run, sequence int64, pending map[string]Pending, now time.Time) {
+// Peer takes in another source's word of its work. Words that were overtaken
+// are ignored.
+func (d *Dispatcher) Peer(name string, run, sequence int64, pending Pending, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.peers[name]
@@ -46,24 +64,47 @@
 	d.peers[name] = &peer{run, sequence, now, pending}
 }
 
+// Peers returns the names of the sources whose word still holds.
+func (d *Dispatcher) Peers(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgetPeers(now)
+	names := make([]string, 0, len(d.peers))
+	for name := range d.peers {
+		names = append(names, name)
+	}
+	return names
+}
+
+// PeersWork adds up the work of some sources.
+func (d *Dispatcher) PeersWork(names []string) Pending {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := Pending{}
+	for _, name := range names {
+		if p := d.peers[name]; p != nil {
+			sum.Add(p.pending)
+		}
+	}
+	return sum
+}
+
+func (d *Dispatcher) forgetPeers(now time.Time) {
+	maps.DeleteFunc(d.peers, func(_ string, p *peer) bool { return now.Sub(p.at) >= peerFresh })
+}
+
 // elsewhere is the work of the other instances that waits at a server: their
 // own word, or what the server itself stated if none is known.
 func (d *Dispatcher) elsewhere(server string, a *account, now time.Time) time.Duration {
-	told := false
-	sum := int64(0)
-	for name, p := range d.peers {
-		age := now.Sub(p.at)
-		if age >= peerFresh {
-			delete(d.peers, name)
-			continue
-		}
-		told = true
-		sum += p.pending[server].Work
+	d.forgetPeers(now)
+	if len(d.peers) == 0 {
+		return time.Duration(a.decayed(now) * float64(d.average) * othersWeight)
 	}
-	if told {
-		return time.Duration(sum) * time.Millisecond
+	sum := int64(0)
+	for _, p := range d.peers {
+		sum += p.pending[server]
 	}
-	return time.Duration(a.decayed(now) * float64(d.average) * othersWeight)
+	return time.Duration(sum) * time.Millisecond
 }
 
 // oldest is how long the request that has waited longest at the server has
