Explain a request from logs; serve counters and latencies

explain -Logs prints the way of a request in order over instances and attempts, after what they believed before it. Counters by reason and run state and latency histograms are served at port 9464, path /debug/vars.

--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -10,6 +11,7 @@
 
 	"github.com/google/subcommands"
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/console/logline"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
@@ -18,6 +20,9 @@
 	"github.com/kingcupyard/kingcupyard/platform"
 )
 
+// metricsPort is the one that deploy/system.toml names.
+const metricsPort = "9464"
+
 // gatewayCommand runs one instance on the users' platform.
 type gatewayCommand struct {
 	access
@@ -47,14 +52,15 @@
 	if err != nil {
 		return c.fail(badInput(err))
 	}
-	log := logline.New(os.Stdout, c.level)
+	log := logline.New(os.Stdout, c.level).With(zap.String("Instance", settings.Instance))
 	g := gateway.New(gateway.Parts{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{}, Decode: platform.Decode,
 		Callers: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
 			return &platform.Door{Admission: a, Forwarder: f, Log: log}
 		},
 		Guard: platform.Guard, ConnContext: platform.ConnContext, ReadyPath: platform.ReadyPath,
-		Clock: clockwork.NewRealClock(), Log: log,
+		MetricsAddress: net.JoinHostPort(settings.Address, metricsPort),
+		Clock:          clockwork.NewRealClock(), Log: log,
 	})
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/cmd/kingcupyard/operator.go
+++ b/cmd/kingcupyard/operator.go
@@ -91,15 +91,27 @@
 }
 
 // explainCommand prints why a request went where it went.
-type explainCommand struct{ access }
+type explainCommand struct {
+	access
+	logs bool
+}
 
 func (*explainCommand) Name() string     { return "explain" }
 func (*explainCommand) Synopsis() string { return "say how a request was decided" }
 func (*explainCommand) Usage() string {
-	return "explain [FLAGS] REQUEST-ID: say how a request was decided\n"
+	return "explain [FLAGS] REQUEST-ID: say how a request was decided\n" +
+		"explain -Logs REQUEST-ID [FILE...]: the same from instances' logs, or from standard input\n"
+}
+
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	c.access.SetFlags(f)
+	f.BoolVar(&c.logs, "Logs", false, "read logs instead of asking the instances")
 }
 
 func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.logs {
+		return c.trace(f.Args())
+	}
 	id, err := oneArgument(f, "RequestId")
 	if err != nil {
 		return c.fail(err)
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -74,8 +75,11 @@
 	ConnContext func(context.Context, net.Conn) context.Context
 	// ReadyPath is where readiness is asked for.
 	ReadyPath string
-	Clock     clockwork.Clock
-	Log       *zap.Logger
+	// MetricsAddress is where counters and histograms are served; empty for
+	// none.
+	MetricsAddress string
+	Clock          clockwork.Clock
+	Log            *zap.Logger
 }
 
 // Gateway is an instance on the platform. Build it with New.
@@ -182,8 +186,7 @@
 	if err != nil {
 		return err
 	}
-	g.Log.Info("Started", zap.String("Instance", g.Settings.Instance), zap.String("DataCentre", g.Settings.DataCentre),
-		zap.String("Callers", g.Settings.CallersAddress))
+	g.Log.Info("Started", zap.String("DataCentre", g.Settings.DataCentre), zap.String("Callers", g.Settings.CallersAddress))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var group sync.WaitGroup
 	group.Go(func() { g.follower.Run(work) })
@@ -192,6 +195,11 @@
 	group.Go(func() { g.releases.run(work) })
 	group.Go(func() { g.peers.run(work) })
 	group.Go(g.peers.receive)
+	if g.MetricsAddress != "" {
+		metrics := &http.Server{Addr: g.MetricsAddress, Handler: expvar.Handler(), ReadHeaderTimeout: time.Second}
+		go g.serveMetrics(metrics)
+		defer metrics.Close()
+	}
 	readiness := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: time.Second}
 	group.Go(func() { g.serve(readiness, ready) })
 	peerServer := &http.Server{Handler: g.feeds.handler(), ReadHeaderTimeout: time.Second}
@@ -210,6 +218,13 @@
 	return nil
 }
 
+// serveMetrics serves the counters. An instance works without them.
+func (g *Gateway) serveMetrics(s *http.Server) {
+	if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.Log.Warn("MetricsNotServed", zap.String("Address", s.Addr), zap.Error(err))
+	}
+}
+
 func (g *Gateway) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		g.Log.Error("ListenerFailed", zap.String("Address", l.Addr().String()), zap.Error(err))
@@ -425,6 +440,22 @@
 	return g.allowance(service).Take(g.Clock.Now(), len(g.members()), reserve)
 }
 
+// Ended implements pipeline.Forwarding.
+func (g *Gateway) Ended(e pipeline.Ended) {
+	outcome := "Answered"
+	if e.Refusal != nil {
+		outcome = string(e.Refusal.Reason) + " " + e.Refusal.State.String()
+	}
+	outcomes.Add(e.Route.Kind.String()+" "+outcome, 1)
+	latencies.observe(e.Route.Kind.String()+" Whole", e.Elapsed)
+	if e.First > 0 {
+		latencies.observe(e.Route.Kind.String()+" First", e.First)
+	}
+	if e.LongestPause > 0 {
+		latencies.observe(e.Route.Kind.String()+" Pause", e.LongestPause)
+	}
+}
+
 // Observe implements pipeline.Forwarding.
 func (g *Gateway) Observe(o pipeline.Observation) { g.releases.observe(o) }
 
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -91,6 +91,8 @@
 	Repeat(service string, urgent bool) bool
 	// Observe notes how an attempt went.
 	Observe(o Observation)
+	// Ended notes how a call ended.
+	Ended(e Ended)
 	// Changed is closed when the servers or the table next change.
 	Changed() <-chan struct{}
 }
@@ -122,6 +124,17 @@
 	Events    int
 }
 
+// Ended is how one call ended.
+type Ended struct {
+	Route *route.Route
+	// Refusal is nil if the answer was delivered.
+	Refusal *call.Refusal
+	Elapsed time.Duration
+	// First is the time to the first event, LongestPause that between two.
+	First        time.Duration
+	LongestPause time.Duration
+}
+
 // ForwardAttempts carries single attempts.
 type ForwardAttempts interface {
 	Forward(ctx context.Context, target attempt.Target, f attempt.Forward, sink attempt.EventSink) (attempt.Reply, error)
@@ -188,6 +201,7 @@
 	// eventAt is when the last event was delivered, longestPause the longest
 	// time between two.
 	eventAt      time.Time
+	firstAfter   time.Duration
 	longestPause time.Duration
 	// prepaid says that the next attempt's repeat was taken already.
 	prepaid atomic.Bool
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -330,6 +330,11 @@
 		zap.Int64("TableVersion", p.fleet.Table().Version), zap.Duration("Elapsed", p.clock.Since(p.call.Arrived)), zap.Int("LastEvent", p.last),
 		zap.Duration("LongestPause", p.longestPause),
 	}
+	ended := Ended{Route: p.call.Route, Elapsed: p.clock.Since(p.call.Arrived), First: p.firstAfter, LongestPause: p.longestPause}
+	if !errors.As(err, &ended.Refusal) {
+		ended.Refusal = nil
+	}
+	p.fleet.Ended(ended)
 	if err != nil {
 		p.log.Info("RequestEnded", append(fields, zap.Error(err))...)
 		return
@@ -371,7 +376,9 @@
 		return err
 	}
 	now := s.clock.Now()
-	if !s.eventAt.IsZero() {
+	if s.eventAt.IsZero() {
+		s.firstAfter = now.Sub(s.call.Arrived)
+	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.eventAt))
 	}
 	s.eventAt = now
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -53,6 +53,7 @@
 	return true
 }
 func (f *fakeFleet) Observe(o Observation)    { f.observed = append(f.observed, o) }
+func (f *fakeFleet) Ended(Ended)              {}
 func (f *fakeFleet) Changed() <-chan struct{} { return nil }
 
 // fakeCarrier answers attempts in order with functions.
