Let the grace of lapsed servers run from the store's return; reload settings

Ruled out: late watches (all knew the end 0.3 s after it).

Change: entries lapse until 2.2 s after the own contact's return, no longer; readers' trouble is their own. Readers whose feed fails are passed over for another one. SIGHUP and a changed settings file are taken. Watches pause for a fifth of the time that a leaving server goes on; confirmations come every 1.2 s and hold for 0.95 of the time to revoke.

--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -64,6 +64,7 @@
 	})
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go reload(ctx, c.settings, g, log)
 	if err := g.Run(ctx); err != nil {
 		return c.fail(err)
 	}
--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -43,9 +43,9 @@
 	ColdUntil time.Time
 	// SeenAt is when this instance first saw this run of the server.
 	SeenAt time.Time
-	// LapsedAt is set if the announcement ended while the store was in
-	// trouble, so that the server may still be there.
-	LapsedAt time.Time
+	// LapsedUntil is set if the announcement ended around a store outage: the
+	// server may still be there, and has until then to announce itself again.
+	LapsedUntil time.Time
 }
 
 // IsCold reports whether the server is still cold.
@@ -63,10 +63,6 @@
 // Directory joins announcements to a listing. It is not safe for concurrent
 // use: one controller owns it.
 type Directory struct {
-	// LapseGrace is how long a server whose announcement ended in a store
-	// outage stays in use after the store's return.
-	LapseGrace time.Duration
-
 	servers map[string]*Server
 	// gone remembers how announcements ended.
 	gone     map[string]departure
@@ -86,8 +82,8 @@
 const departureMemory = time.Minute
 
 // NewDirectory returns an empty directory.
-func NewDirectory(lapseGrace time.Duration) *Directory {
-	return &Directory{LapseGrace: lapseGrace, servers: map[string]*Server{}, gone: map[string]departure{}}
+func NewDirectory() *Directory {
+	return &Directory{servers: map[string]*Server{}, gone: map[string]departure{}}
 }
 
 // Announce takes in a server's announcement. It reports whether the listing
@@ -128,12 +124,12 @@
 // runs as before.
 func (s *Server) differs(old *Server) bool {
 	return s.State != old.State || s.Service != old.Service || s.Version != old.Version || s.DataCentre != old.DataCentre ||
-		s.Slots != old.Slots || !old.LapsedAt.IsZero() || s.ColdLeft > 0 || !slices.Equal(s.Models, old.Models)
+		s.Slots != old.Slots || !old.LapsedUntil.IsZero() || s.ColdLeft > 0 || !slices.Equal(s.Models, old.Models)
 }
 
-// Withdraw takes a server off the directory, or marks it lapsed if the store
-// was in trouble. It reports whether the listing changed.
-func (d *Directory) Withdraw(id string, revision int64, trouble bool, now time.Time) bool {
+// Withdraw takes a server off the directory, or marks it lapsed until a time
+// that is still to come. It reports whether the listing changed.
+func (d *Directory) Withdraw(id string, revision int64, lapseUntil, now time.Time) bool {
 	d.revision = max(d.revision, revision)
 	old := d.servers[id]
 	if old != nil && revision != 0 && revision <= old.Revision {
@@ -149,12 +145,12 @@
 	if old == nil {
 		return false
 	}
-	if trouble && old.State == Ready {
-		if !old.LapsedAt.IsZero() {
+	if now.Before(lapseUntil) && old.State == Ready {
+		if !old.LapsedUntil.IsZero() {
 			return false
 		}
 		lapsed := *old
-		lapsed.LapsedAt = now
+		lapsed.LapsedUntil = lapseUntil
 		d.servers[id] = &lapsed
 		return true
 	}
@@ -164,7 +160,7 @@
 
 // Replace takes in a whole reading of the listing at a store revision: servers
 // that are missing from it are withdrawn.
-func (d *Directory) Replace(list []Server, revision int64, trouble bool, now time.Time) bool {
+func (d *Directory) Replace(list []Server, revision int64, lapseUntil, now time.Time) bool {
 	changed := false
 	present := make(map[string]bool, len(list))
 	for _, s := range list {
@@ -174,7 +170,7 @@
 		}
 	}
 	for id, s := range d.servers {
-		if !present[id] && s.Revision <= revision && d.Withdraw(id, 0, trouble, now) {
+		if !present[id] && s.Revision <= revision && d.Withdraw(id, 0, lapseUntil, now) {
 			changed = true
 		}
 	}
@@ -192,7 +188,7 @@
 		}
 	}
 	for id, s := range d.servers {
-		if !s.LapsedAt.IsZero() && now.Sub(s.LapsedAt) >= d.LapseGrace {
+		if !s.LapsedUntil.IsZero() && !now.Before(s.LapsedUntil) {
 			delete(d.servers, id)
 			changed = true
 		}
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -27,8 +27,6 @@
 	// answered.
 	Table int64
 	Age   time.Duration
-	// Troubled is how much longer entries that end are taken for lapsed.
-	Troubled time.Duration
 }
 
 // Feed passes on what another instance knows.
@@ -146,5 +144,4 @@
 	if f.confirmed {
 		b.Table, b.Age = f.table, f.boot.Elapsed()-f.confirmedAt
 	}
-	b.Troubled = max(0, f.troubledUntil.Sub(f.clock.Now()))
 }
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -51,9 +51,8 @@
 	// Trouble is how long the store may be out of reach before entries that
 	// end are taken for lapsed and not for gone.
 	Trouble time.Duration
-	// Settling is how long after the store's return that holds.
-	Settling time.Duration
-	// LapseGrace is how long a lapsed server stays in use.
+	// LapseGrace is how long after the store's return servers have to announce
+	// themselves again.
 	LapseGrace time.Duration
 }
 
@@ -63,13 +62,12 @@
 	WatchWait:    5 * time.Second,
 	WatchPause:   250 * time.Millisecond,
 	WatchLag:     150 * time.Millisecond,
-	ConfirmEvery: 900 * time.Millisecond,
+	ConfirmEvery: 1200 * time.Millisecond,
 	FeedWait:     500 * time.Millisecond,
 	FeedTimeout:  250 * time.Millisecond,
-	FeedAge:      1800 * time.Millisecond,
-	DirectFor:    3 * time.Second,
+	FeedAge:      2300 * time.Millisecond,
+	DirectFor:    time.Second,
 	Trouble:      time.Second,
-	Settling:     3 * time.Second,
 	LapseGrace:   2200 * time.Millisecond,
 }
 
@@ -101,9 +99,9 @@
 	contactAt time.Time
 	// failures counts the calls that failed since then.
 	failures int
-	// troubledUntil is when entries that end are gone for good again.
-	troubledUntil time.Time
-	unreachable   bool
+	// lapseUntil is when entries that end are gone for good again.
+	lapseUntil  time.Time
+	unreachable bool
 	// directUntil is when a feed may be followed again.
 	directUntil time.Time
 	// stopWatch ends the watch under way.
@@ -140,7 +138,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.directory = backend.NewDirectory(f.settings.LapseGrace)
+	f.directory = backend.NewDirectory()
 	f.fleet = newFleet()
 	f.contactAt = f.clock.Now()
 	return f
@@ -357,7 +355,7 @@
 	now := f.clock.Now()
 	// Without a failed call the silence was our own pause.
 	if silence := now.Sub(f.contactAt); silence > f.settings.Trouble && f.failures > 0 {
-		f.troubledUntil = now.Add(f.settings.Settling)
+		f.lapseUntil = now.Add(f.settings.LapseGrace)
 		f.unreachable = false
 		f.log.Info("StoreRegained", zap.Duration("After", silence))
 	}
@@ -370,9 +368,6 @@
 	defer f.mu.Unlock()
 	f.reached()
 	now := f.clock.Now()
-	if b.Troubled > 0 {
-		f.troubledUntil = now.Add(b.Troubled)
-	}
 	changes := make([]Change, 0, len(b.Items))
 	for _, item := range b.Items {
 		changes = append(changes, f.decode(item))
@@ -403,7 +398,7 @@
 			listed = append(listed, s)
 		}
 	}
-	f.directory.Replace(listed, revision, now.Before(f.troubledUntil), now)
+	f.directory.Replace(listed, revision, f.lapseUntil, now)
 	fleet := f.fleet.clone()
 	fleet.retain(changes)
 	f.publish(fleet)
@@ -424,10 +419,9 @@
 		}
 		return changed
 	case ServerGone:
-		trouble := now.Before(f.troubledUntil)
-		changed := f.directory.Withdraw(s.ID, c.Revision, trouble, now)
+		changed := f.directory.Withdraw(s.ID, c.Revision, f.lapseUntil, now)
 		if changed {
-			f.log.Info("ServerGone", zap.String("Server", s.ID), zap.Int64("Revision", c.Revision), zap.Bool("StoreTrouble", trouble))
+			f.log.Info("ServerGone", zap.String("Server", s.ID), zap.Int64("Revision", c.Revision), zap.Bool("Lapsed", now.Before(f.lapseUntil)))
 		}
 		return changed
 	}
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,11 @@
 type feeds struct {
 	gateway *Gateway
 	client  *http.Client
+
+	mu sync.Mutex
+	// avoid holds the readers whose feed failed, by address, and until when
+	// they are passed over.
+	avoid map[string]time.Time
 }
 
 const (
@@ -34,6 +40,9 @@
 	smallFleet = 16
 	// leastReaders remain in small fleets, so that the loss of one leaves one.
 	leastReaders = 2
+	// readerPenalty is how long a reader is passed over after its feed failed:
+	// about the time that a killed process takes to be back.
+	readerPenalty = 4 * time.Second
 	// feedPath is where an instance is asked for its feed.
 	feedPath = "/feed"
 	// feedDialTimeout bounds the opening of a connection to a reader.
@@ -56,7 +65,23 @@
 	if !found || reader.Name == f.gateway.Settings.Instance {
 		return nil
 	}
-	return &feed{f.client, reader.PeerAddress}
+	return &feed{f, reader.PeerAddress}
+}
+
+// failed passes a reader over for a while.
+func (f *feeds) failed(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.avoid == nil {
+		f.avoid = map[string]time.Time{}
+	}
+	f.avoid[address] = f.gateway.Clock.Now().Add(readerPenalty)
+}
+
+func (f *feeds) isAvoided(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gateway.Clock.Now().Before(f.avoid[address])
 }
 
 // reader returns the reader that this instance belongs to, which may be itself.
@@ -68,19 +93,25 @@
 		return follower.Instance{}, false
 	}
 	readers := chooseReaders(instances)
-	var near []follower.Instance
+	var near, far []follower.Instance
 	for _, r := range readers {
-		if r.Name == self.Name {
+		switch {
+		case r.Name == self.Name:
 			return r, true
-		}
-		if r.DataCentre == self.DataCentre {
+		case f.isAvoided(r.PeerAddress):
+		case r.DataCentre == self.DataCentre:
 			near = append(near, r)
+		default:
+			far = append(far, r)
 		}
 	}
-	if len(near) > 0 {
-		readers = near
+	if len(near) == 0 {
+		near = far
 	}
-	return readers[xxhash.Sum64String(self.Name)%uint64(len(readers))], true
+	if len(near) == 0 {
+		return follower.Instance{}, false
+	}
+	return near[xxhash.Sum64String(self.Name)%uint64(len(near))], true
 }
 
 // chooseReaders picks the instances that read the store: a few in a small
@@ -114,18 +145,26 @@
 
 // feed is another instance's feed over HTTP.
 type feed struct {
-	client  *http.Client
+	feeds   *feeds
 	address string
 }
 
 // Next implements follower.Feed.
 func (f *feed) Next(ctx context.Context, after int64, wait time.Duration) (follower.Batch, error) {
+	b, err := f.next(ctx, after, wait)
+	if err != nil {
+		f.feeds.failed(f.address)
+	}
+	return b, err
+}
+
+func (f *feed) next(ctx context.Context, after int64, wait time.Duration) (follower.Batch, error) {
 	query := url.Values{"After": {strconv.FormatInt(after, 10)}, "Wait": {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return follower.Batch{}, fmt.Errorf("build feed request: %w", err)
 	}
-	resp, err := f.client.Do(req)
+	resp, err := f.feeds.client.Do(req)
 	if err != nil {
 		return follower.Batch{}, fmt.Errorf("ask %s for its feed: %w", f.address, err)
 	}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -96,6 +96,9 @@
 	// run tells this run of the instance from others.
 	run int64
 
+	// latest holds the settings as last reloaded.
+	latest atomic.Pointer[Settings]
+
 	stopping atomic.Bool
 	// stopsAt is when a stopping instance ends, refusesAt when it no longer
 	// takes calls that may last longer.
@@ -127,8 +130,10 @@
 	// the rest covers stacks, sockets and what is not returned at once.
 	memoryShare = 0.6
 	// confirmShare is the part of the time to revoke a key for which a
-	// confirmation holds; the rest covers the way to the server.
-	confirmShare = 0.85
+	// confirmation holds. It counts from before it was asked for, and a
+	// request that passes was sent before it passed, so that little is needed
+	// beside.
+	confirmShare = 0.95
 	// readyShare is the part for which the instance calls itself ready.
 	readyShare = 0.6
 )
@@ -137,6 +142,7 @@
 func New(p Parts) *Gateway {
 	s := p.Settings
 	g := &Gateway{Parts: p, allowances: map[string]*allowance.Allowance{}, changed: make(chan struct{})}
+	g.latest.Store(&s)
 	g.feeds = &feeds{gateway: g, client: newFeedClient()}
 	g.follower = follower.New(p.Store, p.Decode, follower.WithClock(p.Clock), follower.WithLogger(p.Log),
 		follower.WithUpstream(g.feeds.choose), follower.WithSettings(followerSettings(s)))
@@ -153,14 +159,41 @@
 	return g
 }
 
+// bounds returns the settings that may change while the instance runs.
+func (g *Gateway) bounds() *Settings { return g.latest.Load() }
+
+// Reload puts other settings in force. Names and addresses stay until the next
+// start.
+func (g *Gateway) Reload(s Settings) {
+	old := g.latest.Swap(&s)
+	if *old == s {
+		return
+	}
+	g.dispatcher.SetColdBounds(s.ColdOverrun, s.ColdSlack)
+	if old.RetryRatio != s.RetryRatio || old.RetrySlack != s.RetrySlack || old.RetryWindow != s.RetryWindow {
+		g.mu.Lock()
+		clear(g.allowances)
+		g.mu.Unlock()
+	}
+	g.Log.Info("SettingsReloaded", zap.Bool("RestartNeeded", s.CallersAddress != old.CallersAddress || s.ReadyAddress != old.ReadyAddress ||
+		s.PeerAddress != old.PeerAddress || s.StoreAddress != old.StoreAddress || s.Instance != old.Instance))
+}
+
 // confirmations is how many confirmations are asked for in the time that a key
 // may outlive its end.
-const confirmations = 5
+const confirmations = 4
+
+// watchesPerDrain is how often the store is asked for changes in the time that
+// a leaving server goes on serving.
+const watchesPerDrain = 5
 
 // followerSettings shortens the usual times where the platform's bounds ask
 // for it.
 func followerSettings(s Settings) follower.Settings {
 	f := follower.DefaultSettings
+	if s.Drain > 0 {
+		f.WatchPause = s.Drain / watchesPerDrain
+	}
 	if s.StrictRevocation {
 		f.ConfirmEvery = min(f.ConfirmEvery, s.RevokeWithin/confirmations)
 		f.FeedAge = min(f.FeedAge, s.RevokeWithin*2/confirmations)
@@ -266,10 +299,10 @@
 // the time to revoke a key.
 func (g *Gateway) confirmedWithin(share float64) bool {
 	age, ok := g.follower.Confirmed()
-	if !g.Settings.StrictRevocation {
+	if !g.bounds().StrictRevocation {
 		return ok
 	}
-	return ok && age < time.Duration(share*float64(g.Settings.RevokeWithin))
+	return ok && age < time.Duration(share*float64(g.bounds().RevokeWithin))
 }
 
 const (
@@ -305,7 +338,7 @@
 // instance ends.
 func (g *Gateway) beginStop() (began, end time.Time) {
 	began = g.Clock.Now()
-	end = began.Add(g.Settings.Grace - exitMargin)
+	end = began.Add(g.bounds().Grace - exitMargin)
 	refuse := began.Add(balancerLag)
 	g.stopsAt.Store(&end)
 	g.refusesAt.Store(&refuse)
@@ -418,7 +451,7 @@
 	defer g.mu.Unlock()
 	a := g.allowances[service]
 	if a == nil {
-		a = allowance.New(allowance.Settings{Ratio: g.Settings.RetryRatio, Slack: g.Settings.RetrySlack, Window: g.Settings.RetryWindow})
+		a = allowance.New(allowance.Settings{Ratio: g.bounds().RetryRatio, Slack: g.bounds().RetrySlack, Window: g.bounds().RetryWindow})
 		g.allowances[service] = a
 	}
 	return a
--- a/internal/fleet/gateway/membership.go
+++ b/internal/fleet/gateway/membership.go
@@ -57,7 +57,7 @@
 		g.Log.Info("MembershipLapsed", zap.Int64("Lease", lease))
 		m.lease.Store(0)
 	}
-	lease, err := g.Store.Grant(ctx, max(memberTTL, g.Settings.LeaseMin))
+	lease, err := g.Store.Grant(ctx, max(memberTTL, g.bounds().LeaseMin))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -109,7 +109,7 @@
 	if !chosen(session, stage.Share) {
 		return false
 	}
-	if stage.Share > r.gateway.Settings.ExposureShare {
+	if stage.Share > r.gateway.bounds().ExposureShare {
 		return true
 	}
 	p, pinned := r.pins[session]
@@ -118,7 +118,7 @@
 	}
 	// During the trial a session in progress stays where it is. Whether one is
 	// in progress at another instance is known after a session's longest pause.
-	window := r.gateway.Settings.SessionWindow + sessionMargin
+	window := r.gateway.bounds().SessionWindow + sessionMargin
 	if r.gateway.Clock.Since(t.seenAt) < window {
 		return false
 	}
@@ -138,7 +138,7 @@
 func (r *releases) place(service, session, version string) {
 	r.mu.Lock()
 	t := r.trials[service]
-	tell := t != nil && !t.decided && chosen(session, r.gateway.Settings.ExposureShare)
+	tell := t != nil && !t.decided && chosen(session, r.gateway.bounds().ExposureShare)
 	if tell {
 		r.pin(session, version)
 	}
@@ -276,7 +276,7 @@
 	evidence, seenAt := r.all(order.Service)
 	elapsed := max(g.Clock.Since(seenAt), stage.Elapsed)
 	decision := verdict.Decide(verdict.Query{
-		Elapsed: elapsed, Duration: order.Duration, Exposure: g.Settings.ExposureShare, Evidence: evidence,
+		Elapsed: elapsed, Duration: order.Duration, Exposure: g.bounds().ExposureShare, Evidence: evidence,
 		Ready: r.ready(order.Service, order.Target), Share: stage.Share,
 	})
 	next := follower.Stage{
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -374,6 +374,13 @@
 	w.account.failing.observe(result, now)
 }
 
+// SetColdBounds changes the bound on cold servers.
+func (d *Dispatcher) SetColdBounds(overrun, slack float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settings.ColdOverrun, d.settings.ColdSlack = overrun, slack
+}
+
 // account returns the server's account; a new run of a server starts afresh.
 func (d *Dispatcher) account(s *backend.Server) *account {
 	a := d.servers[s.ID]
