Confirm while a watch of the store is under way

The instance had left its feed, its watch of the store hung for 5.8 s, and confirmations, which renew a watch that hangs, had stopped since a feed could be followed again.

Change: confirmations go on as long as a watch of the store is under way.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -189,9 +189,8 @@
 	f.mu.Lock()
 	revision := f.revision
 	ctx, f.stopWatch = context.WithCancel(ctx)
-	stop := f.stopWatch
 	f.mu.Unlock()
-	defer stop()
+	defer f.endWatch()
 	if revision < 0 {
 		items, at, err := f.store.Load(ctx)
 		if err == nil {
@@ -213,6 +212,22 @@
 	return nil
 }
 
+func (f *Follower) endWatch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopWatch()
+	f.stopWatch = nil
+}
+
+// isDirect reports whether the store is followed itself: there is no feed, or a
+// watch of the store is still under way, which may hang.
+func (f *Follower) isDirect() bool {
+	f.mu.Lock()
+	watching := f.stopWatch != nil
+	f.mu.Unlock()
+	return watching || f.feed() == nil
+}
+
 func (f *Follower) forgetRevision() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -260,7 +275,7 @@
 // itself.
 func (f *Follower) confirmLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.feed() != nil {
+		if !f.isDirect() {
 			f.pause(ctx, retryPause)
 			continue
 		}
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -116,6 +116,31 @@
 	is.True(!b.listed("a"))
 }
 
+// While a watch of the store is under way, the store is asked for confirmations
+// too, also if a feed could be followed by then: the watch may hang, and only a
+// confirmation shows it. (Pottyround, trouble-3: an old table for 3 s after a
+// store outage.)
+func TestWatchUnderWayIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	reader, b := newBench(), newBench()
+	b.upstream = func() Feed { return feedOf{reader} }
+	inWatch, release := make(chan struct{}), make(chan struct{})
+	b.store = &fakeStore{watch: func(int64) ([]Item, int64, error) {
+		close(inWatch)
+		<-release
+		return nil, 3, nil
+	}}
+	b.take(Batch{Items: []Item{table(1, 1)}, Revision: 3, Whole: true})
+	is.True(!b.isDirect())
+	done := make(chan error)
+	go func() { done <- b.watch(t.Context()) }()
+	<-inWatch
+	is.True(b.isDirect())
+	close(release)
+	is.NoErr(<-done)
+	is.True(!b.isDirect())
+}
+
 // A reader's own trouble with the store is not its followers'.
 func TestReadersTroubleIsItsOwn(t *testing.T) {
 	is := is.New(t)
