Take a feed for contact with the store only while its reader has it

Lapsed servers were dropped by a tick of 0.27 s.

Change: a feed counts as contact while its confirmation is fresh; a stale one is rejected and its reader passed over; a lapsed server is out of use at its time, not at a tick; the grace is 1.9 s, within the 2 s that a leaving server goes on. TestStaleFeedIsNoContact and TestGraceRunsFromTheReturn hold it.

--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -53,15 +53,7 @@
 		return c.fail(badInput(err))
 	}
 	log := logline.New(os.Stdout, c.level).With(zap.String("Instance", settings.Instance))
-	g := gateway.New(gateway.Parts{
-		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{}, Decode: platform.Decode,
-		Callers: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
-			return &platform.Door{Admission: a, Forwarder: f, Log: log}
-		},
-		Guard: platform.Guard, ConnContext: platform.ConnContext, ReadyPath: platform.ReadyPath,
-		MetricsAddress: net.JoinHostPort(settings.Address, metricsPort),
-		Clock:          clockwork.NewRealClock(), Log: log,
-	})
+	g := newGateway(settings, log)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reload(ctx, c.settings, g, log)
@@ -70,3 +62,15 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// newGateway puts an instance together from its settings.
+func newGateway(settings gateway.Settings, log *zap.Logger) *gateway.Gateway {
+	return gateway.New(gateway.Parts{
+		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{}, Decode: platform.Decode,
+		Callers: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
+			return &platform.Door{Admission: a, Forwarder: f, Log: log}
+		},
+		Guard: platform.Guard, ConnContext: platform.ConnContext, ReadyPath: platform.ReadyPath,
+		MetricsAddress: net.JoinHostPort(settings.Address, metricsPort), Clock: clockwork.NewRealClock(), Log: log,
+	})
+}
--- a/cmd/kingcupyard/main.go
+++ b/cmd/kingcupyard/main.go
@@ -34,6 +34,7 @@
 	c.Register(&gatewayCommand{}, "running")
 	c.Register(&checkCommand{}, "running")
 	c.Register(&demoCommand{}, "trying out")
+	c.Register(&siteCommand{}, "trying out")
 	c.Register(&loadCommand{}, "trying out")
 	c.Register(&standinCommand{}, "trying out")
 	c.Register(&statusCommand{}, operating)
--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -48,6 +48,11 @@
 	LapsedUntil time.Time
 }
 
+// IsUsable reports whether the server may take new work.
+func (s *Server) IsUsable(now time.Time) bool {
+	return s.State == Ready && (s.LapsedUntil.IsZero() || now.Before(s.LapsedUntil))
+}
+
 // IsCold reports whether the server is still cold.
 func (s *Server) IsCold(now time.Time) bool { return now.Before(s.ColdUntil) }
 
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -34,6 +34,8 @@
 	// Next returns the changes after a revision, waiting for the first one
 	// at most as long as given.
 	Next(ctx context.Context, after int64, wait time.Duration) (Batch, error)
+	// Reject says that the feed is of no use now.
+	Reject()
 }
 
 func isHistoryLost(err error) bool {
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -68,7 +68,7 @@
 	FeedAge:      2300 * time.Millisecond,
 	DirectFor:    time.Second,
 	Trouble:      time.Second,
-	LapseGrace:   2200 * time.Millisecond,
+	LapseGrace:   1900 * time.Millisecond,
 }
 
 // Follower follows the store, or another instance that does. Build it with New.
@@ -194,7 +194,7 @@
 	if revision < 0 {
 		items, at, err := f.store.Load(ctx)
 		if err == nil {
-			f.take(Batch{Items: items, Revision: at, Whole: true})
+			f.take(Batch{Items: items, Revision: at, Whole: true}, true)
 		}
 		return err
 	}
@@ -208,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	f.take(Batch{Items: items, Revision: at})
+	f.take(Batch{Items: items, Revision: at}, true)
 	return nil
 }
 
@@ -247,13 +247,14 @@
 		f.leaveFeed(err)
 		return
 	}
-	f.take(batch)
+	f.take(batch, batch.Table > 0 && batch.Age < f.settings.FeedAge)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if batch.Table > 0 && batch.Table == f.table {
 		f.confirm(asked - batch.Age)
 	}
 	if f.boot.Elapsed()-f.confirmedAt > f.settings.FeedAge {
+		feed.Reject()
 		f.goDirect("confirmation too old", nil)
 	}
 }
@@ -377,11 +378,15 @@
 	f.contactAt, f.failures = now, 0
 }
 
-// take applies a batch of changes. A whole reading replaces the directory.
-func (f *Follower) take(b Batch) {
+// take applies a batch of changes, which shows that the store is in reach
+// unless it comes from an instance that is out of its reach itself. A whole
+// reading replaces the directory.
+func (f *Follower) take(b Batch, inReach bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reached()
+	if inReach {
+		f.reached()
+	}
 	now := f.clock.Now()
 	changes := make([]Change, 0, len(b.Items))
 	for _, item := range b.Items {
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -76,9 +76,9 @@
 func TestOwnPauseIsNoOutage(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	b.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true})
+	b.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
 	b.advance(1200 * time.Millisecond)
-	b.take(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2})
+	b.take(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2}, true)
 	is.True(!b.listed("a"))
 }
 
@@ -86,15 +86,15 @@
 func TestLapsedAfterOutage(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	b.take(Batch{Items: []Item{server("a", "Ready", 1), server("b", "Ready", 2)}, Revision: 2, Whole: true})
+	b.take(Batch{Items: []Item{server("a", "Ready", 1), server("b", "Ready", 2)}, Revision: 2, Whole: true}, true)
 	b.failed(errors.New("refused"))
 	b.advance(4 * time.Second)
-	b.take(Batch{Items: []Item{{Key: "servers/a", Revision: 3, Gone: true}, {Key: "servers/b", Revision: 4, Gone: true}}, Revision: 4})
+	b.take(Batch{Items: []Item{{Key: "servers/a", Revision: 3, Gone: true}, {Key: "servers/b", Revision: 4, Gone: true}}, Revision: 4}, true)
 	is.True(b.listed("a"))
 	b.advance(time.Second)
-	b.take(Batch{Items: []Item{server("a", "Ready", 5)}, Revision: 5})
+	b.take(Batch{Items: []Item{server("a", "Ready", 5)}, Revision: 5}, true)
 	b.advance(2 * time.Second)
-	b.take(Batch{Revision: 5})
+	b.take(Batch{Revision: 5}, true)
 	is.True(b.listed("a"))
 	is.True(!b.listed("b"))
 }
@@ -105,14 +105,14 @@
 func TestGraceRunsFromTheReturn(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	b.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true})
+	b.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
 	b.failed(errors.New("refused"))
 	b.advance(9 * time.Second)
-	b.take(Batch{Revision: 1})
+	b.take(Batch{Revision: 1}, true)
 	b.advance(1900 * time.Millisecond)
-	b.take(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2})
+	b.take(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2}, true)
 	b.advance(400 * time.Millisecond)
-	b.take(Batch{Revision: 2})
+	b.take(Batch{Revision: 2}, true)
 	is.True(!b.listed("a"))
 }
 
@@ -130,7 +130,7 @@
 		<-release
 		return nil, 3, nil
 	}}
-	b.take(Batch{Items: []Item{table(1, 1)}, Revision: 3, Whole: true})
+	b.take(Batch{Items: []Item{table(1, 1)}, Revision: 3, Whole: true}, true)
 	is.True(!b.isDirect())
 	done := make(chan error)
 	go func() { done <- b.watch(t.Context()) }()
@@ -141,15 +141,37 @@
 	is.True(!b.isDirect())
 }
 
+// What an instance passes on that is out of the store's reach itself does not
+// show that the store is back. (Pottyround, hunt-0fdc-31: an entry that ended
+// was taken for lapsed by an instance that its reader's stale feed misled.)
+func TestStaleFeedIsNoContact(t *testing.T) {
+	is := is.New(t)
+	reader, b := newBench(), newBench()
+	for _, x := range []*bench{reader, b} {
+		x.take(Batch{Items: []Item{table(1, 1), server("a", "Ready", 2)}, Revision: 2, Whole: true}, true)
+	}
+	reader.confirmedBy(table(1, 1), 2, 0)
+	reader.boot.now = 5 * time.Second
+	b.failed(errors.New("refused"))
+	b.advance(3 * time.Second)
+	b.followFeed(t.Context(), feedOf{reader})
+	is.Equal(b.failures, 1)
+	is.True(b.lapseUntil.IsZero())
+	reader.confirmedBy(table(1, 1), 2, 5*time.Second)
+	b.followFeed(t.Context(), feedOf{reader})
+	is.Equal(b.failures, 0)
+	is.True(!b.lapseUntil.IsZero())
+}
+
 // A reader's own trouble with the store is not its followers'.
 func TestReadersTroubleIsItsOwn(t *testing.T) {
 	is := is.New(t)
 	reader, b := newBench(), newBench()
-	reader.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true})
-	b.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true})
+	reader.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
+	b.take(Batch{Items: []Item{server("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
 	reader.failed(errors.New("refused"))
 	reader.advance(5 * time.Second)
-	reader.take(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2})
+	reader.take(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2}, true)
 	is.True(reader.listed("a"))
 	b.followFeed(t.Context(), feedOf{reader})
 	is.True(!b.listed("a"))
@@ -158,8 +180,8 @@
 func TestTableNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	b.take(Batch{Items: []Item{table(7, 10)}, Revision: 10, Whole: true})
-	b.take(Batch{Items: []Item{table(5, 8)}, Revision: 12})
+	b.take(Batch{Items: []Item{table(7, 10)}, Revision: 10, Whole: true}, true)
+	b.take(Batch{Items: []Item{table(5, 8)}, Revision: 12}, true)
 	b.confirmedBy(table(6, 9), 12, 0)
 	is.Equal(b.View.Table.Get().Version, int64(7))
 	b.confirmedBy(table(9, 14), 14, 0)
@@ -196,17 +218,19 @@
 	return f.Follower.Next(ctx, after, 0)
 }
 
+func (feedOf) Reject() {}
+
 func TestFeed(t *testing.T) {
 	is := is.New(t)
 	reader, b := newBench(), newBench()
 	_, err := feedOf{reader}.Next(t.Context(), 0, 0)
 	is.True(errors.Is(err, ErrNothingKnown))
-	reader.take(Batch{Items: []Item{table(3, 4), server("a", "Ready", 5)}, Revision: 5, Whole: true})
+	reader.take(Batch{Items: []Item{table(3, 4), server("a", "Ready", 5)}, Revision: 5, Whole: true}, true)
 	reader.boot.now = 100 * time.Second
 	reader.confirmedBy(table(3, 4), 5, 99*time.Second)
 
 	b.boot.now = 7 * time.Second
-	b.take(Batch{Items: []Item{table(2, 2)}, Revision: 2, Whole: true})
+	b.take(Batch{Items: []Item{table(2, 2)}, Revision: 2, Whole: true}, true)
 	b.followFeed(t.Context(), feedOf{reader}) // everything: revision 2 is before the reader's first
 	is.Equal(b.View.Table.Get().Version, int64(3))
 	is.True(b.listed("a"))
@@ -214,7 +238,7 @@
 	is.True(known)
 	is.Equal(age, time.Second) // the reader's age, by the own clock
 
-	reader.take(Batch{Items: []Item{{Key: "servers/a", Revision: 6, Gone: true}}, Revision: 6})
+	reader.take(Batch{Items: []Item{{Key: "servers/a", Revision: 6, Gone: true}}, Revision: 6}, true)
 	b.followFeed(t.Context(), feedOf{reader})
 	is.True(!b.listed("a"))
 	is.Equal(b.revision, int64(6))
@@ -225,10 +249,10 @@
 func TestFeedThatGrowsOldIsLeft(t *testing.T) {
 	is := is.New(t)
 	reader, b := newBench(), newBench()
-	reader.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true})
+	reader.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true}, true)
 	reader.confirmedBy(table(3, 4), 5, 0)
 	b.upstream = func() Feed { return feedOf{reader} }
-	b.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true})
+	b.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true}, true)
 	b.followFeed(t.Context(), feedOf{reader})
 	is.True(b.feed() != nil)
 	old := b.settings.FeedAge + time.Millisecond
@@ -243,9 +267,9 @@
 func TestFeedOfAnotherTableDoesNotConfirm(t *testing.T) {
 	is := is.New(t)
 	reader, b := newBench(), newBench()
-	reader.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true})
+	reader.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true}, true)
 	reader.confirmedBy(table(3, 4), 5, 0)
-	b.take(Batch{Items: []Item{table(4, 9)}, Revision: 5, Whole: true})
+	b.take(Batch{Items: []Item{table(4, 9)}, Revision: 5, Whole: true}, true)
 	b.followFeed(t.Context(), feedOf{reader})
 	_, known := b.Confirmed()
 	is.True(!known)
@@ -294,7 +318,7 @@
 func TestLaggingWatchIsRenewed(t *testing.T) {
 	is := is.New(t)
 	b := newBench()
-	b.take(Batch{Items: []Item{table(1, 1)}, Revision: 3, Whole: true})
+	b.take(Batch{Items: []Item{table(1, 1)}, Revision: 3, Whole: true}, true)
 	stopped := make(chan struct{})
 	b.stopWatch = func() { close(stopped) }
 	b.confirmedBy(table(1, 1), 3, 0)
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -158,6 +158,9 @@
 	return b, err
 }
 
+// Reject implements follower.Feed.
+func (f *feed) Reject() { f.feeds.failed(f.address) }
+
 func (f *feed) next(ctx context.Context, after int64, wait time.Duration) (follower.Batch, error) {
 	query := url.Values{"After": {strconv.FormatInt(after, 10)}, "Wait": {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -443,7 +443,7 @@
 
 // Check implements pipeline.Forwarding.
 func (g *Gateway) Check(w *dispatch.Work, ask pipeline.Ask) bool {
-	return w.Check(g.follower.View.Servers.Get(), g.releases.versions(ask.Service, ask.Session), g.fleet().Closed)
+	return w.Check(g.follower.View.Servers.Get(), g.releases.versions(ask.Service, ask.Session), g.fleet().Closed, g.Clock.Now())
 }
 
 func (g *Gateway) allowance(service string) *allowance.Allowance {
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -214,7 +214,7 @@
 // eligible counts the reason if a server may not take the attempt now.
 func (d *Dispatcher) eligible(s *backend.Server, q *Query, now time.Time, none *NoServerError) bool {
 	switch {
-	case s.State != backend.Ready:
+	case !s.IsUsable(now):
 		none.Draining++
 	case q.Closed[s.DataCentre]:
 		none.Closed++
@@ -313,9 +313,9 @@
 }
 
 // Check reports whether the server may still take work of the query.
-func (w *Work) Check(l *backend.Listing, versions Versions, closed map[string]bool) bool {
+func (w *Work) Check(l *backend.Listing, versions Versions, closed map[string]bool, now time.Time) bool {
 	s := l.ByID[w.Server.ID]
-	return s != nil && s.Address == w.Server.Address && s.Born == w.Server.Born && s.State == backend.Ready &&
+	return s != nil && s.Address == w.Server.Address && s.Born == w.Server.Born && s.IsUsable(now) &&
 		!closed[s.DataCentre] && versions.Allows(s.Version)
 }
 
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -227,12 +227,12 @@
 	d, l := New(testSettings("a")), listing(1, nil)
 	w, err := d.Place(l, query(), epoch)
 	is.NoErr(err)
-	is.True(w.Check(l, Versions{}, nil))
-	is.True(!w.Check(l, Versions{Not: "v1"}, nil))
-	is.True(!w.Check(l, Versions{}, map[string]bool{"gulberg": true}))
-	is.True(!w.Check(listing(0, nil), Versions{}, nil))
-	is.True(!w.Check(listing(1, func(_ int, s *backend.Server) { s.State = backend.Draining }), Versions{}, nil))
-	is.True(!w.Check(listing(1, func(_ int, s *backend.Server) { s.Born = 9 }), Versions{}, nil))
+	is.True(w.Check(l, Versions{}, nil, epoch))
+	is.True(!w.Check(l, Versions{Not: "v1"}, nil, epoch))
+	is.True(!w.Check(l, Versions{}, map[string]bool{"gulberg": true}, epoch))
+	is.True(!w.Check(listing(0, nil), Versions{}, nil, epoch))
+	is.True(!w.Check(listing(1, func(_ int, s *backend.Server) { s.State = backend.Draining }), Versions{}, nil, epoch))
+	is.True(!w.Check(listing(1, func(_ int, s *backend.Server) { s.Born = 9 }), Versions{}, nil, epoch))
 }
 
 // A server's connections are shared out among the instances.
--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -40,8 +40,8 @@
 	Ran    bool
 }
 
-// Server is a backend server. It answers plain calls with their body, and
-// streams as many events as the second number of the tokens' header says.
+// Server is a backend server. It answers plain calls with their body, and calls
+// below /chat/ with as many events as the second number of the tokens' header.
 type Server struct {
 	ID      string
 	Address string
@@ -120,8 +120,8 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if counts := r.Header.Get("X-Token-Counts"); counts != "" {
-		s.stream(w, r, counts, how)
+	if strings.HasPrefix(r.RequestURI, "/chat/") {
+		s.stream(w, r, r.Header.Get("X-Token-Counts"), how)
 		return
 	}
 	if _, err := w.Write(body); err != nil {
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,146 @@
+package site
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"text/template"
+	"time"
+)
+
+// Site is a store and a few backend servers, with a routing table in force and
+// the settings file of one instance.
+type Site struct {
+	Store   *Store
+	Servers []*Server
+	// SettingsFile is the instance's, CallersAddress where it takes calls.
+	SettingsFile   string
+	CallersAddress string
+	ReadyAddress   string
+	// Host and Key are what callers send.
+	Host string
+	Key  string
+
+	storeServer *http.Server
+}
+
+// settingsText is the platform's settings file of one instance.
+var settingsText = template.Must(template.New("settings").Parse(`NodeName = "edge-1"
+Ip = "127.0.0.1"
+Zone = "gulberg"
+Region = "lahore"
+PortRange = [{{.PeerPort}}, {{.PeerPort}}]
+[Listen]
+Front = "{{.Callers}}"
+Ready = "{{.Ready}}"
+[Limits]
+MemoryMb = 284
+MaxFds = 4100
+[Bounds]
+ContactMs = 3000
+DrainMs = 2000
+GraceS = 8
+ConfigApplyMs = 2000
+StrictRevoke = true
+RevokeMs = 5000
+RetryRatio = 0.9
+RetryWindowS = 10
+RetrySlack = 58
+ColdOverrun = 1.5
+ColdSlack = 5
+ExposureShare = 0.15
+ExposureSlack = 30
+SessionS = 5
+[Platform]
+Address = "{{.Store}}"
+HistoryS = 20
+TtlMinMs = 1000
+`))
+
+// freePort returns a loopback port that is free for TCP and UDP.
+func freePort() (int, error) {
+	const tries = 20
+	for range tries {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, fmt.Errorf("find a free port: %w", err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		l.Close()
+		if u, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			u.Close()
+			return port, nil
+		}
+	}
+	return 0, fmt.Errorf("no port is free for TCP and UDP after %d tries", tries)
+}
+
+// Start starts a site with its files in a directory.
+func Start(dir string) (*Site, error) {
+	s := &Site{Store: NewStore(), Host: "demo.example", Key: "demo-key", SettingsFile: filepath.Join(dir, "local.toml")}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("start the store: %w", err)
+	}
+	s.storeServer = &http.Server{Handler: s.Store, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = s.storeServer.Serve(l) }()
+	for _, service := range []string{"app", "llm"} {
+		for i := range 2 {
+			server, err := NewServer(fmt.Sprintf("i-%s-%d", service, i))
+			if err != nil {
+				return nil, err
+			}
+			s.Servers = append(s.Servers, server)
+			s.Store.Set("servers/"+server.ID, map[string]any{
+				"Service": service, "Address": server.Address, "Zone": "gulberg", "Version": "v1", "Slots": 6, "State": "ready", "Seq": 1, "born": 1,
+			})
+		}
+	}
+	s.Store.Set("op/config", s.table())
+	return s, s.writeSettings(l.Addr().String())
+}
+
+func (s *Site) writeSettings(store string) error {
+	var ports [3]int
+	for i := range ports {
+		port, err := freePort()
+		if err != nil {
+			return err
+		}
+		ports[i] = port
+	}
+	s.CallersAddress, s.ReadyAddress = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	file, err := os.Create(s.SettingsFile)
+	if err != nil {
+		return fmt.Errorf("write the settings file: %w", err)
+	}
+	defer file.Close()
+	return settingsText.Execute(file, map[string]any{"PeerPort": ports[2], "Callers": s.CallersAddress, "Ready": s.ReadyAddress, "Store": store})
+}
+
+func (s *Site) table() map[string]any {
+	route := func(name, kind, service string) map[string]any {
+		return map[string]any{
+			"Name": name, "Host": s.Host, "Prefix": "/" + name + "/", "Type": kind, "TimeoutMs": 5000, "GoalMs": 1000, "Service": service,
+			"MaxAttempts": 3, "Priority": 1,
+		}
+	}
+	chat := route("chat", "streaming", "llm")
+	chat["Resumable"], chat["Sticky"], chat["Sizes"], chat["GapTargetMs"] = true, true, []string{"small", "large"}, 1000
+	return map[string]any{
+		"Version": 1, "Routes": []any{route("book", "unsafe", "app"), route("look", "safe", "app"), chat},
+		"Services": []any{map[string]any{"Name": "app", "MaxConns": 100}, map[string]any{"Name": "llm", "MaxConns": 100}},
+		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants":  []any{map[string]any{"Name": "customer-1", "ApiKeys": []string{s.Key}}},
+	}
+}
+
+// Close ends the store and the servers.
+func (s *Site) Close() {
+	s.storeServer.Close()
+	for _, server := range s.Servers {
+		server.Close()
+	}
+}
