--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 )
 
 const (
@@ -49,6 +50,10 @@
 		changed := p.fleet.Changed()
 		work, err := p.fleet.Place(p.ask(p.model, p.size))
 		if err == nil {
+			if refusal := p.shed(work); refusal != nil {
+				work.Done(dispatch.Neutral, p.clock.Now())
+				return nil, refusal
+			}
 			return work, nil
 		}
 		if len(p.tried) > 0 {
@@ -69,6 +74,19 @@
 	}
 }
 
+// shed turns the call away if no server can begin with it in time, before
+// anything of it is sent.
+func (p *passage) shed(w *dispatch.Work) *call.Refusal {
+	if p.tries > 0 || p.model == "" {
+		return nil
+	}
+	refuse, retryAfter := shedding.Decide(shedding.Query{Wait: w.Wait, Left: p.call.Deadline.Sub(p.clock.Now()), Spread: p.random()})
+	if !refuse {
+		return nil
+	}
+	return &call.Refusal{Reason: call.ReasonOverloaded, Detail: "the wait of " + w.Wait.String() + " outlasts the deadline", RetryAfter: retryAfter}
+}
+
 // attempt sends the call to one server.
 func (p *passage) attempt(ctx context.Context, w *dispatch.Work) (attempt.Reply, error) {
 	p.tries++
@@ -288,7 +306,7 @@
 	case p.begun:
 		refusal.Reason = call.ReasonIncomplete
 	case errors.As(err, &given):
-		refusal.Reason, refusal.Detail = given.Reason, given.Detail
+		refusal.Reason, refusal.Detail, refusal.RetryAfter = given.Reason, given.Detail, given.RetryAfter
 	case errors.As(err, &none):
 		refusal.Reason = call.ReasonNoServer
 	case errors.As(err, &e):
@@ -297,7 +315,7 @@
 	if !p.clock.Now().Before(p.call.Deadline) {
 		refusal.Reason = call.ReasonDeadline
 	}
-	if refusal.State == call.NotRun {
+	if refusal.State == call.NotRun && refusal.RetryAfter == 0 {
 		refusal.RetryAfter = p.retryAfter()
 	}
 	return refusal
