--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -100,7 +100,7 @@
 	reply, err := p.carrier.Forward(ctx, attempt.Target{Server: w.Server.ID, Address: w.Server.Address, DataCentre: w.Server.DataCentre}, attempt.Forward{
 		RequestID: p.call.ID, Method: p.call.Method, URI: p.call.URI, Host: p.call.Host, Body: p.call.Body,
 		Header: p.envelope.Header(p.call.Header, stamp), Events: r.Kind == route.Streaming, ResumeFrom: p.last,
-		Pooled: r.Idempotent(), Limits: p.limits(w, began), Dialect: p.dialect,
+		Pooled: p.mayPool(), Limits: p.limits(w, began), Dialect: p.dialect,
 		BeforeWrite: func() error { return p.check(w) },
 		MayAbandon: func(silence attempt.Silence) bool {
 			return p.isLost(ctx, w, silence) && p.mayAbandon()
@@ -110,6 +110,14 @@
 	return reply, err
 }
 
+// mayPool reports whether the attempt may use a connection that was used
+// before. A server may have closed it in this moment, which leaves in doubt
+// whether the call ran and uses up the attempt; so calls that may not be
+// repeated, and last attempts, dial anew.
+func (p *passage) mayPool() bool {
+	return p.call.Route.Idempotent() && p.attempts+1 < p.call.Route.MaxAttempts
+}
+
 // limits bounds one attempt. Where no other attempt can follow, a server's
 // silence is no reason to end it before the deadline.
 func (p *passage) limits(w *dispatch.Work, now time.Time) attempt.Limits {
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -276,9 +276,26 @@
 	is.Equal(s.out.events, []string{"1", "2", "3", "4", "5"})
 	is.Equal(s.out.heads, 1)
 	is.Equal(s.carrier.sent[1].ResumeFrom, 2)
+	is.True(s.carrier.sent[0].Pooled)
 	is.Equal(s.carrier.sent[1].Header.Get("Model"), s.carrier.sent[0].Header.Get("Model"))
 }
 
+// A last attempt dials anew: a connection that the server has just closed would
+// use it up. (Pottyround, streams-lost: the third attempt of a resumed stream
+// ended after 5 ms with a reset.)
+func TestLastAttemptDialsAnew(t *testing.T) {
+	is := is.New(t)
+	s := newStage(func(*route.Route) {})
+	s.carrier.steps = append(s.carrier.steps, fails(attempt.Reset, call.MayHaveRun))
+	s.run(t)
+	is.Equal(len(s.carrier.sent), 3)
+	is.True(s.carrier.sent[0].Pooled && s.carrier.sent[1].Pooled && !s.carrier.sent[2].Pooled)
+	s = newStage(func(r *route.Route) { r.Kind = route.Unsafe })
+	s.carrier.steps = append(s.carrier.steps, answers(200))
+	s.run(t)
+	is.True(!s.carrier.sent[0].Pooled)
+}
+
 // An unsure small answer is dropped for the large model's while the caller has
 // none of it; the drop draws on the allowance.
 func TestForwardStepsUp(t *testing.T) {
