--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -57,7 +57,10 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reload(ctx, c.settings, g, log)
-	if err := g.Run(ctx); err != nil {
+	err = g.Run(ctx)
+	// An output that takes no lines is no reason to stay.
+	_ = log.Sync()
+	if err != nil {
 		return c.fail(err)
 	}
 	return subcommands.ExitSuccess
--- a/internal/console/logline/logline.go
+++ b/internal/console/logline/logline.go
@@ -4,6 +4,7 @@
 package logline
 
 import (
+	"errors"
 	"expvar"
 	"io"
 	"time"
@@ -35,7 +36,7 @@
 	if err != nil {
 		parsed = zapcore.InfoLevel
 	}
-	queue := &queue{lines: make(chan []byte, queueLines)}
+	queue := &queue{lines: make(chan []byte, queueLines), flushed: make(chan chan struct{})}
 	go queue.drain(w)
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), queue, parsed)
 	return zap.New(&budgeted{Core: core, limit: rate.NewLimiter(perSecond, burst)})
@@ -65,7 +66,13 @@
 }
 
 // queue hands lines to a writer of its own.
-type queue struct{ lines chan []byte }
+type queue struct {
+	lines   chan []byte
+	flushed chan chan struct{}
+}
+
+// flushTimeout bounds how long a stopping process waits for its output.
+const flushTimeout = 300 * time.Millisecond
 
 // Write implements zapcore.WriteSyncer.
 func (q *queue) Write(line []byte) (int, error) {
@@ -77,13 +84,42 @@
 	return len(line), nil
 }
 
-// Sync implements zapcore.WriteSyncer.
-func (*queue) Sync() error { return nil }
+// Sync implements zapcore.WriteSyncer: it waits until the lines of before are
+// written, but not for an output that takes none.
+func (q *queue) Sync() error {
+	done := make(chan struct{})
+	timeout := time.After(flushTimeout)
+	select {
+	case q.flushed <- done:
+	case <-timeout:
+		return errNotFlushed
+	}
+	select {
+	case <-done:
+		return nil
+	case <-timeout:
+		return errNotFlushed
+	}
+}
+
+var errNotFlushed = errors.New("the output does not take the log")
 
 func (q *queue) drain(w io.Writer) {
-	for line := range q.lines {
-		if _, err := w.Write(line); err != nil {
-			dropped.Add("OutputFailed", 1)
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(w, line)
+		case done := <-q.flushed:
+			for len(q.lines) > 0 {
+				q.write(w, <-q.lines)
+			}
+			close(done)
 		}
 	}
 }
+
+func (q *queue) write(w io.Writer, line []byte) {
+	if _, err := w.Write(line); err != nil {
+		dropped.Add("OutputFailed", 1)
+	}
+}
--- a/internal/console/logline/logline_test.go
+++ b/internal/console/logline/logline_test.go
@@ -34,6 +34,24 @@
 	is.True(dropped.Get("OutputFull") != nil)
 }
 
+// The lines before a stop are written, but an output that takes none does not
+// hold the stop up.
+func TestFlushAtStop(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := New(&out, "info")
+	for range 100 {
+		log.Info("Last")
+	}
+	is.NoErr(log.Sync())
+	is.Equal(strings.Count(out.String(), "Event=Last"), 100)
+	r, w := io.Pipe()
+	defer r.Close()
+	log = New(w, "info")
+	log.Info("Stuck")
+	is.True(log.Sync() != nil)
+}
+
 // Below warnings, lines are bounded by a rate; warnings always pass.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
