--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -316,7 +316,7 @@
 	// connections: two checks a second apart, and the way.
 	balancerLag = 2800 * time.Millisecond
 	// exitMargin is kept back from the time to SIGKILL.
-	exitMargin = 500 * time.Millisecond
+	exitMargin = 300 * time.Millisecond
 	// stopPoll is how often a stopping instance looks for requests.
 	stopPoll = 20 * time.Millisecond
 )
