Decide on silence from a copy of the attempt's start; take out what nothing reads

Cause: the watchdog's goroutine read the call's state while the call's own one could already go on. Found by reading; the race detector had not shown it.

--- a/internal/catalogue/route/route.go
+++ b/internal/catalogue/route/route.go
@@ -56,8 +56,6 @@
 	Priority int
 	// Public routes need no key.
 	Public bool
-	// Sticky routes carry prompts whose parts backend servers cache.
-	Sticky bool
 	// Resumable streams may go on at another backend server.
 	Resumable bool
 	// Models are the models to choose from, smallest first. If there are
@@ -104,8 +102,7 @@
 
 // Service is a set of backend servers that answer the same calls.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConnections bounds the connections to one backend server from all
 	// instances together.
 	MaxConnections int
@@ -113,12 +110,7 @@
 	ColdStart time.Duration
 	// ColdRate is how many requests a second a cold backend server bears.
 	ColdRate float64
-	// Slots is how many requests a model engine runs at once; 0 for other
-	// services.
-	Slots int
-	// MemoryTokens is how many tokens a model engine's memory holds.
-	MemoryTokens int
-	Models       []Model
+	Models   []Model
 }
 
 // Model is one model of a service's engines.
--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -34,8 +34,6 @@
 	// Born is when this run of the server began, by its own clock; 0 if it
 	// did not say.
 	Born int64
-	// Models lists what a model engine has loaded; empty means unknown.
-	Models []string
 	// Revision is the store's revision of the announcement.
 	Revision int64
 
@@ -129,7 +127,7 @@
 // runs as before.
 func (s *Server) differs(old *Server) bool {
 	return s.State != old.State || s.Service != old.Service || s.Version != old.Version || s.DataCentre != old.DataCentre ||
-		s.Slots != old.Slots || !old.LapsedUntil.IsZero() || s.ColdLeft > 0 || !slices.Equal(s.Models, old.Models)
+		s.Slots != old.Slots || !old.LapsedUntil.IsZero() || s.ColdLeft > 0
 }
 
 // Withdraw takes a server off the directory, or marks it lapsed until a time
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
@@ -244,7 +245,7 @@
 	peerServer := &http.Server{Handler: g.feeds.handler(), ReadHeaderTimeout: time.Second}
 	group.Go(func() { g.serve(peerServer, peerListener) })
 	front := g.callersServer()
-	group.Go(func() { g.serve(front, g.Guard(callers)) })
+	group.Go(func() { g.serve(front, g.Guard(netutil.LimitListener(callers, g.callersLimit()))) })
 	<-ctx.Done()
 	g.stop(front)
 	cancel()
@@ -270,6 +271,14 @@
 	}
 }
 
+// callersShare is the part of the descriptors that callers' connections may
+// take; the rest is for servers, the store and other instances.
+const callersShare = 0.5
+
+func (g *Gateway) callersLimit() int {
+	return max(1, int(callersShare*float64(g.Settings.Descriptors)))
+}
+
 // Limits on callers' connections. The routing table states its own; these are
 // the least strict ones that instances hold to whatever it says.
 const (
--- a/internal/fleet/gateway/settings.go
+++ b/internal/fleet/gateway/settings.go
@@ -11,7 +11,6 @@
 	Instance   string
 	Address    string
 	DataCentre string
-	Region     string
 	// CallersAddress, ReadyAddress and PeerAddress are IPs and ports that are
 	// listened at; StoreAddress is the store's.
 	CallersAddress string
@@ -21,12 +20,8 @@
 	// MemoryBytes and Descriptors bound the process.
 	MemoryBytes int64
 	Descriptors int
-	// StoreHistory is how long the store keeps changes, LeaseMin the shortest
-	// lease.
-	StoreHistory time.Duration
-	LeaseMin     time.Duration
-	// ContactWindow is how long a disturbance excuses an instance.
-	ContactWindow time.Duration
+	// LeaseMin is the store's shortest lease.
+	LeaseMin time.Duration
 	// Drain is how long a leaving server goes on serving.
 	Drain time.Duration
 	// Grace is the time from SIGTERM to SIGKILL.
@@ -44,10 +39,8 @@
 	// ColdOverrun and ColdSlack widen a cold server's rate.
 	ColdOverrun float64
 	ColdSlack   float64
-	// ExposureShare and ExposureSlack bound the requests that a bad version
-	// may get.
+	// ExposureShare bounds the share of requests that a bad version may get.
 	ExposureShare float64
-	ExposureSlack float64
 	// SessionWindow is the pause after which a session is over.
 	SessionWindow time.Duration
 }
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -110,18 +110,14 @@
 
 // Observation is how one attempt went.
 type Observation struct {
-	Work    *dispatch.Work
-	Route   string
-	Session string
-	Model   string
+	Work  *dispatch.Work
+	Route string
 	// Failed says that the server failed the request by itself.
 	Failed bool
-	// First and Duration are 0 if there was no answer.
-	First    time.Duration
-	Duration time.Duration
+	// First is the time to the first part of the answer, 0 if there was none.
+	First time.Duration
 	// Predicted is the wait that was expected.
 	Predicted time.Duration
-	Events    int
 }
 
 // Ended is how one call ended.
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,9 +28,6 @@
 	// patienceFactor is how many times the predicted wait an attempt gets at
 	// least.
 	patienceFactor = 3
-	// lostFactor is how many times the wait elsewhere a server that can be
-	// reached must have been silent before an attempt there is given up.
-	lostFactor = 2
 	// gapShare is the part of the longest pause of an answer that is on time
 	// after which a stream goes on at another server.
 	gapShare = 0.6
@@ -93,6 +89,7 @@
 	r := p.call.Route
 	began := p.clock.Now()
 	sink := &passageSink{passage: p, work: w, began: began}
+	vigil := p.newVigil(w)
 	stamp := Stamp{
 		Server: w.Server.ID, Customer: p.call.Customer, Model: p.model, Priority: p.call.Priority, ResumeFrom: p.last,
 		Left: p.call.Deadline.Sub(began) - returnMargin,
@@ -102,9 +99,7 @@
 		Header: p.envelope.Header(p.call.Header, stamp), Events: r.Kind == route.Streaming, ResumeFrom: p.last,
 		Pooled: p.mayPool(), Limits: p.limits(w, began), Dialect: p.dialect,
 		BeforeWrite: func() error { return p.check(w) },
-		MayAbandon: func(silence attempt.Silence) bool {
-			return p.isLost(ctx, w, silence) && p.mayAbandon()
-		},
+		MayAbandon:  func(silence attempt.Silence) bool { return vigil.mayAbandon(ctx, silence) },
 	}, sink)
 	p.settle(w, reply, err, began)
 	return reply, err
@@ -142,7 +137,7 @@
 	if !p.fleet.IsConfirmed() {
 		return &call.Refusal{Reason: call.ReasonNotReady, Detail: "the routing table in force can't be confirmed", RetryAfter: p.retryAfter()}
 	}
-	if err := p.checkTable(); err != nil {
+	if err := p.checkTable(p.call, p.service); err != nil {
 		return err
 	}
 	if !p.fleet.Check(w, p.ask(p.model, p.size)) {
@@ -154,18 +149,18 @@
 var errServerLeft = errors.New("the server may not be used any more")
 
 // checkTable refuses a call that the table in force no longer allows.
-func (p *passage) checkTable() error {
-	table := p.fleet.Table()
-	r := table.Match(p.call.Host, p.call.Path)
+func (f *Forwarder) checkTable(c *Forward, service string) error {
+	table := f.fleet.Table()
+	r := table.Match(c.Host, c.Path)
 	if r == nil {
 		return &call.Refusal{Reason: call.ReasonUnknownPath, Detail: "the route was taken away"}
 	}
 	if table.NeedsKey(r) {
-		if c := table.Customer(p.call.Key); c == nil || c.Name != p.call.Customer {
+		if owner := table.Customer(c.Key); owner == nil || owner.Name != c.Customer {
 			return &call.Refusal{Reason: call.ReasonUnauthorised, Detail: "the key was taken away"}
 		}
 	}
-	if !r.Serves(p.service) {
+	if !r.Serves(service) {
 		return &movedError{errServerLeft}
 	}
 	return nil
@@ -181,35 +176,6 @@
 	}
 }
 
-// isLost reports whether a silent attempt would better start anew elsewhere. A
-// server that reads long prompts is silent towards all its callers, and a new
-// attempt would make another server read them too; so a server that can be
-// reached gets more time, unless the wait elsewhere is short against it.
-func (p *passage) isLost(ctx context.Context, w *dispatch.Work, silence attempt.Silence) bool {
-	ask := p.ask(p.model, p.size)
-	ask.Exclude = append(slices.Clone(ask.Exclude), w.Server.ID)
-	wait, err := p.fleet.Predict(ask)
-	if err != nil {
-		return false
-	}
-	return silence.For > silence.Limit*3/2 && lostFactor*wait < silence.For || !p.carrier.Reachable(ctx, w.Server.Address, connectLimit)
-}
-
-// mayAbandon decides whether a silent attempt is given up for another one. It
-// is only if that one may start at once: the attempt under way may yet answer.
-// It runs on a timer's goroutine while the call's own one waits for the server.
-func (p *passage) mayAbandon() bool {
-	r := p.call.Route
-	if !r.Idempotent() || p.attempts+1 >= r.MaxAttempts || !p.fleet.IsConfirmed() || p.checkTable() != nil {
-		return false
-	}
-	if _, err := p.fleet.Predict(p.ask(p.model, p.size)); err != nil || !p.fleet.Repeat(p.service, true) {
-		return false
-	}
-	p.prepaid.Store(true)
-	return true
-}
-
 // settle takes the attempt off the account and notes how it went.
 func (p *passage) settle(w *dispatch.Work, reply attempt.Reply, err error, began time.Time) {
 	now := p.clock.Now()
@@ -233,8 +199,8 @@
 	}
 	w.Done(result, now)
 	p.fleet.Observe(Observation{
-		Work: w, Route: p.call.Route.Name, Session: p.session(), Model: p.model, Failed: e != nil && e.Kind == attempt.Status && result == dispatch.Faulty,
-		First: reply.FirstEvent, Duration: now.Sub(began), Predicted: w.Wait, Events: reply.Last,
+		Work: w, Route: p.call.Route.Name, Failed: e != nil && e.Kind == attempt.Status && result == dispatch.Faulty,
+		First: reply.FirstEvent, Predicted: w.Wait,
 	})
 	fields := []zap.Field{
 		zap.String("RequestId", p.call.ID), zap.String("Server", w.Server.ID), zap.String("Version", w.Server.Version), zap.String("Model", p.model),
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -322,7 +322,9 @@
 	silence := attempt.Silence{For: 600 * time.Millisecond, Limit: 600 * time.Millisecond}
 	long := attempt.Silence{For: 1200 * time.Millisecond, Limit: 600 * time.Millisecond}
 	for _, c := range []struct {
-		name   string
+		name string
+		// change is made while the server is silent; nil makes the call one
+		// that may not be repeated.
 		change func(s *stage)
 		silent attempt.Silence
 		want   bool
@@ -334,13 +336,19 @@
 		{"no other server", func(s *stage) { s.carrier.reachable = false; s.fleet.listing = &backend.Listing{} }, silence, false},
 		{"the key was taken away", func(s *stage) { s.fleet.table.Customers[0].Keys = nil; s.fleet.table.Index() }, long, false},
 		{"no confirmation", func(s *stage) { s.fleet.unconfirmed = true }, long, false},
-		{"an unsafe call", func(s *stage) { s.call.Route.Kind = route.Unsafe }, long, false},
+		{"an unsafe call", nil, long, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			s := newStage(func(*route.Route) {})
+			s := newStage(func(r *route.Route) {
+				if c.change == nil {
+					r.Kind = route.Unsafe
+				}
+			})
 			s.carrier.steps = append(s.carrier.steps, func(f attempt.Forward, _ attempt.EventSink) (attempt.Reply, error) {
-				c.change(s)
+				if c.change != nil {
+					c.change(s)
+				}
 				is.Equal(f.MayAbandon(c.silent), c.want)
 				return answers(200)(f, nil)
 			})
--- /dev/null
+++ b/internal/relay/pipeline/forward_vigil.go
@@ -0,0 +1,64 @@
+package pipeline
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
+	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+)
+
+// lostFactor is how many times the wait elsewhere a server that can be reached
+// must have been silent before an attempt there is given up.
+const lostFactor = 2
+
+// vigil decides whether an attempt whose server is silent is given up for
+// another one. It runs on a timer's goroutine, which may outlast the attempt,
+// and so holds what it needs of the passage as it was at the attempt's start.
+type vigil struct {
+	*Forwarder
+	call    *Forward
+	service string
+	// elsewhere asks for any other server.
+	elsewhere Ask
+	address   string
+	// final says that no other attempt may follow this one.
+	final bool
+	// prepaid is set once the next attempt's repeat is taken.
+	prepaid *atomic.Bool
+}
+
+func (p *passage) newVigil(w *dispatch.Work) *vigil {
+	r := p.call.Route
+	elsewhere := p.ask(p.model, p.size)
+	elsewhere.Exclude = append([]string{w.Server.ID}, elsewhere.Exclude...)
+	return &vigil{
+		Forwarder: p.Forwarder, call: p.call, service: p.service, elsewhere: elsewhere, address: w.Server.Address,
+		final: !r.Idempotent() || p.attempts+1 >= r.MaxAttempts, prepaid: &p.prepaid,
+	}
+}
+
+// mayAbandon gives a silent attempt up only if another one may start at once:
+// the attempt under way may yet answer.
+func (v *vigil) mayAbandon(ctx context.Context, silence attempt.Silence) bool {
+	if v.final || !v.fleet.IsConfirmed() || v.checkTable(v.call, v.service) != nil || !v.isLost(ctx, silence) {
+		return false
+	}
+	if !v.fleet.Repeat(v.service, true) {
+		return false
+	}
+	v.prepaid.Store(true)
+	return true
+}
+
+// isLost reports whether a silent attempt would better start anew elsewhere. A
+// server that reads long prompts is silent towards all its callers, and a new
+// attempt would make another server read them too; so a server that can be
+// reached gets more time, unless the wait elsewhere is short against it.
+func (v *vigil) isLost(ctx context.Context, silence attempt.Silence) bool {
+	wait, err := v.fleet.Predict(v.elsewhere)
+	if err != nil {
+		return false
+	}
+	return silence.For > silence.Limit*3/2 && lostFactor*wait < silence.For || !v.carrier.Reachable(ctx, v.address, connectLimit)
+}
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -79,24 +79,20 @@
 	if bad < leastBad {
 		return false
 	}
-	low, _ := interval(bad, n)
 	old := 0.0
 	if oldN > 0 {
 		old = float64(oldBad) / float64(oldN)
 	}
-	return low > old+margin
+	return lowerBound(bad, n) > old+margin
 }
 
-// interval is Wilson's confidence interval of a rate.
-func interval(bad, n int) (low, high float64) {
-	if n == 0 {
-		return 0, 1
-	}
+// lowerBound is the lower end of Wilson's confidence interval of a rate.
+func lowerBound(bad, n int) float64 {
 	const z = deviations
 	p, m := float64(bad)/float64(n), float64(n)
 	centre := (p + z*z/(2*m)) / (1 + z*z/m)
 	width := z * math.Sqrt(p*(1-p)/m+z*z/(4*m*m)) / (1 + z*z/m)
-	return max(0, centre-width), min(1, centre+width)
+	return max(0, centre-width)
 }
 
 // Step is a stage of a roll-out: from a part of its time on, the new version
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -391,17 +391,6 @@
 	return a
 }
 
-// InFlight counts this instance's attempts at all servers.
-func (d *Dispatcher) InFlight() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	n := 0
-	for _, a := range d.servers {
-		n += a.inFlight
-	}
-	return n
-}
-
 // Forget drops the accounts of servers that are no longer listed and idle.
 func (d *Dispatcher) Forget(l *backend.Listing) {
 	d.mu.Lock()
