Split the gateway and the follower by what their parts do; one log writer

Nothing changes but where it stands: stopping, forwarding and times of the gateway, confirming and applying of the follower have files of their own. serve and demo write through logline too, so that there is one writer and serve's last lines are flushed at its stop.

--- a/cmd/kingcupyard/demo.go
+++ b/cmd/kingcupyard/demo.go
@@ -15,6 +15,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/change"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/configuration"
+	"github.com/kingcupyard/kingcupyard/internal/console/logline"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/internal/console/settings"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/instance"
@@ -53,7 +54,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	run := demo.Settings{
-		Seed: c.seed, Deployment: c.deployment, Starter: instanceStarter{newLogger(c.logLevel)},
+		Seed: c.seed, Deployment: c.deployment, Starter: instanceStarter{logline.New(os.Stderr, c.logLevel)},
 		Operators: newDemoOperator, Bills: demo.LedgerBills, Output: os.Stdout,
 	}
 	if c.trace != "" {
--- a/cmd/kingcupyard/serve.go
+++ b/cmd/kingcupyard/serve.go
@@ -8,10 +8,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"github.com/kingcupyard/kingcupyard/internal/console/logline"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/internal/console/settings"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/instance"
@@ -42,7 +40,7 @@
 	if err != nil {
 		return c.fail(badInput(err))
 	}
-	log := newLogger(s.LogLevel)
+	log := logline.New(os.Stderr, s.LogLevel)
 	i := instance.New(s, instance.WithLogger(log))
 	if err := i.Start(); err != nil {
 		return c.fail(err)
@@ -50,20 +48,11 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	<-ctx.Done()
-	if err := i.Stop(context.Background()); err != nil {
+	err = i.Stop(context.Background())
+	// An output that takes no lines is no reason to stay.
+	_ = log.Sync()
+	if err != nil {
 		return c.fail(err)
 	}
 	return subcommands.ExitSuccess
 }
-
-// newLogger writes one line of key=value pairs for each event.
-func newLogger(level string) *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.TimeKey, config.LevelKey, config.MessageKey = "Time", "Level", "Event"
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		parsed = zapcore.InfoLevel
-	}
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), parsed))
-}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"fmt"
 	"sync"
 	"time"
 
@@ -272,64 +271,6 @@
 	f.log.Info("FeedLeft", zap.String("Why", why), zap.Error(err))
 }
 
-// confirmLoop reads the routing table's entry as long as the store is followed
-// itself.
-func (f *Follower) confirmLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !f.isDirect() {
-			f.pause(ctx, retryPause)
-			continue
-		}
-		asked := f.boot.Elapsed()
-		item, revision, err := f.store.Confirm(ctx)
-		if err != nil {
-			f.failed(err)
-			f.pause(ctx, retryPause)
-			continue
-		}
-		f.confirmedBy(item, revision, asked)
-		f.pause(ctx, f.settings.ConfirmEvery)
-	}
-}
-
-// confirmedBy takes in a reading of the table's entry. The store's revision
-// tells whether the watch has missed something.
-func (f *Follower) confirmedBy(item Item, revision int64, asked time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reached()
-	if item.Revision == 0 {
-		return // there is no table yet
-	}
-	if item.Revision > f.table {
-		f.apply(f.decode(item))
-	}
-	if f.table >= item.Revision {
-		f.confirm(asked)
-	}
-	if f.revision >= 0 && f.revision < revision {
-		f.clock.AfterFunc(f.settings.WatchLag, func() { f.checkWatch(revision) })
-	}
-}
-
-// checkWatch starts the watch anew if it lacks a revision. A watch can hang on
-// a connection that has gone silent.
-func (f *Follower) checkWatch(revision int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.revision >= 0 && f.revision < revision && f.stopWatch != nil {
-		events.Add("WatchLagged", 1)
-		f.log.Info("WatchRenewed", zap.Int64("Revision", f.revision), zap.Int64("Store", revision))
-		f.stopWatch()
-	}
-}
-
-func (f *Follower) confirm(at time.Duration) {
-	if !f.confirmed || at > f.confirmedAt {
-		f.confirmedAt, f.confirmed = at, true
-	}
-}
-
 // expireLoop ends the grace of lapsed servers in time, also while no change
 // comes.
 func (f *Follower) expireLoop(ctx context.Context) {
@@ -377,105 +318,3 @@
 	}
 	f.contactAt, f.failures = now, 0
 }
-
-// take applies a batch of changes, which shows that the store is in reach
-// unless it comes from an instance that is out of its reach itself. A whole
-// reading replaces the directory.
-func (f *Follower) take(b Batch, inReach bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if inReach {
-		f.reached()
-	}
-	now := f.clock.Now()
-	changes := make([]Change, 0, len(b.Items))
-	for _, item := range b.Items {
-		changes = append(changes, f.decode(item))
-	}
-	changed := f.directory.Expire(now)
-	if b.Whole {
-		f.replace(changes, b.Revision, now)
-	}
-	for _, c := range changes {
-		if f.apply(c) {
-			changed = true
-		}
-	}
-	f.history.add(b)
-	if b.Whole || b.Revision > f.revision {
-		f.revision = b.Revision
-	}
-	if changed || b.Whole {
-		f.View.Servers.Publish(f.directory.Listing())
-	}
-}
-
-// replace drops what a whole reading no longer holds.
-func (f *Follower) replace(changes []Change, revision int64, now time.Time) {
-	var listed []backend.Server
-	for _, c := range changes {
-		if s, ok := c.Subject.(backend.Server); ok {
-			listed = append(listed, s)
-		}
-	}
-	f.directory.Replace(listed, revision, f.lapseUntil, now)
-	fleet := f.fleet.clone()
-	fleet.retain(changes)
-	f.publish(fleet)
-}
-
-// apply takes in one change. It reports whether the servers' listing changed.
-func (f *Follower) apply(c Change) bool {
-	now := f.clock.Now()
-	switch s := c.Subject.(type) {
-	case *route.Table:
-		f.applyTable(s, c.Revision)
-		return false
-	case backend.Server:
-		changed := f.directory.Announce(s, now)
-		if changed {
-			f.log.Info("ServerAnnounced", zap.String("Server", s.ID), zap.String("State", string(s.State)), zap.String("Version", s.Version),
-				zap.Duration("ColdLeft", s.ColdLeft), zap.Int64("Sequence", s.Sequence), zap.Int64("Revision", c.Revision))
-		}
-		return changed
-	case ServerGone:
-		changed := f.directory.Withdraw(s.ID, c.Revision, f.lapseUntil, now)
-		if changed {
-			f.log.Info("ServerGone", zap.String("Server", s.ID), zap.Int64("Revision", c.Revision), zap.Bool("Lapsed", now.Before(f.lapseUntil)))
-		}
-		return changed
-	}
-	fleet := f.fleet.clone()
-	if fleet.apply(c.Subject) {
-		f.log.Info("FleetChanged", zap.String("Key", c.Key), zap.Int64("Revision", c.Revision), zap.String("Subject", fmt.Sprintf("%+v", c.Subject)))
-		f.publish(fleet)
-	}
-	return false
-}
-
-func (f *Follower) publish(fleet Fleet) {
-	f.fleet = fleet
-	f.View.Fleet.Publish(&fleet)
-}
-
-// applyTable puts a table in force unless a newer one is already.
-func (f *Follower) applyTable(t *route.Table, revision int64) {
-	if t == nil || revision <= f.table {
-		return
-	}
-	f.table = revision
-	if t.Version <= f.version {
-		return
-	}
-	f.version = t.Version
-	f.View.Table.Publish(t)
-	f.log.Info("TableInForce", zap.Int64("Version", t.Version), zap.Int64("Revision", revision), zap.Int("Routes", len(t.Routes)))
-}
-
-// Confirmed returns how old the last confirmation of the routing table is. It
-// reports false if there is none yet.
-func (f *Follower) Confirmed() (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.boot.Elapsed() - f.confirmedAt, f.confirmed
-}
--- /dev/null
+++ b/internal/fleet/gateway/forwarding.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
+	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
+	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+)
+
+func (g *Gateway) query(ask pipeline.Ask) *dispatch.Query {
+	service := g.Table().Services[ask.Service]
+	return &dispatch.Query{
+		Service: ask.Service, Model: ask.Model, Size: ask.Size, Parts: ask.Parts, Exclude: ask.Exclude,
+		Versions: g.releases.versions(ask.Service, ask.Session), Closed: g.fleet().Closed, Members: g.members(),
+		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
+	}
+}
+
+// Place implements pipeline.Forwarding.
+func (g *Gateway) Place(ask pipeline.Ask) (*dispatch.Work, error) {
+	work, err := g.dispatcher.Place(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
+	if err == nil {
+		g.releases.place(ask.Service, ask.Session, work.Server.Version)
+	}
+	return work, err
+}
+
+// Predict implements pipeline.Forwarding.
+func (g *Gateway) Predict(ask pipeline.Ask) (time.Duration, error) {
+	return g.dispatcher.Predict(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
+}
+
+// Check implements pipeline.Forwarding.
+func (g *Gateway) Check(w *dispatch.Work, ask pipeline.Ask) bool {
+	return w.Check(g.follower.View.Servers.Get(), g.releases.versions(ask.Service, ask.Session), g.fleet().Closed, g.Clock.Now())
+}
+
+func (g *Gateway) allowance(service string) *allowance.Allowance {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.allowances[service]
+	if a == nil {
+		a = allowance.New(allowance.Settings{Ratio: g.bounds().RetryRatio, Slack: g.bounds().RetrySlack, Window: g.bounds().RetryWindow})
+		g.allowances[service] = a
+	}
+	return a
+}
+
+// stepReserve is the part of the allowance that steps up to a larger model
+// leave to attempts that replace failed ones.
+const stepReserve = 0.3
+
+// Request implements pipeline.Forwarding.
+func (g *Gateway) Request(service string) { g.allowance(service).Request(g.Clock.Now()) }
+
+// Repeat implements pipeline.Forwarding.
+func (g *Gateway) Repeat(service string, urgent bool) bool {
+	reserve := stepReserve
+	if urgent {
+		reserve = 0
+	}
+	return g.allowance(service).Take(g.Clock.Now(), len(g.members()), reserve)
+}
+
+// Ended implements pipeline.Forwarding.
+func (g *Gateway) Ended(e pipeline.Ended) {
+	outcome := "Answered"
+	if e.Refusal != nil {
+		outcome = string(e.Refusal.Reason) + " " + e.Refusal.State.String()
+	}
+	outcomes.Add(e.Route.Kind.String()+" "+outcome, 1)
+	latencies.observe(e.Route.Kind.String()+" Whole", e.Elapsed)
+	if e.First > 0 {
+		latencies.observe(e.Route.Kind.String()+" First", e.First)
+	}
+	if e.LongestPause > 0 {
+		latencies.observe(e.Route.Kind.String()+" Pause", e.LongestPause)
+	}
+}
+
+// Observe implements pipeline.Forwarding.
+func (g *Gateway) Observe(o pipeline.Observation) { g.releases.observe(o) }
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -180,34 +180,6 @@
 		s.PeerAddress != old.PeerAddress || s.StoreAddress != old.StoreAddress || s.Instance != old.Instance))
 }
 
-// Parts of the time within which a change must be in force. A feed whose reader
-// has lost the store must be left, and the store asked, before it is over:
-// feedAgePart and feedWaitPart add up to well below 1. In calm a confirmation
-// from a feed grows as old as confirmPart and feedWaitPart together.
-const (
-	watchPausePart = 0.2
-	confirmPart    = 0.4
-	feedWaitPart   = 0.125
-	feedAgePart    = 0.65
-	// revokeConfirmations is how many confirmations there are at least in the
-	// time that a key may outlive its end.
-	revokeConfirmations = 4
-)
-
-// followerSettings fits the times at which the store is followed to the
-// platform's bounds.
-func followerSettings(s Settings) follower.Settings {
-	f := follower.DefaultSettings
-	if within := min(s.Drain, s.ApplyWithin); within > 0 {
-		part := func(p float64) time.Duration { return time.Duration(p * float64(within)) }
-		f.WatchPause, f.ConfirmEvery, f.FeedWait, f.FeedAge = part(watchPausePart), part(confirmPart), part(feedWaitPart), part(feedAgePart)
-	}
-	if s.StrictRevocation {
-		f.ConfirmEvery = min(f.ConfirmEvery, s.RevokeWithin/revokeConfirmations)
-	}
-	return f
-}
-
 // Run serves until the context ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(g.Settings.MemoryBytes)))
@@ -320,47 +292,6 @@
 	return ok && age < time.Duration(share*float64(g.bounds().RevokeWithin))
 }
 
-const (
-	// balancerLag is how long after it turned unready an instance gets new
-	// connections: two checks a second apart, and the way.
-	balancerLag = 2800 * time.Millisecond
-	// exitMargin is kept back from the time to SIGKILL.
-	exitMargin = 300 * time.Millisecond
-	// stopPoll is how often a stopping instance looks for requests.
-	stopPoll = 20 * time.Millisecond
-)
-
-// stop turns unready, goes on serving until the balancer has noticed, and then
-// finishes what is under way.
-func (g *Gateway) stop(front *http.Server) {
-	began, end := g.beginStop()
-	g.Log.Info("Stopping", zap.Int64("InFlight", g.inFlight.Load()))
-	front.SetKeepAlivesEnabled(false)
-	for g.Clock.Now().Before(end) {
-		if g.inFlight.Load() == 0 && g.Clock.Since(began) >= balancerLag {
-			break
-		}
-		g.Clock.Sleep(stopPoll)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.Clock.Now()))
-	defer cancel()
-	if err := front.Shutdown(ctx); err != nil {
-		g.Log.Warn("RequestsCutOff", zap.Int64("InFlight", g.inFlight.Load()), zap.Error(err))
-	}
-}
-
-// beginStop turns the instance unready. It returns when that was and when the
-// instance ends.
-func (g *Gateway) beginStop() (began, end time.Time) {
-	began = g.Clock.Now()
-	end = began.Add(g.bounds().Grace - exitMargin)
-	refuse := began.Add(balancerLag)
-	g.stopsAt.Store(&end)
-	g.refusesAt.Store(&refuse)
-	g.stopping.Store(true)
-	return began, end
-}
-
 // watchView wakes requests that wait for a server when the view changes.
 func (g *Gateway) watchView(ctx context.Context) {
 	servers, endServers := g.follower.View.Servers.Subscribe()
@@ -398,14 +329,6 @@
 // IsStopping implements Admission.
 func (g *Gateway) IsStopping() bool { return g.stopping.Load() }
 
-// MayFinish implements Admission.
-func (g *Gateway) MayFinish(deadline time.Time) bool {
-	if !g.stopping.Load() {
-		return true
-	}
-	return g.Clock.Now().Before(*g.refusesAt.Load()) || deadline.Before(*g.stopsAt.Load())
-}
-
 // Enter implements Admission.
 func (g *Gateway) Enter() func() {
 	g.inFlight.Add(1)
@@ -433,80 +356,6 @@
 	return names
 }
 
-func (g *Gateway) query(ask pipeline.Ask) *dispatch.Query {
-	service := g.Table().Services[ask.Service]
-	return &dispatch.Query{
-		Service: ask.Service, Model: ask.Model, Size: ask.Size, Parts: ask.Parts, Exclude: ask.Exclude,
-		Versions: g.releases.versions(ask.Service, ask.Session), Closed: g.fleet().Closed, Members: g.members(),
-		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
-	}
-}
-
-// Place implements pipeline.Forwarding.
-func (g *Gateway) Place(ask pipeline.Ask) (*dispatch.Work, error) {
-	work, err := g.dispatcher.Place(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
-	if err == nil {
-		g.releases.place(ask.Service, ask.Session, work.Server.Version)
-	}
-	return work, err
-}
-
-// Predict implements pipeline.Forwarding.
-func (g *Gateway) Predict(ask pipeline.Ask) (time.Duration, error) {
-	return g.dispatcher.Predict(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
-}
-
-// Check implements pipeline.Forwarding.
-func (g *Gateway) Check(w *dispatch.Work, ask pipeline.Ask) bool {
-	return w.Check(g.follower.View.Servers.Get(), g.releases.versions(ask.Service, ask.Session), g.fleet().Closed, g.Clock.Now())
-}
-
-func (g *Gateway) allowance(service string) *allowance.Allowance {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	a := g.allowances[service]
-	if a == nil {
-		a = allowance.New(allowance.Settings{Ratio: g.bounds().RetryRatio, Slack: g.bounds().RetrySlack, Window: g.bounds().RetryWindow})
-		g.allowances[service] = a
-	}
-	return a
-}
-
-// stepReserve is the part of the allowance that steps up to a larger model
-// leave to attempts that replace failed ones.
-const stepReserve = 0.3
-
-// Request implements pipeline.Forwarding.
-func (g *Gateway) Request(service string) { g.allowance(service).Request(g.Clock.Now()) }
-
-// Repeat implements pipeline.Forwarding.
-func (g *Gateway) Repeat(service string, urgent bool) bool {
-	reserve := stepReserve
-	if urgent {
-		reserve = 0
-	}
-	return g.allowance(service).Take(g.Clock.Now(), len(g.members()), reserve)
-}
-
-// Ended implements pipeline.Forwarding.
-func (g *Gateway) Ended(e pipeline.Ended) {
-	outcome := "Answered"
-	if e.Refusal != nil {
-		outcome = string(e.Refusal.Reason) + " " + e.Refusal.State.String()
-	}
-	outcomes.Add(e.Route.Kind.String()+" "+outcome, 1)
-	latencies.observe(e.Route.Kind.String()+" Whole", e.Elapsed)
-	if e.First > 0 {
-		latencies.observe(e.Route.Kind.String()+" First", e.First)
-	}
-	if e.LongestPause > 0 {
-		latencies.observe(e.Route.Kind.String()+" Pause", e.LongestPause)
-	}
-}
-
-// Observe implements pipeline.Forwarding.
-func (g *Gateway) Observe(o pipeline.Observation) { g.releases.observe(o) }
-
 // jitter spreads d by a quarter each way, so that instances that started
 // together do not call together.
 func jitter(d time.Duration) time.Duration {
