--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -68,12 +68,13 @@
 
 // newGateway puts an instance together from its settings.
 func newGateway(settings gateway.Settings, log *zap.Logger) *gateway.Gateway {
+	clock := clockwork.NewRealClock()
 	return gateway.New(gateway.Parts{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{}, Decode: platform.Decode,
 		Callers: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
-			return &platform.Door{Admission: a, Forwarder: f, Log: log}
+			return &platform.Door{Admission: a, Forwarder: f, Clock: clock, Log: log}
 		},
 		Guard: platform.Guard, ConnContext: platform.ConnContext, ReadyPath: platform.ReadyPath,
-		MetricsAddress: net.JoinHostPort(settings.Address, metricsPort), Clock: clockwork.NewRealClock(), Log: log,
+		MetricsAddress: net.JoinHostPort(settings.Address, metricsPort), Clock: clock, Log: log,
 	})
 }
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -175,8 +175,8 @@
 	return f
 }
 
-// passage is one forwarded call under way.
-type passage struct {
+// forwardFlight is one forwarded call under way.
+type forwardFlight struct {
 	*Forwarder
 	call    *Forward
 	out     ForwardOutput
@@ -218,7 +218,7 @@
 // Run carries a call out and delivers its answer. On an error the answer was
 // not delivered as whole; the error holds a *call.Refusal.
 func (f *Forwarder) Run(ctx context.Context, c *Forward, out ForwardOutput) error {
-	p := &passage{Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model}
+	p := &forwardFlight{Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model}
 	p.service = c.Route.Target(positionOf(c))
 	f.fleet.Request(p.service)
 	ctx, cancel := context.WithCancel(ctx)
@@ -231,7 +231,7 @@
 }
 
 // run goes from attempt to attempt until one brings the answer.
-func (p *passage) run(ctx context.Context) error {
+func (p *forwardFlight) run(ctx context.Context) error {
 	p.chooseModel()
 	for {
 		work, err := p.place(ctx)
@@ -253,7 +253,7 @@
 }
 
 // deliver hands an answer without events to the caller.
-func (p *passage) deliver(reply attempt.Reply) error {
+func (p *forwardFlight) deliver(reply attempt.Reply) error {
 	if p.begun || reply.Body == nil && p.last > p.call.ResumeFrom {
 		return nil
 	}
@@ -265,7 +265,7 @@
 
 // mayFail reports whether a server's own failure may be answered by another
 // attempt; if not, it is the answer.
-func (p *passage) mayFail(reply attempt.Reply) bool {
+func (p *forwardFlight) mayFail(reply attempt.Reply) bool {
 	if reply.Status < http.StatusInternalServerError || !p.call.Route.Idempotent() || p.begun {
 		return p.begun
 	}
@@ -284,19 +284,19 @@
 
 // session is what ties the call to those before it: the last part of the
 // prompt that others share, or nothing but the call itself.
-func (p *passage) session() string {
+func (p *forwardFlight) session() string {
 	if n := len(p.call.Parts); n > 1 {
 		return p.call.Parts[n-2].ID
 	}
 	return p.call.ID
 }
 
-func (p *passage) ask(model string, size int) Ask {
+func (p *forwardFlight) ask(model string, size int) Ask {
 	return Ask{Service: p.service, Model: model, Size: size, Parts: p.call.Parts, Session: p.session(), Exclude: p.tried}
 }
 
 // chooseModel picks the first model on routes that leave it to the router.
-func (p *passage) chooseModel() {
+func (p *forwardFlight) chooseModel() {
 	r := p.call.Route
 	if len(r.Models) == 0 {
 		return
@@ -307,7 +307,7 @@
 }
 
 // predict renews what the choice of a model depends on.
-func (p *passage) predict() {
+func (p *forwardFlight) predict() {
 	r := p.call.Route
 	table := p.fleet.Table()
 	p.query = sizing.Query{
@@ -332,7 +332,7 @@
 var errUnsure = errors.New("the model is not confident of its answer")
 
 // decide keeps or declines an answer by its head.
-func (p *passage) decide(h attempt.Head) error {
+func (p *forwardFlight) decide(h attempt.Head) error {
 	r := p.call.Route
 	if len(r.Models) == 0 || p.begun {
 		return nil
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -37,7 +37,7 @@
 )
 
 // place waits until a server can take the call.
-func (p *passage) place(ctx context.Context) (*dispatch.Work, error) {
+func (p *forwardFlight) place(ctx context.Context) (*dispatch.Work, error) {
 	limit := p.clock.Now().Add(time.Duration(waitShare * float64(p.call.Route.Goal)))
 	if limit.After(p.call.Deadline) {
 		limit = p.call.Deadline
@@ -72,7 +72,7 @@
 
 // shed turns the call away if no server can begin with it in time, before
 // anything of it is sent.
-func (p *passage) shed(w *dispatch.Work) *call.Refusal {
+func (p *forwardFlight) shed(w *dispatch.Work) *call.Refusal {
 	if p.tries > 0 || p.model == "" {
 		return nil
 	}
@@ -84,12 +84,12 @@
 }
 
 // attempt sends the call to one server.
-func (p *passage) attempt(ctx context.Context, w *dispatch.Work) (attempt.Reply, error) {
+func (p *forwardFlight) attempt(ctx context.Context, w *dispatch.Work) (attempt.Reply, error) {
 	p.tries++
 	r := p.call.Route
 	began := p.clock.Now()
-	sink := &passageSink{passage: p, work: w, began: began}
-	vigil := p.newVigil(w)
+	sink := &forwardSink{forwardFlight: p, work: w, began: began}
+	silence := p.newSilencePolicy(w)
 	stamp := Stamp{
 		Server: w.Server.ID, Customer: p.call.Customer, Model: p.model, Priority: p.call.Priority, ResumeFrom: p.last,
 		Left: p.call.Deadline.Sub(began) - returnMargin,
@@ -99,7 +99,7 @@
 		Header: p.envelope.Header(p.call.Header, stamp), Events: r.Kind == route.Streaming, ResumeFrom: p.last,
 		Pooled: p.mayPool(), Limits: p.limits(w, began), Dialect: p.dialect,
 		BeforeWrite: func() error { return p.check(w) },
-		MayAbandon:  func(silence attempt.Silence) bool { return vigil.mayAbandon(ctx, silence) },
+		MayAbandon:  func(s attempt.Silence) bool { return silence.mayAbandon(ctx, s) },
 	}, sink)
 	p.settle(w, reply, err, began)
 	return reply, err
@@ -109,13 +109,13 @@
 // before. A server may have closed it in this moment, which leaves in doubt
 // whether the call ran and uses up the attempt; so calls that may not be
 // repeated, and last attempts, dial anew.
-func (p *passage) mayPool() bool {
+func (p *forwardFlight) mayPool() bool {
 	return p.call.Route.Idempotent() && p.attempts+1 < p.call.Route.MaxAttempts
 }
 
 // limits bounds one attempt. Where no other attempt can follow, a server's
 // silence is no reason to end it before the deadline.
-func (p *passage) limits(w *dispatch.Work, now time.Time) attempt.Limits {
+func (p *forwardFlight) limits(w *dispatch.Work, now time.Time) attempt.Limits {
 	r := p.call.Route
 	left := max(p.call.Deadline.Sub(now), time.Millisecond)
 	l := attempt.Limits{Connect: min(connectLimit, left), Write: left, FirstByte: left, Progress: left}
@@ -133,7 +133,7 @@
 
 // check is the last one before the first byte: against the newest table and
 // servers, not those that the call was planned under.
-func (p *passage) check(w *dispatch.Work) error {
+func (p *forwardFlight) check(w *dispatch.Work) error {
 	if !p.fleet.IsConfirmed() {
 		return &call.Refusal{Reason: call.ReasonNotReady, Detail: "the routing table in force can't be confirmed", RetryAfter: p.retryAfter()}
 	}
@@ -167,7 +167,7 @@
 }
 
 // renew takes the route from the table in force, if it still leads somewhere.
-func (p *passage) renew() {
+func (p *forwardFlight) renew() {
 	if r := p.fleet.Table().Match(p.call.Host, p.call.Path); r != nil && r != p.call.Route {
 		p.call.Route = r
 		if !r.Serves(p.service) {
@@ -177,7 +177,7 @@
 }
 
 // settle takes the attempt off the account and notes how it went.
-func (p *passage) settle(w *dispatch.Work, reply attempt.Reply, err error, began time.Time) {
+func (p *forwardFlight) settle(w *dispatch.Work, reply attempt.Reply, err error, began time.Time) {
 	now := p.clock.Now()
 	if l := reply.Remark.Load; l != nil {
 		w.Load(l.Running, l.Waiting, now)
@@ -233,7 +233,7 @@
 }
 
 // mayRepeat decides whether another attempt follows a failed one.
-func (p *passage) mayRepeat(ctx context.Context, err error) bool {
+func (p *forwardFlight) mayRepeat(ctx context.Context, err error) bool {
 	var e *attempt.Error
 	if !errors.As(err, &e) || ctx.Err() != nil || p.tries >= maxTries || !p.clock.Now().Before(p.call.Deadline) {
 		return false
@@ -261,14 +261,14 @@
 }
 
 // stepUp goes on with the largest model.
-func (p *passage) stepUp() bool {
+func (p *forwardFlight) stepUp() bool {
 	p.size = len(p.call.Route.Models) - 1
 	p.model = p.call.Route.Models[p.size]
 	return true
 }
 
 // giveUp turns the end of the last attempt into what the caller sees.
-func (p *passage) giveUp(ctx context.Context, err error) error {
+func (p *forwardFlight) giveUp(ctx context.Context, err error) error {
 	if p.failure != nil && !p.begun && ctx.Err() == nil {
 		return p.deliver(*p.failure)
 	}
@@ -310,12 +310,12 @@
 }
 
 // retryAfter spreads callers that are refused at the same moment.
-func (p *passage) retryAfter() time.Duration {
+func (p *forwardFlight) retryAfter() time.Duration {
 	return refusalRetryAfter + time.Duration(p.random()*float64(refusalRetryAfter))
 }
 
 // note logs how the call ended.
-func (p *passage) note(err error) {
+func (p *forwardFlight) note(err error) {
 	fields := []zap.Field{
 		zap.String("RequestId", p.call.ID), zap.String("Route", p.call.Route.Name), zap.String("Customer", p.call.Customer),
 		zap.String("Model", p.model), zap.Int("Attempts", p.attempts), zap.Int("Tries", p.tries), zap.String("RunState", p.ran.String()),
@@ -334,9 +334,9 @@
 	p.log.Info("RequestAnswered", fields...)
 }
 
-// passageSink hands the events of one attempt to the caller.
-type passageSink struct {
-	*passage
+// forwardSink hands the events of one attempt to the caller.
+type forwardSink struct {
+	*forwardFlight
 	work  *dispatch.Work
 	began time.Time
 	head  attempt.Head
@@ -344,7 +344,7 @@
 }
 
 // Head implements attempt.EventSink.
-func (s *passageSink) Head(h attempt.Head) error {
+func (s *forwardSink) Head(h attempt.Head) error {
 	if err := s.decide(h); err != nil {
 		return err
 	}
@@ -353,7 +353,7 @@
 }
 
 // Event implements attempt.EventSink.
-func (s *passageSink) Event(number int, raw []byte) error {
+func (s *forwardSink) Event(number int, raw []byte) error {
 	if !s.first {
 		s.first = true
 		s.work.Begun(s.clock.Since(s.began))
--- a/internal/relay/pipeline/forward_vigil.go
+++ b/internal/relay/pipeline/forward_silence.go
@@ -12,10 +12,10 @@
 // must have been silent before an attempt there is given up.
 const lostFactor = 2
 
-// vigil decides whether an attempt whose server is silent is given up for
+// silencePolicy decides whether an attempt whose server is silent is given up for
 // another one. It runs on a timer's goroutine, which may outlast the attempt,
-// and so holds what it needs of the passage as it was at the attempt's start.
-type vigil struct {
+// and so holds what it needs of the forwardFlight as it was at the attempt's start.
+type silencePolicy struct {
 	*Forwarder
 	call    *Forward
 	service string
@@ -28,11 +28,11 @@
 	prepaid *atomic.Bool
 }
 
-func (p *passage) newVigil(w *dispatch.Work) *vigil {
+func (p *forwardFlight) newSilencePolicy(w *dispatch.Work) *silencePolicy {
 	r := p.call.Route
 	elsewhere := p.ask(p.model, p.size)
 	elsewhere.Exclude = append([]string{w.Server.ID}, elsewhere.Exclude...)
-	return &vigil{
+	return &silencePolicy{
 		Forwarder: p.Forwarder, call: p.call, service: p.service, elsewhere: elsewhere, address: w.Server.Address,
 		final: !r.Idempotent() || p.attempts+1 >= r.MaxAttempts, prepaid: &p.prepaid,
 	}
@@ -40,14 +40,14 @@
 
 // mayAbandon gives a silent attempt up only if another one may start at once:
 // the attempt under way may yet answer.
-func (v *vigil) mayAbandon(ctx context.Context, silence attempt.Silence) bool {
-	if v.final || !v.fleet.IsConfirmed() || v.checkTable(v.call, v.service) != nil || !v.isLost(ctx, silence) {
+func (p *silencePolicy) mayAbandon(ctx context.Context, silence attempt.Silence) bool {
+	if p.final || !p.fleet.IsConfirmed() || p.checkTable(p.call, p.service) != nil || !p.isLost(ctx, silence) {
 		return false
 	}
-	if !v.fleet.Repeat(v.service, true) {
+	if !p.fleet.Repeat(p.service, true) {
 		return false
 	}
-	v.prepaid.Store(true)
+	p.prepaid.Store(true)
 	return true
 }
 
@@ -55,10 +55,10 @@
 // server that reads long prompts is silent towards all its callers, and a new
 // attempt would make another server read them too; so a server that can be
 // reached gets more time, unless the wait elsewhere is short against it.
-func (v *vigil) isLost(ctx context.Context, silence attempt.Silence) bool {
-	wait, err := v.fleet.Predict(v.elsewhere)
+func (p *silencePolicy) isLost(ctx context.Context, silence attempt.Silence) bool {
+	wait, err := p.fleet.Predict(p.elsewhere)
 	if err != nil {
 		return false
 	}
-	return silence.For > silence.Limit*3/2 && lostFactor*wait < silence.For || !v.carrier.Reachable(ctx, v.address, connectLimit)
+	return silence.For > silence.Limit*3/2 && lostFactor*wait < silence.For || !p.carrier.Reachable(ctx, p.address, connectLimit)
 }
