Derive a call's place in a split from its session; drop what nothing reads

Found by reading the whole change. positionOf and session picked the prompt's shared part each by itself: the position is the hash of the session now. Gone: when a server was first seen, when an account was last used, the duration in a reply, the name in a sizing model. Behaviour is the same; tests are untouched.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -39,8 +39,6 @@
 
 	// ColdUntil is when the server is warm again by this instance's clock.
 	ColdUntil time.Time
-	// SeenAt is when this instance first saw this run of the server.
-	SeenAt time.Time
 	// LapsedUntil is set if the announcement ended around a store outage: the
 	// server may still be there, and has until then to announce itself again.
 	LapsedUntil time.Time
@@ -99,7 +97,6 @@
 		return false
 	}
 	delete(d.gone, s.ID)
-	s.SeenAt = now
 	if s.ColdLeft > 0 {
 		s.ColdUntil = now.Add(s.ColdLeft)
 	}
@@ -118,7 +115,6 @@
 	if s.Sequence < old.Sequence {
 		return false
 	}
-	s.SeenAt = old.SeenAt
 	d.servers[s.ID] = &s
 	return s.differs(old)
 }
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -87,7 +87,6 @@
 	// FirstEvent is the time from the start of the attempt to the first event
 	// or to the head of an answer without events.
 	FirstEvent time.Duration
-	Duration   time.Duration
 }
 
 // EventSink takes the events of a forwarded call. Head comes once, before the
@@ -271,7 +270,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	reply.Body, reply.Duration = body, x.elapsed()
+	reply.Body = body
 	x.finish(x.reusable(resp, sent))
 	return reply, nil
 }
@@ -340,7 +339,6 @@
 		x.delivered = reply.Last
 		x.conn.arm(ProgressTimeout, x.limits.Progress)
 	}
-	reply.Duration = x.elapsed()
 	x.finish(x.reusable(resp, sent))
 	return reply, nil
 }
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -219,7 +219,7 @@
 // not delivered as whole; the error holds a *call.Refusal.
 func (f *Forwarder) Run(ctx context.Context, c *Forward, out ForwardOutput) error {
 	p := &forwardFlight{Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model}
-	p.service = c.Route.Target(positionOf(c))
+	p.service = c.Route.Target(c.position())
 	f.fleet.Request(p.service)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -273,26 +273,21 @@
 	return true
 }
 
-// positionOf spreads requests over a split route: those of one session, or
-// with one prompt, go the same way.
-func positionOf(c *Forward) uint64 {
-	if len(c.Parts) > 1 {
-		return xxhash.Sum64String(c.Parts[len(c.Parts)-2].ID)
-	}
-	return xxhash.Sum64String(c.ID)
-}
-
 // session is what ties the call to those before it: the last part of the
 // prompt that others share, or nothing but the call itself.
-func (p *forwardFlight) session() string {
-	if n := len(p.call.Parts); n > 1 {
-		return p.call.Parts[n-2].ID
+func (c *Forward) session() string {
+	if n := len(c.Parts); n > 1 {
+		return c.Parts[n-2].ID
 	}
-	return p.call.ID
+	return c.ID
 }
 
+// position spreads calls over a split route: those of one session go the same
+// way.
+func (c *Forward) position() uint64 { return xxhash.Sum64String(c.session()) }
+
 func (p *forwardFlight) ask(model string, size int) Ask {
-	return Ask{Service: p.service, Model: model, Size: size, Parts: p.call.Parts, Session: p.session(), Exclude: p.tried}
+	return Ask{Service: p.service, Model: model, Size: size, Parts: p.call.Parts, Session: p.call.session(), Exclude: p.tried}
 }
 
 // chooseModel picks the first model on routes that leave it to the router.
@@ -315,7 +310,7 @@
 		Left: p.call.Arrived.Add(r.Goal).Sub(p.clock.Now()),
 	}
 	for size, name := range r.Models {
-		m := sizing.Model{Name: name}
+		m := sizing.Model{}
 		for _, known := range table.Services[p.service].Models {
 			if known.Name == name {
 				m.Cost = known.Cost
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -171,7 +171,7 @@
 	if r := p.fleet.Table().Match(p.call.Host, p.call.Path); r != nil && r != p.call.Route {
 		p.call.Route = r
 		if !r.Serves(p.service) {
-			p.service = r.Target(positionOf(p.call))
+			p.service = r.Target(p.call.position())
 		}
 	}
 }
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -118,7 +118,6 @@
 	sends    sends
 	failing  failing
 	slowness slowness
-	usedAt   time.Time
 }
 
 // New returns a dispatcher without work.
@@ -169,7 +168,6 @@
 	a.inFlight++
 	a.pending += best.work
 	a.waiting[w] = now
-	a.usedAt = now
 	a.sends.add(now)
 	if q.Model != "" {
 		d.cache.store(best.server.ID, q.Model, q.Parts, now)
--- a/internal/routing/sizing/sizing.go
+++ b/internal/routing/sizing/sizing.go
@@ -14,7 +14,6 @@
 
 // Model is one of a route's models.
 type Model struct {
-	Name string
 	// Cost is the price of 1,000 generated tokens; tokens read count a quarter.
 	Cost float64
 	// Wait is the predicted time to the first part of the model's answer.
