Count a roll-out's time from its record when the driver starts anew

The version was complete 34.0 s after the start instead of 22.9 s, after its deadline, and the servers of one version were missing from second 26 on. The queues are what follows.

Change: the record's age counts from when it is first seen, and is renewed by each eighth of the roll-out's time (8 writes a roll-out). The pause after a record no longer stops the loop.

The test fails without the change (no step at half time).

--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -83,6 +84,60 @@
 	is.Equal(g.releases.versions("assistant", "s"), dispatch.Versions{}) // replaced meanwhile
 }
 
+// recorder is a store that keeps the stages that are recorded.
+type recorder struct {
+	Store
+	stages []follower.Stage
+}
+
+func (r *recorder) Record(_ context.Context, s follower.Stage, _ follower.Driver) (bool, error) {
+	r.stages = append(r.stages, s)
+	return true, nil
+}
+
+// A driver that starts in the middle of a roll-out knows from the record how
+// far it is. (Pottyround, scale-1: the driver was killed and started again, and
+// counted from its start. The roll-out ended 10 s late, after its deadline, and
+// half of the servers were stopped with it.)
+func TestRolloutGoesOnAfterTheDriversRestart(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	g := testGateway(clock)
+	store := &recorder{}
+	g.Store = store
+	fleet := rollout(follower.StageActive, 0.075)
+	stage := fleet.Stages["assistant"]
+	stage.Elapsed, stage.Revision = 12*time.Second, 9
+	fleet.Stages["assistant"] = stage
+	fleet.Driver = follower.Driver{Instance: "edge-1"}
+	publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
+
+	step := func(after time.Duration) {
+		clock.Advance(after)
+		g.releases.step(t.Context())
+	}
+	step(0)
+	is.Equal(len(store.stages), 0) // half of the time is not over
+	step(time.Second)
+	is.Equal(len(store.stages), 1)
+	is.Equal(store.stages[0].Share, 0.3) // 13 of 24 s
+}
+
+// The record is renewed often enough that a driver that starts anew loses
+// little, and no more often.
+func TestRolloutRecordsItsProgress(t *testing.T) {
+	is := is.New(t)
+	active := follower.Stage{Order: 7, State: follower.StageActive, Share: 0.075, Elapsed: 2 * time.Second}
+	next := active
+	next.Elapsed = 4 * time.Second
+	is.True(!isWorthRecording(active, next, 24*time.Second))
+	next.Elapsed = 5 * time.Second
+	is.True(isWorthRecording(active, next, 24*time.Second))
+	next.Elapsed, next.Share = 2*time.Second, 0.3
+	is.True(isWorthRecording(active, next, 24*time.Second))
+	is.True(isWorthRecording(follower.Stage{}, active, 24*time.Second))
+}
+
 // A session in progress on the old version, here or elsewhere, stays there
 // through the trial; one that is on the new version stays there.
 // (Csatornakep, quiet-1: 4 to 6 sessions changed in the first half.)
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -39,6 +39,14 @@
 	target   string
 	seenAt   time.Time
 	evidence verdict.Evidence
+	// beganAt is when the order was given, as far as this instance knows: it
+	// saw the order, or a record that says how old it was.
+	beganAt time.Time
+	// record is the revision of the last record seen.
+	record int64
+	// restsUntil is when the driver decides again after a record that the
+	// watch has yet to bring.
+	restsUntil time.Time
 	// bad says that this instance's own evidence is enough against the target.
 	bad     bool
 	changed bool
@@ -58,6 +66,9 @@
 	// driverStep is how long each further instance waits for the one before
 	// it to become the driver.
 	driverStep = 600 * time.Millisecond
+	// progressRecords is how many records of its progress a roll-out gets: the
+	// last 0.18 of its time are left for what a new driver does not know.
+	progressRecords = 8
 	// maxPins bounds the sessions that are remembered.
 	maxPins = 20000
 	// slowFactor and slowFloor say when an answer is slow: it took so many
@@ -215,14 +226,32 @@
 			continue
 		}
 		orders = append(orders, order)
-		if t := r.trials[service]; t == nil || t.order != order.Revision {
-			r.trials[service] = &trial{order: order.Revision, target: order.Target, seenAt: r.gateway.Clock.Now(), evidence: verdict.Evidence{}}
+		now := r.gateway.Clock.Now()
+		t := r.trials[service]
+		if t == nil || t.order != order.Revision {
+			t = &trial{order: order.Revision, target: order.Target, seenAt: now, beganAt: now, evidence: verdict.Evidence{}}
+			r.trials[service] = t
 			delete(r.merged, service)
 		}
+		if stage.Order == order.Revision {
+			t.learn(stage, now)
+		}
 	}
 	return orders
 }
 
+// learn takes the age of the order from a record that is seen for the first
+// time: this instance may have started long after the order.
+func (t *trial) learn(s follower.Stage, now time.Time) {
+	if s.Revision == t.record {
+		return
+	}
+	t.record = s.Revision
+	if began := now.Add(-s.Elapsed); began.Before(t.beganAt) {
+		t.beganAt = began
+	}
+}
+
 func (r *releases) step(ctx context.Context) {
 	fleet := r.gateway.fleet()
 	orders := r.open(fleet)
@@ -273,8 +302,11 @@
 	if stage.Order != order.Revision {
 		stage = follower.Stage{}
 	}
-	evidence, seenAt := r.all(order.Service)
-	elapsed := max(g.Clock.Since(seenAt), stage.Elapsed)
+	evidence, beganAt, restsUntil := r.all(order.Service)
+	if g.Clock.Now().Before(restsUntil) {
+		return
+	}
+	elapsed := g.Clock.Since(beganAt)
 	decision := verdict.Decide(verdict.Query{
 		Elapsed: elapsed, Duration: order.Duration, Exposure: g.bounds().ExposureShare, Evidence: evidence,
 		Ready: r.ready(order.Service, order.Target), Share: stage.Share,
@@ -289,19 +321,31 @@
 	case decision.Complete:
 		next.State, next.Share = follower.StageComplete, 1
 	}
-	if stage.Order == next.Order && stage.State == next.State && stage.Share == next.Share {
+	if !isWorthRecording(stage, next, order.Duration) {
 		return
 	}
 	done, err := g.Store.Record(ctx, next, fleet.Driver)
 	g.Log.Info("StageRecorded", zap.Bool("Done", done), zap.String("Stage", fmt.Sprintf("%+v", next)), zap.String("Evidence", fmt.Sprintf("%+v", evidence)), zap.Error(err))
 	if err == nil && done {
-		// The watch brings the record; until then nothing is decided anew.
-		g.Clock.Sleep(releaseEvery)
+		r.rest(order.Service)
 	}
 }
 
+// isWorthRecording reports whether a stage differs from the recorded one by a
+// decision, or by so much time that a driver that starts anew would be late.
+func isWorthRecording(recorded, next follower.Stage, duration time.Duration) bool {
+	return recorded.Order != next.Order || recorded.State != next.State || recorded.Share != next.Share ||
+		next.Elapsed-recorded.Elapsed >= duration/progressRecords
+}
+
+func (r *releases) rest(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trials[service].restsUntil = r.gateway.Clock.Now().Add(2 * releaseEvery)
+}
+
 // all merges the evidence of all instances.
-func (r *releases) all(service string) (verdict.Evidence, time.Time) {
+func (r *releases) all(service string) (evidence verdict.Evidence, beganAt, restsUntil time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.trials[service]
@@ -310,7 +354,7 @@
 	for _, e := range r.merged[service] {
 		sum.Add(e)
 	}
-	return sum, t.seenAt
+	return sum, t.beganAt, t.restsUntil
 }
 
 // send tells the driver this instance's evidence if there is something new.
