One course of attempts for requests of both doors

The forwarder and the chat pipeline each had a loop of their own: waiting for a server, run state, what may be repeated, the refusal at the end. They are one now, pipeline.course; what a door has its own way of (placing, sending, the budget, a larger model) is a policy of four methods. The same ends of attempts are now answered alike, held by testdata/course.txt.

At the chat door an attempt that reached no server no longer counts towards the four that may reach one; the budget still bounds it.

--- a/internal/relay/pipeline/chat.go
+++ b/internal/relay/pipeline/chat.go
@@ -142,7 +142,7 @@
 	p.charge(f, model, answer, d.tokens)
 	if err != nil {
 		p.closeFailed(ctx, f)
-		return refuseAttempt(f.flight, err, d.begun)
+		return f.refuse(err, d.begun, retryAfter)
 	}
 	p.closeBill(ctx, f.bill)
 	p.submit(f, model, d.text(answer), rated)
@@ -159,7 +159,7 @@
 	if err != nil {
 		if ctx.Err() != nil {
 			p.closeFailed(ctx, f)
-			return true, refuseAttempt(f.flight, err, false)
+			return true, f.refuse(err, false, retryAfter)
 		}
 		return false, nil
 	}
--- /dev/null
+++ b/internal/relay/pipeline/course_test.go
@@ -0,0 +1,78 @@
+package pipeline
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+)
+
+// scriptedPolicy carries out the attempts of a script.
+type scriptedPolicy struct {
+	*course
+	t      *testing.T
+	clock  *clockwork.FakeClock
+	script []string
+	late   bool
+	poor   bool
+}
+
+func (p *scriptedPolicy) attempt(context.Context) error {
+	entry := p.script[min(p.tries, len(p.script)-1)]
+	if p.late {
+		p.clock.Advance(time.Minute)
+	}
+	f := strings.Fields(entry)
+	states := map[string]call.RunState{"NotRun": call.NotRun, "MayHaveRun": call.MayHaveRun, "Ran": call.Ran}
+	delivered, err := strconv.Atoi(f[2])
+	is.New(p.t).NoErr(err)
+	e := &attempt.Error{Kind: attempt.Kind(f[0]), State: states[f[1]], Delivered: delivered}
+	if f[0] == "Moved" {
+		e.Kind, e.Err = attempt.NotStarted, &movedError{errServerLeft}
+	}
+	p.settle("s", e)
+	return e
+}
+
+func (p *scriptedPolicy) move()                      {}
+func (p *scriptedPolicy) stepUp() bool               { return true }
+func (p *scriptedPolicy) repeat(*attempt.Error) bool { return !p.poor }
+
+// TestCourse goes through testdata/course.txt, whose head says what the columns
+// are: the same ends of attempts are answered alike at both doors.
+func TestCourse(t *testing.T) {
+	raw, err := os.ReadFile("testdata/course.txt")
+	is.New(t).NoErr(err)
+	for line := range strings.Lines(string(raw)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		f := strings.Split(line, "|")
+		for i := range f {
+			f[i] = strings.TrimSpace(f[i])
+		}
+		t.Run(strings.Join(f[:3], " "), func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			c := &course{
+				now: clock.Now, deadline: clock.Now().Add(time.Second), lateResume: f[0] == "chat",
+				idempotent: strings.HasPrefix(f[1], "again"), maxAttempts: 3,
+			}
+			p := &scriptedPolicy{
+				course: c, t: t, clock: clock, script: strings.Split(f[2], ";"),
+				late: strings.HasSuffix(f[1], "late"), poor: strings.HasSuffix(f[1], "poor"),
+			}
+			is.True(c.run(t.Context(), p) != nil)
+			is.Equal(strconv.Itoa(c.tries), f[3])
+			is.Equal(c.state.String(), f[4])
+		})
+	}
+}
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -178,18 +178,13 @@
 // forwardFlight is one forwarded call under way.
 type forwardFlight struct {
 	*Forwarder
+	course
 	call    *Forward
 	out     ForwardOutput
 	service string
-	// ran is the furthest that any attempt can have run.
-	ran call.RunState
-	// attempts counts those that reached a server, tries all of them.
-	attempts int
-	tries    int
-	tried    []string
-	size     int
-	model    string
-	query    sizing.Query
+	size    int
+	model   string
+	query   sizing.Query
 	// last is the last event delivered; begun says that the caller has the
 	// head of the answer.
 	last  int
@@ -206,50 +201,44 @@
 	failure *attempt.Reply
 }
 
-const (
-	// maxTries bounds the attempts of one call, those included that reached
-	// no server.
-	maxTries = 8
-	// returnMargin is kept back from the time that a server gets, for the way
-	// of its answer to the caller.
-	returnMargin = 15 * time.Millisecond
-)
+// returnMargin is kept back from the time that a server gets, for the way of
+// its answer to the caller.
+const returnMargin = 15 * time.Millisecond
 
 // Run carries a call out and delivers its answer. On an error the answer was
 // not delivered as whole; the error holds a *call.Refusal.
 func (f *Forwarder) Run(ctx context.Context, c *Forward, out ForwardOutput) error {
-	p := &forwardFlight{Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model}
+	p := &forwardFlight{
+		Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model,
+		course: course{now: f.clock.Now, deadline: c.Deadline, idempotent: c.Route.Idempotent(), maxAttempts: c.Route.MaxAttempts},
+	}
 	p.service = c.Route.Target(c.position())
 	f.fleet.Request(p.service)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := f.clock.AfterFunc(c.Deadline.Sub(f.clock.Now()), cancel)
 	defer timer.Stop()
-	err := p.run(ctx)
+	p.chooseModel()
+	err := p.run(ctx, p)
+	if err != nil {
+		err = p.giveUp(ctx, err)
+	}
 	p.note(err)
 	return err
 }
 
-// run goes from attempt to attempt until one brings the answer.
-func (p *forwardFlight) run(ctx context.Context) error {
-	p.chooseModel()
-	for {
-		work, err := p.place(ctx)
-		if err != nil {
-			return p.giveUp(ctx, err)
-		}
-		reply, err := p.attempt(ctx, work)
-		if err == nil {
-			return p.deliver(reply)
-		}
-		var e *attempt.Error
-		if errors.As(err, &e) && e.Kind == attempt.Status && !p.mayFail(reply) {
-			return p.deliver(reply)
-		}
-		if !p.mayRepeat(ctx, err) {
-			return p.giveUp(ctx, err)
-		}
+// attempt implements policy.
+func (p *forwardFlight) attempt(ctx context.Context) error {
+	work, err := p.place(ctx)
+	if err != nil {
+		return err
 	}
+	reply, err := p.send(ctx, work)
+	var e *attempt.Error
+	if err == nil || errors.As(err, &e) && e.Kind == attempt.Status && !p.mayFail(reply) {
+		return p.deliver(reply)
+	}
+	return err
 }
 
 // deliver hands an answer without events to the caller.
@@ -258,7 +247,7 @@
 		return nil
 	}
 	if err := p.out.Whole(reply); err != nil {
-		return &call.Refusal{Reason: call.ReasonCallerGone, State: p.ran, Detail: err.Error()}
+		return &call.Refusal{Reason: call.ReasonCallerGone, State: p.state, Detail: err.Error()}
 	}
 	return nil
 }
--- a/internal/relay/pipeline/pipeline.go
+++ b/internal/relay/pipeline/pipeline.go
@@ -158,10 +158,7 @@
 	preset   *configuration.Preset
 	record   *explanation.Record
 	rnd      *rand.Rand
-	// attempts counts those that sent a byte, or tried to.
-	attempts int
-	// state is the furthest that any attempt can have run.
-	state call.RunState
+	course
 	// undecided says that the caller named the request's ID and the ledger has
 	// not said yet whether an earlier arrival under it ran.
 	undecided bool
@@ -178,6 +175,7 @@
 		return nil, &call.Refusal{Reason: call.ReasonNotAllowed, Detail: "the customer is not configured any more"}
 	}
 	return &flight{
+		course:  course{now: p.Clock.Now, deadline: r.Deadline, idempotent: r.Idempotent, lateResume: true, maxAttempts: maxAttempts},
 		request: r, doc: doc, customer: customer, preset: doc.PresetInForce(),
 		rnd: p.rands.Get().(*rand.Rand),
 		record: &explanation.Record{
--- a/internal/relay/pipeline/place.go
+++ b/internal/relay/pipeline/place.go
@@ -20,8 +20,6 @@
 const (
 	// maxAttempts bounds the attempts of one step.
 	maxAttempts = 4
-	// placeInterval is how often a request without a server looks again.
-	placeInterval = 10 * time.Millisecond
 	// retryAfter is what a refused caller is told to wait.
 	retryAfter = time.Second
 )
@@ -37,9 +35,6 @@
 // itinerary is where the attempts of one step may go and where they went.
 type itinerary struct {
 	query placement.Query
-	// tried lists servers that failed this request; it is kept apart from
-	// those that were only full at one moment.
-	tried []string
 }
 
 func (p *Pipeline) newItinerary(service, model, version string, prefix []uint64) *itinerary {
@@ -48,10 +43,8 @@
 	}}
 }
 
-// failed makes the next attempt go to another server, and to another data
-// centre if there is one.
+// failed makes the next attempt go to another data centre if there is one.
 func (r *itinerary) failed(s *board.Server) {
-	r.tried = append(r.tried, s.Name)
 	if !slices.Contains(r.query.AvoidDataCentres, s.DataCentre) {
 		r.query.AvoidDataCentres = append(r.query.AvoidDataCentres, s.DataCentre)
 	}
@@ -59,26 +52,20 @@
 
 // place waits until a server can take the request, up to its deadline.
 func (p *Pipeline) place(ctx context.Context, f *flight, r *itinerary) (place, error) {
-	for {
-		found, err := p.tryPlace(f, r)
-		if err == nil {
-			return found, nil
-		}
-		if !p.Clock.Now().Before(f.request.Deadline) {
-			p.note(f, r, "", "no server: "+err.Error(), place{})
-			return place{}, refusePlace(err)
-		}
-		select {
-		case <-p.Clock.After(placeInterval):
-		case <-ctx.Done():
-			return place{}, &call.Refusal{Reason: call.ReasonCallerGone}
-		}
+	at, err := await(ctx, p.Clock, f.deadline, noSignal, func() (place, error) { return p.tryPlace(f, r) })
+	if err != nil && ctx.Err() == nil {
+		p.note(f, r, "", "no server: "+err.Error(), place{})
+		err = refusePlace(err)
 	}
+	return at, err
 }
 
+// noSignal stands for a board whose changes wake nobody.
+func noSignal() <-chan struct{} { return nil }
+
 // tryPlace goes through the servers, best first, until one grants a permit.
 func (p *Pipeline) tryPlace(f *flight, r *itinerary) (place, error) {
-	r.query.ExcludeServers = append(r.query.ExcludeServers[:0], r.tried...)
+	r.query.ExcludeServers = append(r.query.ExcludeServers[:0], f.tried...)
 	for {
 		choice, err := p.Placer.Choose(&r.query, f.rnd)
 		if err != nil {
@@ -124,16 +111,6 @@
 	return nil
 }
 
-// movedError says that the chosen server may not be used any more, while
-// another one may.
-type movedError struct {
-	Err error
-}
-
-func (e *movedError) Error() string { return "placement is out of date: " + e.Err.Error() }
-
-func (e *movedError) Unwrap() error { return e.Err }
-
 var errPermitLapsed = errors.New("the right to start work there has lapsed")
 
 func checkVersion(doc *configuration.Document, customer, model, version string) error {
--- a/internal/relay/pipeline/plain.go
+++ b/internal/relay/pipeline/plain.go
@@ -102,20 +102,19 @@
 	r := p.newItinerary(c.Service, c.Service, "", nil)
 	bill := ledger.Bill{ID: f.request.ID, Keyed: f.request.Keyed, Customer: f.request.Customer, Service: c.Service, OpenedAt: p.Clock.Now(), Steps: 1}
 	p.Budget.Deposit()
-	for {
-		answer, err := p.attemptPlain(ctx, f, c, r)
-		if err != nil && p.mayRetry(f, err) {
-			continue
-		}
-		bill.Attempts = f.attempts
-		if f.state == call.Ran {
-			p.closeBill(ctx, bill)
-		}
-		if err != nil {
-			return nil, refuseAttempt(f, err, false)
-		}
-		return &PlainAnswer{RequestID: f.request.ID, Status: answer.Status, Header: headerList(answer.Header), Body: answer.Body}, nil
+	var answer attempt.PlainAnswer
+	err := f.run(ctx, door{p, func(ctx context.Context) (err error) {
+		answer, err = p.attemptPlain(ctx, f, c, r)
+		return err
+	}})
+	bill.Attempts = f.attempts
+	if f.state == call.Ran {
+		p.closeBill(ctx, bill)
+	}
+	if err != nil {
+		return nil, f.refuse(err, false, retryAfter)
 	}
+	return &PlainAnswer{RequestID: f.request.ID, Status: answer.Status, Header: headerList(answer.Header), Body: answer.Body}, nil
 }
 
 func (p *Pipeline) attemptPlain(ctx context.Context, f *flight, c *Plain, r *itinerary) (attempt.PlainAnswer, error) {
@@ -123,7 +122,6 @@
 	if err != nil {
 		return attempt.PlainAnswer{}, err
 	}
-	f.attempts++
 	id := uuid.NewString()
 	answer, err := p.Attempts.Plain(ctx, attempt.Target{Server: at.server.Name, Address: at.server.Address, DataCentre: at.server.DataCentre}, attempt.Plain{
 		AttemptID: id, RequestID: f.request.ID, Customer: f.request.Customer, Method: c.Method, Path: c.Path, Query: c.Query,
--- a/internal/relay/pipeline/step.go
+++ b/internal/relay/pipeline/step.go
@@ -10,7 +10,6 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/ledger"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
-	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/release/rollout"
 )
 
@@ -31,12 +30,13 @@
 		return nil
 	}
 	p.Budget.Deposit()
-	for {
-		answer, err := p.runAttempt(ctx, f, r, delivered, counted)
-		if err == nil || !p.mayRetry(f.flight, err) {
-			return answer, err
-		}
-	}
+	var answer attempt.Answer
+	f.tried, f.tries = nil, 0 // a step may go where the one before failed
+	err := f.run(ctx, door{p, func(ctx context.Context) (err error) {
+		answer, err = p.runAttempt(ctx, f, r, delivered, counted)
+		return err
+	}})
+	return answer, err
 }
 
 // minWhole is the least time that an attempt gets for a whole answer.
@@ -49,7 +49,6 @@
 		return attempt.Answer{}, err
 	}
 	id := uuid.NewString()
-	f.attempts++
 	answer, err := p.Attempts.Chat(ctx, attempt.Target{Server: at.server.Name, Address: at.server.Address, DataCentre: at.server.DataCentre}, attempt.Chat{
 		AttemptID: id, RequestID: f.request.ID, Customer: f.request.Customer, Model: r.query.Model, Version: r.query.Version,
 		Body: f.request.Body, Stream: f.request.Stream, ResumeFrom: delivered, Priority: f.request.Priority,
@@ -80,16 +79,12 @@
 // resolve records how an attempt ended and moves the request's run state.
 func (p *Pipeline) resolve(f *flight, r *itinerary, at place, id string, err error) {
 	outcome := "answered"
-	state := call.Ran
 	var e *attempt.Error
 	if errors.As(err, &e) {
-		outcome, state = e.Error(), e.State
+		outcome = e.Error()
 		r.failed(at.server)
-		if e.Kind == attempt.NotStarted {
-			f.attempts--
-		}
 	}
-	f.state = max(f.state, state)
+	f.settle(at.server.Name, err)
 	p.note(f, r, id, outcome, at)
 }
 
