Bill what is delivered: running counts that readers write

No bills were written on the platform's path. Each run of an instance now keeps a running count by customer, service and model; its reader keeps a copy, second by second, and writes the counts of its group every 10 s over the revision it knows; a stopping instance writes its own.

--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -21,9 +21,14 @@
 	}
 	now := f.clock.Now()
 	changes := make([]Change, 0, len(b.Items))
+	shared := b.Items[:0:0]
 	for _, item := range b.Items {
-		changes = append(changes, f.decode(item))
+		c := f.decode(item)
+		if _, aside := c.Subject.(Aside); !aside {
+			changes, shared = append(changes, c), append(shared, item)
+		}
 	}
+	b.Items = shared
 	changed := f.directory.Expire(now)
 	if b.Whole {
 		f.replace(changes, b.Revision, now)
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -59,6 +59,8 @@
 		PeerAddress string
 		Ended       bool
 	}
+	// Aside is an entry that belongs to no view. Feeds leave it out.
+	Aside struct{}
 	// Driver names the instance that decides on roll-outs.
 	Driver struct {
 		Instance string
--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -66,6 +66,7 @@
 // Ended implements pipeline.Forwarding.
 func (g *Gateway) Ended(e pipeline.Ended) {
 	outcome := "Answered"
+	g.bills.count(e)
 	if e.Refusal != nil {
 		outcome = string(e.Refusal.Reason) + " " + e.Refusal.State.String()
 	}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 
+	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
@@ -41,6 +42,10 @@
 	// Record writes a stage if its record is at the known revision and the
 	// driver's entry is at its own, and tells the operator.
 	Record(ctx context.Context, s follower.Stage, driver follower.Driver) (bool, error)
+	// Bill writes running counts over those that are known to be written. It
+	// reports whether all of them still were as known, and if so wrote all,
+	// else none; the marks are what it learnt.
+	Bill(ctx context.Context, due []tally.Tally, written map[string]tally.Mark) (marks map[string]tally.Mark, done bool, err error)
 }
 
 // Codec translates headers.
@@ -94,6 +99,7 @@
 	member     *membership
 	peers      *peers
 	feeds      *feeds
+	bills      *bills
 	// run tells this run of the instance from others.
 	run int64
 
@@ -156,6 +162,7 @@
 	g.member = &membership{gateway: g}
 	g.peers = &peers{gateway: g}
 	g.run = p.Clock.Now().UnixNano()
+	g.bills = &bills{gateway: g, counter: tally.NewCounter(s.Instance, g.run), copies: tally.NewCopies(), written: map[string]tally.Mark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.carrier, p.Codec, p.Codec, pipeline.WithForwardClock(p.Clock), pipeline.WithForwardLogger(p.Log))
 	return g
 }
@@ -206,6 +213,7 @@
 	group.Go(func() { g.member.run(work) })
 	group.Go(func() { g.releases.run(work) })
 	group.Go(func() { g.peers.run(work) })
+	group.Go(func() { g.bills.run(work) })
 	group.Go(g.peers.receive)
 	if g.MetricsAddress != "" {
 		metrics := &http.Server{Addr: g.MetricsAddress, Handler: expvar.Handler(), ReadHeaderTimeout: time.Second}
@@ -226,6 +234,7 @@
 	g.peers.conn.Close()
 	g.member.leave()
 	group.Wait()
+	g.bills.settle()
 	g.Log.Info("Stopped", zap.Int64("CutOff", g.inFlight.Load()))
 	return nil
 }
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -11,8 +12,12 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 )
 
@@ -252,3 +257,56 @@
 	clock.Advance(readerPenalty)
 	is.True(g.feeds.choose() != nil)
 }
+
+// billStore is a store in which another instance has written before.
+type billStore struct {
+	Store
+	marks map[string]tally.Mark
+	total map[string]int64
+}
+
+func (b *billStore) Bill(_ context.Context, due []tally.Tally, written map[string]tally.Mark) (map[string]tally.Mark, bool, error) {
+	for _, t := range due {
+		if written[t.Name()].Revision != b.marks[t.Name()].Revision {
+			return maps.Clone(b.marks), false, nil
+		}
+	}
+	for _, t := range due {
+		b.marks[t.Name()] = tally.Mark{Sequence: t.Sequence, Revision: b.marks[t.Name()].Revision + 1}
+		b.total[t.Name()] = t.Sequence
+	}
+	return maps.Clone(b.marks), true, nil
+}
+
+// A reader writes what instances that are gone had counted, unless another
+// reader was quicker; a stopping instance writes its own count whatever its
+// reader wrote before.
+func TestBillsOutlastTheirInstances(t *testing.T) {
+	is := is.New(t)
+	g := testGateway(clockwork.NewFakeClock())
+	store := &billStore{marks: map[string]tally.Mark{"gone/7": {Sequence: 1, Revision: 3}}, total: map[string]int64{}}
+	g.Store = store
+	gone := tally.NewCounter("gone", 7)
+	for range 3 {
+		gone.Add(tally.Line{Customer: "c"}, 1, 1)
+	}
+	part := gone.Tally()
+	g.peers.take(&message{From: "gone", Tally: &part})
+	due := func() []tally.Tally {
+		return g.bills.copies.Due(g.bills.counter.Tally(), g.bills.written, billsPerWrite)
+	}
+	is.True(!g.bills.write(t.Context(), due())) // the older count of another reader is in the way
+	is.True(g.bills.write(t.Context(), due()))
+	is.Equal(store.total, map[string]int64{"gone/7": 3})
+	is.Equal(len(due()), 0)
+
+	own := g.bills.counter.Tally()
+	store.marks[own.Name()] = tally.Mark{Sequence: 1, Revision: 9}
+	r := route.Route{Name: "r"}
+	g.Ended(pipeline.Ended{Route: &r, Customer: "c"})
+	g.Ended(pipeline.Ended{Route: &r, Customer: "c", Failed: true})
+	g.Ended(pipeline.Ended{Route: &r, Customer: "c", Refusal: &call.Refusal{Reason: call.ReasonNoServer}})
+	g.Ended(pipeline.Ended{Route: &r, Customer: "c"})
+	g.bills.settle()
+	is.Equal(store.total[own.Name()], int64(2))
+}
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -40,6 +41,8 @@
 	// Total that of the whole fleet.
 	Group dispatch.Pending `json:",omitzero"`
 	Total dispatch.Pending `json:",omitzero"`
+	// Tally is the sender's running count of what it bills.
+	Tally *tally.Tally `json:",omitzero"`
 	// Evidence is the sender's on one roll-out.
 	Evidence *evidenceMessage `json:",omitzero"`
 	// Sessions are those of a roll-out's trial that ran at the sender.
@@ -117,6 +120,9 @@
 	if m.Evidence != nil {
 		g.releases.merge(m.From, *m.Evidence)
 	}
+	if m.Tally != nil {
+		g.bills.copies.Take(*m.Tally)
+	}
 	for _, s := range m.Sessions {
 		g.releases.seen(s)
 	}
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -122,7 +122,15 @@
 
 // Ended is how one call ended.
 type Ended struct {
-	Route *route.Route
+	Route    *route.Route
+	Service  string
+	Customer string
+	Model    string
+	// Read is the prompt's tokens, Parts the events that were delivered.
+	Read  int
+	Parts int
+	// Failed says that the answer is a server's own failure.
+	Failed bool
 	// Refusal is nil if the answer was delivered.
 	Refusal *call.Refusal
 	Elapsed time.Duration
@@ -189,6 +197,8 @@
 	// head of the answer.
 	last  int
 	begun bool
+	// failed says that the answer delivered is a server's own failure.
+	failed bool
 	// eventAt is when the last event was delivered, longestPause the longest
 	// time between two.
 	eventAt      time.Time
@@ -246,6 +256,7 @@
 	if p.begun || reply.Body == nil && p.last > p.call.ResumeFrom {
 		return nil
 	}
+	p.failed = reply.Status >= http.StatusBadRequest
 	if err := p.out.Whole(reply); err != nil {
 		return &call.Refusal{Reason: call.ReasonCallerGone, State: p.state, Detail: err.Error()}
 	}
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -264,7 +264,10 @@
 		zap.Int64("TableVersion", p.fleet.Table().Version), zap.Duration("Elapsed", p.clock.Since(p.call.Arrived)), zap.Int("LastEvent", p.last),
 		zap.Duration("LongestPause", p.longestPause),
 	}
-	ended := Ended{Route: p.call.Route, Elapsed: p.clock.Since(p.call.Arrived), First: p.firstAfter, LongestPause: p.longestPause}
+	ended := Ended{
+		Route: p.call.Route, Service: p.service, Customer: p.call.Customer, Model: p.model, Read: p.call.Read,
+		Parts: p.last - p.call.ResumeFrom, Failed: p.failed, Elapsed: p.clock.Since(p.call.Arrived), First: p.firstAfter, LongestPause: p.longestPause,
+	}
 	if !errors.As(err, &ended.Refusal) {
 		ended.Refusal = nil
 	}
