--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -252,30 +252,6 @@
 	}
 }
 
-// callersShare is the part of the descriptors that callers' connections may
-// take; the rest is for servers, the store and other instances.
-const callersShare = 0.5
-
-func (g *Gateway) callersLimit() int {
-	return max(1, int(callersShare*float64(g.Settings.Descriptors)))
-}
-
-// Limits on callers' connections. The routing table states its own; these are
-// the least strict ones that instances hold to whatever it says.
-const (
-	callersHeaderBytes   = 16 << 10
-	callersHeaderTimeout = 3 * time.Second
-	callersIdleTimeout   = 60 * time.Second
-)
-
-func (g *Gateway) callersServer() *http.Server {
-	return &http.Server{
-		Handler: g.Callers(g, g.forwarder), ConnContext: g.ConnContext, MaxHeaderBytes: callersHeaderBytes,
-		ReadHeaderTimeout: callersHeaderTimeout, IdleTimeout: callersIdleTimeout,
-		ErrorLog: zap.NewStdLog(g.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
-}
-
 func (g *Gateway) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+g.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -52,6 +52,7 @@
 	mu   sync.Mutex
 	how  Behaviour
 	runs []Run
+	left []string
 }
 
 // NewServer starts a backend server on a loopback port.
@@ -83,6 +84,20 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Left returns the IDs of the requests that were given up before their answer
+// ended.
+func (s *Server) Left() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.left...)
+}
+
+func (s *Server) leave(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = append(s.left, r.Header.Get("X-Request-Id"))
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -113,6 +128,7 @@
 		panic(http.ErrAbortHandler)
 	case how == Hangs:
 		<-r.Context().Done()
+		s.leave(r)
 		return
 	}
 	h.Set("X-Server-Seal", "seal-of-"+s.ID)
@@ -147,11 +163,17 @@
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: part %d\n\n", number, number); err != nil {
-			return // the caller is gone
+			s.leave(r)
+			return
 		}
 		if f, ok := w.(http.Flusher); ok {
 			f.Flush()
 		}
-		time.Sleep(s.EventPause)
+		select {
+		case <-r.Context().Done():
+			s.leave(r)
+			return
+		case <-time.After(s.EventPause):
+		}
 	}
 }
