--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -27,7 +25,7 @@
 }
 
 // Predict implements pipeline.Forwarding.
-func (g *Gateway) Predict(ask pipeline.Ask) (time.Duration, error) {
+func (g *Gateway) Predict(ask pipeline.Ask) (dispatch.Forecast, error) {
 	return g.dispatcher.Predict(g.follower.View.Servers.Get(), g.query(ask), g.Clock.Now())
 }
 
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -82,8 +82,8 @@
 	IsConfirmed() bool
 	// Place chooses a server and enters the attempt into the account.
 	Place(ask Ask) (*dispatch.Work, error)
-	// Predict returns the wait at the best server.
-	Predict(ask Ask) (time.Duration, error)
+	// Predict returns what an attempt would meet.
+	Predict(ask Ask) (dispatch.Forecast, error)
 	// Check reports whether the server may still take the request.
 	Check(w *dispatch.Work, ask Ask) bool
 	// Request notes a request of a service, Repeat asks for another attempt.
@@ -316,8 +316,9 @@
 				m.Cost = known.Cost
 			}
 		}
-		wait, err := p.fleet.Predict(p.ask(name, size))
-		m.Wait, m.Blocked = wait, err != nil
+		forecast, err := p.fleet.Predict(p.ask(name, size))
+		m.Wait, m.Work, m.Blocked = forecast.Wait, forecast.Work, err != nil
+		p.query.Crowding = max(p.query.Crowding, forecast.Crowding)
 		m.Opinion = p.calibration.Of(r.Name, size, len(r.Models))
 		p.query.Models = append(p.query.Models, m)
 	}
--- a/internal/relay/pipeline/forward_silence.go
+++ b/internal/relay/pipeline/forward_silence.go
@@ -56,9 +56,9 @@
 // attempt would make another server read them too; so a server that can be
 // reached gets more time, unless the wait elsewhere is short against it.
 func (p *silencePolicy) isLost(ctx context.Context, silence attempt.Silence) bool {
-	wait, err := p.fleet.Predict(p.elsewhere)
+	forecast, err := p.fleet.Predict(p.elsewhere)
 	if err != nil {
 		return false
 	}
-	return silence.For > silence.Limit*3/2 && lostFactor*wait < silence.For || !p.carrier.Reachable(ctx, p.address, connectLimit)
+	return silence.For > silence.Limit*3/2 && lostFactor*forecast.Wait < silence.For || !p.carrier.Reachable(ctx, p.address, connectLimit)
 }
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -40,7 +40,7 @@
 	return f.dispatcher.Place(f.listing, f.query(ask), f.clock.Now())
 }
 
-func (f *fakeFleet) Predict(ask Ask) (time.Duration, error) {
+func (f *fakeFleet) Predict(ask Ask) (dispatch.Forecast, error) {
 	return f.dispatcher.Predict(f.listing, f.query(ask), f.clock.Now())
 }
 func (f *fakeFleet) Check(w *dispatch.Work, _ Ask) bool { return !f.left[w.Server.ID] }
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -149,6 +149,10 @@
 	work   time.Duration
 	held   int
 	rank   time.Duration
+	// backlog is the work that waits there, crowding its average over all
+	// candidates.
+	backlog  time.Duration
+	crowding time.Duration
 }
 
 // Place chooses a server and enters the attempt into the account. The error is
@@ -176,13 +180,23 @@
 	return w, nil
 }
 
-// Predict returns the predicted time to the first part of the answer at the
-// best server, without placing anything.
-func (d *Dispatcher) Predict(l *backend.Listing, q *Query, now time.Time) (time.Duration, error) {
+// Forecast is what an attempt would meet.
+type Forecast struct {
+	// Wait is the predicted time to the first part of the answer at the best
+	// server, Work the time that the server would read the prompt for.
+	Wait time.Duration
+	Work time.Duration
+	// Crowding is how much work waits at a server, on average over those that
+	// may take the attempt.
+	Crowding time.Duration
+}
+
+// Predict returns what an attempt would meet, without placing anything.
+func (d *Dispatcher) Predict(l *backend.Listing, q *Query, now time.Time) (Forecast, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	best, err := d.choose(l, q, now)
-	return best.wait, err
+	return Forecast{Wait: best.wait, Work: best.work, Crowding: best.crowding}, err
 }
 
 func (d *Dispatcher) choose(l *backend.Listing, q *Query, now time.Time) (candidate, error) {
@@ -194,11 +208,14 @@
 	none.Listed = len(list)
 	home := homeOf(list, q)
 	var best candidate
+	crowding, candidates := time.Duration(0), time.Duration(0)
 	for _, s := range list {
 		if !d.eligible(s, q, now, none) {
 			continue
 		}
 		c := d.rate(s, q, s.ID == home, now)
+		crowding += c.backlog
+		candidates++
 		if best.server == nil || c.rank < best.rank {
 			best = c
 		}
@@ -206,6 +223,7 @@
 	if best.server == nil {
 		return candidate{}, none
 	}
+	best.crowding = crowding / candidates
 	return best, nil
 }
 
@@ -251,16 +269,16 @@
 		}
 		c.work = d.pace.work(q.Model, q.Size, c.held, tokens(q.Parts)-c.held)
 	}
-	backlog := a.pending + d.elsewhere(s.ID, a, now)
+	c.backlog = a.pending + d.elsewhere(s.ID, a, now)
 	if q.Model == "" {
 		// Calls of plain services run side by side.
-		backlog /= time.Duration(max(1, s.Slots))
+		c.backlog /= time.Duration(max(1, s.Slots))
 	}
 	distance := d.settings.Near
 	if s.DataCentre != d.settings.DataCentre {
 		distance = d.settings.Far
 	}
-	c.wait = distance + time.Duration(a.slowness.factor()*float64(backlog+c.work))
+	c.wait = distance + time.Duration(a.slowness.factor()*float64(c.backlog+c.work))
 	if q.Model != "" {
 		c.wait = max(c.wait, a.oldest(now))
 	}
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -145,9 +145,9 @@
 	is.Equal(w.Server.ID, "s00")
 	w.Done(Neutral, epoch)
 	later := epoch.Add(peerFresh)
-	wait, err := d.Predict(l, query(), later)
+	forecast, err := d.Predict(l, query(), later)
 	is.NoErr(err)
-	is.True(wait < 100*time.Millisecond) // an old word is forgotten
+	is.True(forecast.Wait < 100*time.Millisecond) // an old word is forgotten
 }
 
 // Requests with the same shared part go to one server, chosen alike by all
@@ -257,7 +257,7 @@
 	d, l := New(testSettings("a")), listing(1, nil)
 	_, err := d.Place(l, query(), epoch)
 	is.NoErr(err)
-	wait, err := d.Predict(l, query(), epoch.Add(1500*time.Millisecond))
+	forecast, err := d.Predict(l, query(), epoch.Add(1500*time.Millisecond))
 	is.NoErr(err)
-	is.True(wait >= 1500*time.Millisecond)
+	is.True(forecast.Wait >= 1500*time.Millisecond)
 }
--- a/internal/routing/sizing/sizing.go
+++ b/internal/routing/sizing/sizing.go
@@ -18,6 +18,8 @@
 	Cost float64
 	// Wait is the predicted time to the first part of the model's answer.
 	Wait time.Duration
+	// Work is the time that a server would read the prompt for.
+	Work time.Duration
 	// Blocked says that no server can take the request for this model now.
 	Blocked bool
 	Opinion Opinion
@@ -32,6 +34,8 @@
 	Generated int
 	// Left is the time to the first part within which the answer is on time.
 	Left time.Duration
+	// Crowding is how much work waits at a server, on average.
+	Crowding time.Duration
 	// Steps is how many further attempts there may be.
 	Steps int
 }
@@ -51,9 +55,14 @@
 // Worth returns what a good answer to the request is worth.
 func (q *Query) Worth() float64 { return worthBase + worthPerRead*float64(q.Read) }
 
-// price returns what running a model costs.
+// crowdPrice is the worth that a second of a server's time has for others, for
+// each second of work that waits there.
+const crowdPrice = 30
+
+// price returns what running a model costs, the delay of others included.
 func (q *Query) price(size int) float64 {
-	return q.Models[size].Cost * (float64(q.Generated) + float64(q.Read)/4) / 1000
+	m := q.Models[size]
+	return m.Cost*(float64(q.Generated)+float64(q.Read)/4)/1000 + crowdPrice*q.Crowding.Seconds()*m.Work.Seconds()
 }
 
 const (
