--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -197,6 +197,9 @@
 	// head of the answer.
 	last  int
 	begun bool
+	// confidence is the model's opinion of the answer delivered, -1 if it has
+	// not said.
+	confidence int
 	// failed says that the answer delivered is a server's own failure.
 	failed bool
 	// eventAt is when the last event was delivered, longestPause the longest
@@ -219,7 +222,7 @@
 // not delivered as whole; the error holds a *call.Refusal.
 func (f *Forwarder) Run(ctx context.Context, c *Forward, out ForwardOutput) error {
 	p := &forwardFlight{
-		Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model,
+		Forwarder: f, call: c, out: out, last: c.ResumeFrom, model: c.Model, confidence: -1,
 		course: course{now: f.clock.Now, deadline: c.Deadline, idempotent: c.Route.Idempotent(), maxAttempts: c.Route.MaxAttempts},
 	}
 	p.service = c.Route.Target(c.position())
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -262,7 +262,7 @@
 		zap.String("RequestId", p.call.ID), zap.String("Route", p.call.Route.Name), zap.String("Customer", p.call.Customer),
 		zap.String("Model", p.model), zap.Int("Attempts", p.attempts), zap.Int("Tries", p.tries), zap.String("RunState", p.state.String()),
 		zap.Int64("TableVersion", p.fleet.Table().Version), zap.Duration("Elapsed", p.clock.Since(p.call.Arrived)), zap.Int("LastEvent", p.last),
-		zap.Duration("LongestPause", p.longestPause),
+		zap.Duration("LongestPause", p.longestPause), zap.Int("Confidence", p.confidence),
 	}
 	ended := Ended{
 		Route: p.call.Route, Service: p.service, Customer: p.call.Customer, Model: p.model, Read: p.call.Read,
@@ -293,7 +293,7 @@
 	if err := s.decide(h); err != nil {
 		return err
 	}
-	s.head = h
+	s.head, s.confidence = h, h.Remark.Confidence
 	return nil
 }
 
