Ages of beliefs and waiting times as metrics; lines of successes are left out first

The budget of log lines treated all lines alike: under load, a failure was as likely to be left out as an answer that went well. Successes leave half of the burst to the others now; the test fails without.

--- a/internal/console/logline/logline.go
+++ b/internal/console/logline/logline.go
@@ -24,8 +24,14 @@
 	// errors always pass.
 	perSecond = 400
 	burst     = 2000
+	// minorReserve is the part of the burst that minor events leave to others.
+	minorReserve = 0.5
 )
 
+// minor are the events that are left out first: those of requests that went
+// well.
+var minor = map[string]bool{"RequestAnswered": true, "AttemptAnswered": true}
+
 // New returns a logger that writes to w.
 func New(w io.Writer, level string) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
@@ -58,13 +64,21 @@
 	if !b.Enabled(e.Level) {
 		return ce
 	}
-	if e.Level < zapcore.WarnLevel && !b.limit.AllowN(time.Now(), 1) {
+	if e.Level < zapcore.WarnLevel && !b.allows(e.Message) {
 		dropped.Add(e.Message, 1)
 		return ce
 	}
 	return ce.AddCore(e, b)
 }
 
+func (b *budgeted) allows(event string) bool {
+	now := time.Now()
+	if minor[event] && b.limit.TokensAt(now) < minorReserve*float64(b.limit.Burst()) {
+		return false
+	}
+	return b.limit.AllowN(now, 1)
+}
+
 // queue hands lines to a writer of its own.
 type queue struct {
 	lines   chan []byte
--- a/internal/console/logline/logline_test.go
+++ b/internal/console/logline/logline_test.go
@@ -92,3 +92,21 @@
 		})
 	}
 }
+
+// Under load, the lines of requests that went well are left out first.
+func TestFailuresGoBeforeSuccesses(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := New(&out, "info")
+	for range 2 * burst {
+		log.Info("RequestAnswered")
+	}
+	for range burst / 4 {
+		log.Info("RequestEnded")
+		log.Info("AttemptFailed")
+	}
+	is.NoErr(log.Sync())
+	is.Equal(strings.Count(out.String(), "RequestEnded"), burst/4)
+	is.Equal(strings.Count(out.String(), "AttemptFailed"), burst/4)
+	is.True(strings.Count(out.String(), "RequestAnswered") >= burst/2)
+}
--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -72,3 +72,11 @@
 	defer f.mu.Unlock()
 	return f.boot.Elapsed() - f.confirmedAt, f.confirmed
 }
+
+// Contact returns how long ago the store, or an instance in contact with it, was
+// last heard. It reports false if it never was.
+func (f *Follower) Contact() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Since(f.contactAt), f.revision >= 0
+}
--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -70,6 +70,9 @@
 	}
 	outcomes.Add(e.Route.Kind.String()+" "+outcome, 1)
 	latencies.observe(e.Route.Kind.String()+" Whole", e.Elapsed)
+	if e.Waited > 0 {
+		latencies.observe(e.Route.Kind.String()+" Waiting", e.Waited)
+	}
 	if e.First > 0 {
 		latencies.observe(e.Route.Kind.String()+" First", e.First)
 	}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -116,6 +116,8 @@
 	mu         sync.Mutex
 	allowances map[string]*allowance.Allowance
 	changed    chan struct{}
+	// tableSince is when the table in force was taken in.
+	tableSince time.Time
 }
 
 const (
@@ -215,6 +217,7 @@
 	group.Go(func() { g.peers.run(work) })
 	group.Go(func() { g.bills.run(work) })
 	group.Go(g.peers.receive)
+	g.publishAges()
 	if g.MetricsAddress != "" {
 		metrics := &http.Server{Addr: g.MetricsAddress, Handler: expvar.Handler(), ReadHeaderTimeout: time.Second}
 		go g.serveMetrics(metrics)
@@ -283,6 +286,8 @@
 	defer endServers()
 	fleet, endFleet := g.follower.View.Fleet.Subscribe()
 	defer endFleet()
+	table, endTable := g.follower.View.Table.Subscribe()
+	defer endTable()
 	for {
 		select {
 		case <-ctx.Done():
@@ -290,6 +295,11 @@
 		case <-servers:
 			g.dispatcher.Forget(g.follower.View.Servers.Get())
 		case <-fleet:
+		case <-table:
+			g.mu.Lock()
+			g.tableSince = g.Clock.Now()
+			g.mu.Unlock()
+			continue
 		}
 		g.mu.Lock()
 		close(g.changed)
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -14,8 +14,32 @@
 	// latencies holds histograms by kind: to the whole answer, to the first
 	// event, and of the longest pause between events.
 	latencies = newHistograms("Latency")
+	// ages holds how old this instance's beliefs are, in milliseconds.
+	ages = expvar.NewMap("Ages")
 )
 
+// publishAges shows the ages of a gateway's beliefs; -1 is what it has not yet.
+func (g *Gateway) publishAges() {
+	gauge := func(name string, age func() (time.Duration, bool)) {
+		ages.Set(name, expvar.Func(func() any {
+			if d, ok := age(); ok {
+				return d.Milliseconds()
+			}
+			return -1
+		}))
+	}
+	gauge("Confirmation", g.follower.Confirmed)
+	gauge("StoreContact", g.follower.Contact)
+	gauge("Table", func() (time.Duration, bool) { return g.Clock.Since(g.tableAt()), g.Table() != nil })
+}
+
+// tableAt is when the table in force was taken in.
+func (g *Gateway) tableAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tableSince
+}
+
 // Range and precision of the histograms, in microseconds.
 const (
 	leastLatency    = 1
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -134,6 +134,8 @@
 	// Refusal is nil if the answer was delivered.
 	Refusal *call.Refusal
 	Elapsed time.Duration
+	// Waited is the time to the first attempt, 0 if there was none.
+	Waited time.Duration
 	// First is the time to the first event, LongestPause that between two.
 	First        time.Duration
 	LongestPause time.Duration
@@ -206,6 +208,7 @@
 	// time between two.
 	eventAt      time.Time
 	firstAfter   time.Duration
+	waited       time.Duration
 	longestPause time.Duration
 	// prepaid says that the next attempt's repeat was taken already.
 	prepaid atomic.Bool
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -77,6 +77,9 @@
 func (p *forwardFlight) send(ctx context.Context, w *dispatch.Work) (attempt.Reply, error) {
 	r := p.call.Route
 	began := p.clock.Now()
+	if p.tries == 0 {
+		p.waited = began.Sub(p.call.Arrived)
+	}
 	sink := &forwardSink{forwardFlight: p, work: w, began: began}
 	silence := p.newSilencePolicy(w)
 	stamp := Stamp{
@@ -266,7 +269,7 @@
 	}
 	ended := Ended{
 		Route: p.call.Route, Service: p.service, Customer: p.call.Customer, Model: p.model, Read: p.call.Read,
-		Parts: p.last - p.call.ResumeFrom, Failed: p.failed, Elapsed: p.clock.Since(p.call.Arrived), First: p.firstAfter, LongestPause: p.longestPause,
+		Parts: p.last - p.call.ResumeFrom, Failed: p.failed, Waited: p.waited, Elapsed: p.clock.Since(p.call.Arrived), First: p.firstAfter, LongestPause: p.longestPause,
 	}
 	if !errors.As(err, &ended.Refusal) {
 		ended.Refusal = nil
