Count others' work once when an instance changes its reader

Cause: an instance kept the sums of every reader that it had lately, and of single instances that it had read for, for two seconds, and added them up.

Change: the last total holds instead of those before it and of older single words; a word holds for one second instead of two.

--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -70,9 +70,8 @@
 	// shareEvery is how often an instance tells its pending work: often
 	// against the second or two that a long prompt takes.
 	shareEvery = 250 * time.Millisecond
-	// groupPrefix and totalPrefix tell sums from a single instance's word.
+	// groupPrefix tells sums from a single instance's word.
 	groupPrefix = "group/"
-	totalPrefix = "total/"
 )
 
 var peerMessages = expvar.NewMap("PeerMessages")
@@ -115,7 +114,7 @@
 		p.mu.Lock()
 		others := m.Total.Without(p.told)
 		p.mu.Unlock()
-		g.dispatcher.Peer(totalPrefix+m.From, m.Run, m.Sequence, others, now)
+		g.dispatcher.Total(m.From, m.Run, m.Sequence, others, now)
 	}
 	if m.Evidence != nil {
 		g.releases.merge(m.From, *m.Evidence)
@@ -203,10 +202,9 @@
 	g := p.gateway
 	var members, groups []string
 	for _, name := range g.dispatcher.Peers(g.Clock.Now()) {
-		switch {
-		case strings.HasPrefix(name, groupPrefix):
+		if strings.HasPrefix(name, groupPrefix) {
 			groups = append(groups, name)
-		case !strings.HasPrefix(name, totalPrefix):
+		} else {
 			members = append(members, name)
 		}
 	}
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -98,7 +98,12 @@
 	mu      sync.Mutex
 	servers map[string]*account
 	cache   *cache
+	// peers holds single sources' words of their work, peersAt is when the last
+	// one came. total is the sum that one source, totalOf, told.
 	peers   map[string]*peer
+	peersAt time.Time
+	total   *peer
+	totalOf string
 	pace    paces
 	average time.Duration
 }
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -282,3 +282,35 @@
 	is.True(counts["johar"] >= 6)
 	is.True(counts["gulberg"] >= counts["johar"])
 }
+
+// An instance that changes its reader, or becomes one, counts the others' work
+// once. (Csatornakep grown, trouble-1: while the store turned readers away, work
+// was counted two and three times, engines looked crowded, and small models
+// answered what large ones had time for.)
+func TestOthersWorkCountsOnce(t *testing.T) {
+	is := is.New(t)
+	d, l := New(testSettings("a")), listing(1, nil)
+	at := epoch
+	crowding := func() time.Duration {
+		f, err := d.Predict(l, query(), at)
+		is.NoErr(err)
+		return f.Crowding
+	}
+	work := Pending{"s00": 300}
+	d.Total("reader-1", 1, 1, work, at)
+	is.Equal(crowding(), 300*time.Millisecond)
+	at = at.Add(100 * time.Millisecond)
+	d.Total("reader-2", 1, 1, work, at) // the other reader adds up the same
+	is.Equal(crowding(), 300*time.Millisecond)
+	at = at.Add(100 * time.Millisecond)
+	d.Peer("member", 1, 1, Pending{"s00": 100}, at) // now a reader itself
+	d.Peer("group/reader-2", 1, 1, Pending{"s00": 200}, at)
+	is.Equal(crowding(), 300*time.Millisecond)
+	at = at.Add(100 * time.Millisecond)
+	d.Total("reader-1", 1, 1, work, at) // and a member again, of a reader that it knows
+	is.Equal(crowding(), 300*time.Millisecond)
+	d.Total("reader-1", 1, 1, Pending{}, at) // overtaken
+	is.Equal(crowding(), 300*time.Millisecond)
+	at = at.Add(peerFresh)
+	is.Equal(crowding(), time.Duration(0))
+}
--- a/internal/routing/dispatch/peers.go
+++ b/internal/routing/dispatch/peers.go
@@ -35,9 +35,10 @@
 	pending  Pending
 }
 
-// peerFresh is how long another instance's word holds: a few of the intervals
-// at which it is renewed.
-const peerFresh = 2 * time.Second
+// peerFresh is how long another instance's word holds: four of the intervals at
+// which it is renewed. Longer, and the work of instances that are gone, or that
+// tell another reader now, counts for too long.
+const peerFresh = time.Second
 
 // Pending returns this instance's work at each server.
 func (d *Dispatcher) Pending() Pending {
@@ -57,11 +58,25 @@
 func (d *Dispatcher) Peer(name string, run, sequence int64, pending Pending, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.peers[name]
-	if p != nil && (run < p.run || run == p.run && sequence <= p.sequence) {
-		return
+	if p := d.peers[name]; p.isOvertakenBy(run, sequence) {
+		d.peers[name] = &peer{run, sequence, now, pending}
+		d.peersAt = now
 	}
-	d.peers[name] = &peer{run, sequence, now, pending}
+}
+
+// Total takes in the word of a source that has added up all others' work. The
+// last one takes the place of those before it, and of single sources' words that
+// are older: instances change the source that they belong to.
+func (d *Dispatcher) Total(name string, run, sequence int64, pending Pending, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.totalOf != name || d.total.isOvertakenBy(run, sequence) {
+		d.totalOf, d.total = name, &peer{run, sequence, now, pending}
+	}
+}
+
+func (p *peer) isOvertakenBy(run, sequence int64) bool {
+	return p == nil || run > p.run || run == p.run && sequence > p.sequence
 }
 
 // Peers returns the names of the sources whose word still holds.
@@ -96,6 +111,9 @@
 // elsewhere is the work of the other instances that waits at a server: their
 // own word, or what the server itself stated if none is known.
 func (d *Dispatcher) elsewhere(server string, a *account, now time.Time) time.Duration {
+	if t := d.total; t != nil && t.at.After(d.peersAt) && now.Sub(t.at) < peerFresh {
+		return time.Duration(t.pending[server]) * time.Millisecond
+	}
 	d.forgetPeers(now)
 	if len(d.peers) == 0 {
 		return time.Duration(a.decayed(now) * float64(d.average) * othersWeight)
