--- /dev/null
+++ b/cmd/kingcupyard/bills.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
+	"github.com/kingcupyard/kingcupyard/internal/console/operator"
+	"github.com/kingcupyard/kingcupyard/platform"
+)
+
+// billsCommand adds up what the instances on the users' platform have billed.
+type billsCommand struct {
+	access
+	store string
+}
+
+func (*billsCommand) Name() string { return "bills" }
+func (*billsCommand) Synopsis() string {
+	return "add up what instances on the users' platform have billed"
+}
+func (*billsCommand) Usage() string {
+	return "bills -Store ADDRESS: requests, prompt tokens and events of answers by customer, service and model\n"
+}
+
+func (c *billsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.store, "Store", "", "address of the platform's store, IP:PORT")
+}
+
+func (c *billsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(f); err != nil {
+		return c.fail(err)
+	}
+	if _, _, err := net.SplitHostPort(c.store); err != nil {
+		return c.fail(&operator.Problem{Kind: operator.ProblemBadInput, Field: "Store", Allowed: "an address with a port"})
+	}
+	counts, err := platform.NewStore(c.store).Bills(ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "Customer\tService\tModel\tRequests\tPromptTokens\tEvents")
+	for _, e := range tally.Sum(counts) {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%d\n", e.Customer, e.Service, e.Model, e.Requests, e.Read, e.Parts)
+	}
+	if err := out.Flush(); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/kingcupyard/main.go
+++ b/cmd/kingcupyard/main.go
@@ -40,6 +40,7 @@
 	c.Register(&statusCommand{}, operating)
 	c.Register(&explainCommand{}, operating)
 	c.Register(&ledgerCommand{}, operating)
+	c.Register(&billsCommand{}, operating)
 	for _, g := range groups() {
 		c.Register(g, operating)
 	}
--- a/internal/billing/tally/tally.go
+++ b/internal/billing/tally/tally.go
@@ -47,6 +47,24 @@
 // Name tells the tallies of different runs apart.
 func (t *Tally) Name() string { return t.Instance + "/" + strconv.FormatInt(t.Run, 10) }
 
+// Sum adds up the counts of several runs: what customers are billed for, in
+// order.
+func Sum(runs []Tally) []Entry {
+	lines := map[Line]Amount{}
+	for _, t := range runs {
+		for _, e := range t.Entries {
+			a := lines[e.Line]
+			lines[e.Line] = Amount{Requests: a.Requests + e.Requests, Read: a.Read + e.Read, Parts: a.Parts + e.Parts}
+		}
+	}
+	var sum Tally
+	for l, a := range lines {
+		sum.Entries = append(sum.Entries, Entry{l, a})
+	}
+	sum.sort()
+	return sum.Entries
+}
+
 // Counter is the count of this run. It is safe for concurrent use.
 type Counter struct {
 	instance string
--- a/internal/billing/tally/tally_test.go
+++ b/internal/billing/tally/tally_test.go
@@ -178,6 +178,18 @@
 	is.Equal(len(copies.Due(Tally{}, nil, 16)), 0)
 }
 
+func TestSum(t *testing.T) {
+	is := is.New(t)
+	a, b := NewCounter("i-1", 1), NewCounter("i-1", 2)
+	a.Add(Line{Customer: "b", Service: "s", Model: "m"}, 100, 3)
+	a.Add(Line{Customer: "a", Service: "s"}, 0, 0)
+	b.Add(Line{Customer: "b", Service: "s", Model: "m"}, 50, 4)
+	is.Equal(Sum([]Tally{a.Tally(), b.Tally()}), []Entry{
+		{Line{Customer: "a", Service: "s"}, Amount{Requests: 1}},
+		{Line{Customer: "b", Service: "s", Model: "m"}, Amount{Requests: 2, Read: 150, Parts: 7}},
+	})
+}
+
 func TestDueIsBounded(t *testing.T) {
 	is := is.New(t)
 	own := NewCounter("i-0", 1)
