Pass everything on only where it is little; bills print like the other commands

Instances that start together have read the store at different revisions; an instance that lacked more than its reader kept, or was ahead of it, got all of the view, a megabyte with 3,000 servers, and a reader has two dozen of them on a link of 10 Mbit/s (busiest 987 kB/s).

Change: one that is ahead waits for the next change; one that is behind is told so and takes the changes from the store, unless all there is is below 64 KB or the store is out of its reach. The test fails without.

--- a/cmd/kingcupyard/bills.go
+++ b/cmd/kingcupyard/bills.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"net"
-	"os"
-	"text/tabwriter"
 
 	"github.com/google/subcommands"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
+	"github.com/kingcupyard/kingcupyard/internal/console/line"
 	"github.com/kingcupyard/kingcupyard/internal/console/operator"
 	"github.com/kingcupyard/kingcupyard/platform"
 )
@@ -31,6 +29,7 @@
 
 func (c *billsCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.store, "Store", "", "address of the platform's store, IP:PORT")
+	f.BoolVar(&c.json, "Json", false, "print JSON")
 }
 
 func (c *billsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -44,13 +43,9 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "Customer\tService\tModel\tRequests\tPromptTokens\tEvents")
 	for _, e := range tally.Sum(counts) {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%d\n", e.Customer, e.Service, e.Model, e.Requests, e.Read, e.Parts)
-	}
-	if err := out.Flush(); err != nil {
-		return c.fail(err)
+		c.printer().Event("Total", line.Pair{Key: "Customer", Value: e.Customer}, line.Pair{Key: "Service", Value: e.Service}, line.Pair{Key: "Model", Value: e.Model},
+			line.Pair{Key: "Requests", Value: e.Requests}, line.Pair{Key: "PromptTokens", Value: e.Read}, line.Pair{Key: "Events", Value: e.Parts})
 	}
 	return subcommands.ExitSuccess
 }
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -93,12 +93,13 @@
 	}
 }
 
-// since returns the changes after a revision, or everything.
+// since returns the changes after a revision, or everything to one that lacks
+// more. To one that knows more than this instance there is nothing to say yet.
 func (h *history) since(after int64) (Batch, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := Batch{Revision: h.revision}
-	if after < h.first || after > h.revision {
+	if after < h.first {
 		b.Whole = true
 		for _, item := range h.state {
 			b.Items = append(b.Items, item)
@@ -113,6 +114,24 @@
 	return b, h.changed
 }
 
+// wholeBytes is how much a feed passes on at a time to an instance that lacks more
+// than the last changes. Two dozen that start together and take a megabyte each
+// from one instance hold its link for 20 s; from the store they get the changes.
+const wholeBytes = 64 << 10
+
+// ErrBehind reports that an instance lacks more than a feed has kept, and that
+// everything is too much to pass on. One that asks for what comes after -1, as
+// the store is out of its reach, gets everything.
+var ErrBehind = errors.New("the feed has not kept all changes that are asked for")
+
+func (b *Batch) bytes() int {
+	n := 0
+	for _, item := range b.Items {
+		n += len(item.Key) + len(item.Value)
+	}
+	return n
+}
+
 // ErrNothingKnown reports that a follower can't feed others yet.
 var ErrNothingKnown = errors.New("nothing is known of the store yet")
 
@@ -124,6 +143,9 @@
 		if b.Revision < 0 {
 			return Batch{}, ErrNothingKnown
 		}
+		if b.Whole && after >= 0 && b.bytes() > wholeBytes {
+			return Batch{}, ErrBehind
+		}
 		if len(b.Items) > 0 || b.Whole {
 			f.stamp(&b)
 			return b, nil
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"sync"
 	"time"
@@ -273,6 +274,9 @@
 	limited, cancel := context.WithTimeout(ctx, f.settings.FeedWait+f.settings.FeedTimeout)
 	defer cancel()
 	batch, err := feed.Next(limited, revision, f.settings.FeedWait)
+	if errors.Is(err, ErrBehind) && f.IsCutOff() {
+		batch, err = feed.Next(limited, -1, f.settings.FeedWait)
+	}
 	if err != nil {
 		f.leaveFeed(err)
 		return
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -290,6 +290,40 @@
 	is.Equal(b.failed(refused), retryPause)
 }
 
+// Instances that start together know different revisions. One that lags behind
+// its reader takes the changes from the store, unless all that there is is small
+// or the store is out of its reach; one that is ahead waits. (Sweep at 300
+// machines: a megabyte each to 24 instances held a reader's link, and serving
+// after all were killed took 14 s.)
+func TestFeedToInstancesThatStartTogether(t *testing.T) {
+	is := is.New(t)
+	reader, ahead, behind := newBench(), newBench(), newBench()
+	items := []Item{table(3, 4)}
+	reader.take(Batch{Items: items, Revision: 50, Whole: true}, true)
+	ahead.take(Batch{Items: items, Revision: 60, Whole: true}, true)
+	ahead.followFeed(t.Context(), feedOf{reader})
+	is.Equal(ahead.revision, int64(60))
+
+	_, err := feedOf{reader}.Next(t.Context(), 40, 0)
+	is.NoErr(err) // it is little
+	for i := range 2000 {
+		items = append(items, server(strconv.Itoa(i)+strings.Repeat("x", 60), "Ready", 5))
+	}
+	reader.take(Batch{Items: items, Revision: 51, Whole: true}, true)
+	_, err = feedOf{reader}.Next(t.Context(), 40, 0)
+	is.True(errors.Is(err, ErrBehind))
+
+	behind.take(Batch{Items: items[:1], Revision: 40, Whole: true}, true)
+	behind.upstream = func() Feed { return feedOf{reader} }
+	behind.followFeed(t.Context(), feedOf{reader})
+	is.True(behind.feed() == nil) // to the store
+	is.Equal(len(behind.View.Servers.Get().ByID), 0)
+	behind.advance(behind.settings.Trouble + time.Millisecond)
+	behind.failed(errors.New("refused"))
+	behind.followFeed(t.Context(), feedOf{reader})
+	is.Equal(len(behind.View.Servers.Get().ByID), 2000)
+}
+
 // A feed that vouches for another table than the own one confirms nothing.
 func TestFeedOfAnotherTableDoesNotConfirm(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -160,7 +161,7 @@
 // Next implements follower.Feed.
 func (f *feed) Next(ctx context.Context, after int64, wait time.Duration) (follower.Batch, error) {
 	b, err := f.next(ctx, after, wait)
-	if err != nil {
+	if err != nil && !errors.Is(err, follower.ErrBehind) {
 		f.feeds.failed(f.address)
 	}
 	return b, err
@@ -184,6 +185,9 @@
 	if err != nil {
 		return follower.Batch{}, fmt.Errorf("read the feed of %s: %w", f.address, err)
 	}
+	if resp.StatusCode == http.StatusGone {
+		return follower.Batch{}, follower.ErrBehind
+	}
 	if resp.StatusCode != http.StatusOK {
 		return follower.Batch{}, fmt.Errorf("feed of %s: status %d", f.address, resp.StatusCode)
 	}
@@ -209,6 +213,10 @@
 			return
 		}
 		b, err := f.gateway.follower.Next(r.Context(), after, wait)
+		if errors.Is(err, follower.ErrBehind) {
+			http.Error(w, err.Error(), http.StatusGone)
+			return
+		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
