--- a/cmd/kingcupyard/bills.go
+++ b/cmd/kingcupyard/bills.go
@@ -37,7 +37,7 @@
 		return c.fail(err)
 	}
 	if _, _, err := net.SplitHostPort(c.store); err != nil {
-		return c.fail(&operator.Problem{Kind: operator.ProblemBadInput, Field: "Store", Allowed: "an address with a port"})
+		return c.fail(&operator.Problem{Kind: operator.ProblemBadInput, Field: "Store", Value: c.store, Allowed: "an address with a port"})
 	}
 	counts, err := platform.NewStore(c.store).Bills(ctx)
 	if err != nil {
