--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -272,8 +272,8 @@
 
 // An instance that the store turns away goes back to a reader whose feed has
 // just failed if there is no other. (CI beside load: the only reader was late
-// once, was passed over for 4 s, and the confirmation ran out. Seen once, not again in 46 runs beside load; read
-// from the code.)
+// once, was passed over for 4 s, and the confirmation ran out. Seen once, not
+// again in 33 runs beside load; the cause is read from the code.)
 func TestCutOffInstanceKeepsItsLastReader(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
