Ask once what was asked in several places

The words of other instances were gone through for those that are too old once for each server of each choice; now once a choice. Whether an attempt is the last was worked out in three places; the course says it.

--- a/internal/relay/pipeline/course.go
+++ b/internal/relay/pipeline/course.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// isLast reports whether no other attempt may follow one that reaches a server.
+func (c *course) isLast() bool { return !c.idempotent || c.attempts+1 >= c.maxAttempts }
+
 // settle notes how an attempt ended. The error is that of the attempt.
 func (c *course) settle(server string, err error) {
 	c.tries++
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -101,9 +101,7 @@
 // before. A server may have closed it in this moment, which leaves in doubt
 // whether the call ran and uses up the attempt; so calls that may not be
 // repeated, and last attempts, dial anew.
-func (p *forwardFlight) mayPool() bool {
-	return p.call.Route.Idempotent() && p.attempts+1 < p.call.Route.MaxAttempts
-}
+func (p *forwardFlight) mayPool() bool { return !p.isLast() }
 
 // limits bounds one attempt. Where no other attempt can follow, a server's
 // silence is no reason to end it before the deadline.
@@ -111,7 +109,7 @@
 	r := p.call.Route
 	left := max(p.call.Deadline.Sub(now), time.Millisecond)
 	l := attempt.Limits{Connect: min(connectLimit, left), Write: left, FirstByte: left, Progress: left}
-	if !r.Idempotent() || p.attempts+1 >= r.MaxAttempts {
+	if p.isLast() {
 		return l
 	}
 	patience := max(time.Duration(patienceShare*float64(r.Goal)), patienceFactor*w.Wait)
--- a/internal/relay/pipeline/forward_silence.go
+++ b/internal/relay/pipeline/forward_silence.go
@@ -29,12 +29,11 @@
 }
 
 func (p *forwardFlight) newSilencePolicy(w *dispatch.Work) *silencePolicy {
-	r := p.call.Route
 	elsewhere := p.ask(p.model, p.size)
 	elsewhere.Exclude = append([]string{w.Server.ID}, elsewhere.Exclude...)
 	return &silencePolicy{
 		Forwarder: p.Forwarder, call: p.call, service: p.service, elsewhere: elsewhere, address: w.Server.Address,
-		final: !r.Idempotent() || p.attempts+1 >= r.MaxAttempts, prepaid: &p.prepaid,
+		final: p.isLast(), prepaid: &p.prepaid,
 	}
 }
 
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -212,6 +212,7 @@
 	list := l.ByService[q.Service]
 	none.Listed = len(list)
 	home := homeOf(list, q)
+	d.forgetPeers(now)
 	var best candidate
 	crowding, candidates := time.Duration(0), time.Duration(0)
 	for _, s := range list {
--- a/internal/routing/dispatch/peers.go
+++ b/internal/routing/dispatch/peers.go
@@ -109,12 +109,12 @@
 }
 
 // elsewhere is the work of the other instances that waits at a server: their
-// own word, or what the server itself stated if none is known.
+// own word, or what the server itself stated if none is known. Words that are too
+// old are forgotten before.
 func (d *Dispatcher) elsewhere(server string, a *account, now time.Time) time.Duration {
 	if t := d.total; t != nil && t.at.After(d.peersAt) && now.Sub(t.at) < peerFresh {
 		return time.Duration(t.pending[server]) * time.Millisecond
 	}
-	d.forgetPeers(now)
 	if len(d.peers) == 0 {
 		return time.Duration(a.decayed(now) * float64(d.average) * othersWeight)
 	}
