--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -176,11 +176,17 @@
 	for ctx.Err() == nil {
 		began := f.clock.Now()
 		if feed := f.feed(); feed != nil {
-			f.followFeed(ctx, feed)
+			if !f.followFeed(ctx, feed) && f.feed() != nil {
+				f.pause(ctx, retryPause)
+			}
 			continue
 		}
 		if err := f.watch(ctx); err != nil {
-			f.pause(ctx, f.failed(err))
+			pause := f.failed(err)
+			if f.feed() != nil {
+				pause = retryPause // there is somebody else to ask
+			}
+			f.pause(ctx, pause)
 			continue
 		}
 		f.pause(ctx, f.settings.WatchPause-f.clock.Since(began))
@@ -265,8 +271,9 @@
 	f.revision = -1
 }
 
-// followFeed follows another instance for one call.
-func (f *Follower) followFeed(ctx context.Context, feed Feed) {
+// followFeed follows another instance for one call. It reports whether that was
+// of use.
+func (f *Follower) followFeed(ctx context.Context, feed Feed) bool {
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
@@ -279,7 +286,7 @@
 	}
 	if err != nil {
 		f.leaveFeed(err)
-		return
+		return false
 	}
 	f.take(batch, batch.Table > 0 && batch.Age < f.settings.FeedAge)
 	f.mu.Lock()
@@ -290,7 +297,9 @@
 	if f.boot.Elapsed()-f.confirmedAt > f.settings.FeedAge {
 		feed.Reject()
 		f.goDirect("confirmation too old", nil)
+		return false
 	}
+	return true
 }
 
 // leaveFeed goes back to the store after a feed failed.
@@ -300,9 +309,14 @@
 	f.goDirect("feed failed", err)
 }
 
+// goDirect follows the store itself for a while, unless that is out of reach:
+// then the next feed is all that there is.
 func (f *Follower) goDirect(why string, err error) {
 	events.Add("FeedLeft", 1)
-	f.directUntil = f.clock.Now().Add(f.settings.DirectFor)
+	now := f.clock.Now()
+	if !now.Before(f.restUntil) {
+		f.directUntil = now.Add(f.settings.DirectFor)
+	}
 	f.log.Info("FeedLeft", zap.String("Why", why), zap.Error(err))
 }
 
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -324,6 +324,26 @@
 	is.Equal(len(behind.View.Servers.Get().ByID), 2000)
 }
 
+// While the store is out of reach, a feed that fails is no reason to wait for the
+// store: the next one is asked at once.
+func TestFeedIsNotLeftForAStoreOutOfReach(t *testing.T) {
+	is := is.New(t)
+	reader, b := newBench(), newBench()
+	reader.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true}, true)
+	b.upstream = func() Feed { return feedOf{reader} }
+	b.take(Batch{Items: []Item{table(3, 4)}, Revision: 5, Whole: true}, true)
+	b.leaveFeed(errors.New("late"))
+	is.True(b.feed() == nil) // the store may answer
+	b.advance(b.settings.DirectFor + b.settings.Trouble)
+	b.failed(errors.New("refused"))
+	is.True(b.IsCutOff())
+	b.leaveFeed(errors.New("late"))
+	is.True(b.feed() != nil)
+	reader.boot.now, b.boot.now = time.Minute, time.Minute // the reader has lost the store too
+	is.True(!b.followFeed(t.Context(), feedOf{reader}))
+	is.True(b.feed() != nil)
+}
+
 // A feed that vouches for another table than the own one confirms nothing.
 func TestFeedOfAnotherTableDoesNotConfirm(t *testing.T) {
 	is := is.New(t)
