--- a/internal/console/logline/logline.go
+++ b/internal/console/logline/logline.go
@@ -73,7 +73,7 @@
 
 func (b *budgeted) allows(event string) bool {
 	now := time.Now()
-	if minor[event] && b.limit.TokensAt(now) < minorReserve*float64(b.limit.Burst()) {
+	if minor[event] && b.limit.TokensAt(now)-1 < minorReserve*float64(b.limit.Burst()) {
 		return false
 	}
 	return b.limit.AllowN(now, 1)
