Log which feed an instance leaves and how old it was; count what feeds send

Whether a reader's own feeds fill its link, or followers keep reading a stale feed, couldn't be told from the logs: FeedLeft named neither the age of the feed's confirmation nor the follower's revision, a feed left as stale had no address, and nothing counted a feed's bytes.

Adds Age and Revision to FeedLeft, the line FeedAvoided with the reader's address, and the metric Feeds (answers, changes, bytes). No decision changes.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -309,7 +309,7 @@
 	}
 	if f.bootClock.Elapsed()-f.confirmedAt > f.settings.MaxFeedAge {
 		feed.Reject()
-		f.switchToStore("confirmation too old", nil)
+		f.switchToStore("confirmation too old", batch.Age, nil)
 		return false
 	}
 	return true
@@ -319,19 +319,20 @@
 func (f *Follower) recordFeedFailure(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.switchToStore("feed failed", err)
+	f.switchToStore("feed failed", 0, err)
 }
 
 // switchToStore makes the follower read the store itself for FeedBackoff. While
-// the store is in backoff too, the follower keeps reading feeds instead. The
-// caller holds mu.
-func (f *Follower) switchToStore(reason string, err error) {
+// the store is in backoff too, the follower keeps reading feeds instead. age is
+// that of the feed's confirmation, 0 if the feed returned none. The caller holds
+// mu.
+func (f *Follower) switchToStore(reason string, age time.Duration, err error) {
 	counters.Add("FeedLeft", 1)
 	now := f.clock.Now()
 	if !now.Before(f.storeBackoffUntil) {
 		f.feedBackoffUntil = now.Add(f.settings.FeedBackoff)
 	}
-	f.log.Info("FeedLeft", zap.String("Why", reason), zap.Error(err))
+	f.log.Info("FeedLeft", zap.String("Why", reason), zap.Duration("Age", age), zap.Int64("Revision", f.revision), zap.Error(err))
 }
 
 // expireLoop removes servers at the end of their grace period, even when no
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 )
@@ -76,6 +78,7 @@
 
 // markFailed excludes a reader for readerBackoff.
 func (f *feeds) markFailed(address string) {
+	f.gateway.Log.Info("FeedAvoided", zap.String("Source", address), zap.Duration("For", readerBackoff))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.avoidUntil == nil {
@@ -235,9 +238,23 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		if err := json.NewEncoder(w).Encode(b); err != nil {
-			return // the requesting instance has disconnected
+		raw, err := json.Marshal(b)
+		if err != nil {
+			f.gateway.Log.Error("FeedNotEncoded", zap.Error(err))
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
 		}
+		feedCounters.Add("Items", int64(len(b.Items)))
+		feedCounters.Add("Bytes", int64(len(raw)))
+		if _, err := w.Write(raw); err != nil {
+			feedCounters.Add("NotDelivered", 1) // the requesting instance has disconnected
+			return
+		}
+		feedCounters.Add("Delivered", 1)
 	})
 	return mux
 }
+
+// feedCounters counts what this instance's feed sends: answers, the changes in them
+// and their bytes.
+var feedCounters = expvar.NewMap("Feeds")
