Keep superseded and large routing tables out of feeds

Cause: a feed's answer held every version of each entry since the follower's revision. After 25 routing tables in 2 s, each of two dozen followers was sent all of them: seconds of the reader's link of 10 Mbit/s. Reads ran into their timeout and were repeated elsewhere, and the reader's own calls to the store waited behind the bytes, so that it took the store for lost (edge-shadman-4, 4.7 s). One table of 1,400 routes does the same. A reload of the state had the same effect, as all followers then got the complete state.

Change: the history keeps the newest change of each entry. A table of more than 24 KB isn't sent at all: the follower sees its revision and reads it from the store, or, if it can't reach the store, from the complete state. A reload is passed on as the changes that it found.

Evidence: TestFeedFitsThroughReaderLink computes how long 24 answers keep the link busy; it allows the 625 ms that a read may take.

--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -28,6 +28,9 @@
 		if _, ignored := c.Subject.(Ignored); !ignored {
 			changes, shared = append(changes, c), append(shared, item)
 		}
+		if isTable(c) {
+			f.history.setTableKey(item.Key)
+		}
 	}
 	b.Items = shared
 	changed := f.servers.Expire(now)
--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -8,10 +8,11 @@
 )
 
 // confirmLoop reads the routing table's entry from the store every
-// ConfirmInterval while this instance reads the store itself.
+// ConfirmInterval while this instance reads the store itself, or while its feed has
+// left out a newer table.
 func (f *Follower) confirmLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !f.isReadingStore() {
+		if !f.isReadingStore() && (!f.isTableOmitted() || f.IsCutOff()) {
 			f.sleep(ctx, minRetryDelay)
 			continue
 		}
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -1,10 +1,14 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 )
 
 // Item is one version of a store entry, or its deletion if Gone is set.
@@ -31,8 +35,10 @@
 
 // Feed reads the store's changes from another instance.
 type Feed interface {
-	// Next returns the changes after a revision. It waits up to wait for the
-	// first one.
+	// Next returns the changes after a revision, without versions of entries that
+	// newer ones have replaced. It waits up to wait for the first change. It may
+	// leave out a large routing table, which the batch's Table then shows, unless
+	// the complete state after -1 is requested.
 	Next(ctx context.Context, after int64, wait time.Duration) (Batch, error)
 	// Reject reports that the feed's data is too old to use.
 	Reject()
@@ -48,13 +54,16 @@
 const maxHistoryItems = 2000
 
 // history holds the state and the latest changes that a follower has applied, to
-// serve them to other instances.
+// serve them to other instances. It keeps only the newest change of each entry: a
+// reader sends the changes to many instances over one link.
 type history struct {
 	mu       sync.Mutex
 	items    map[string]Item
 	changes  []Item
-	base     int64 // changes holds all changes after this revision
+	base     int64 // changes holds the newest changes after this revision
 	revision int64
+	// tableKey is the key of the routing table's entry, once it is known.
+	tableKey string
 	advanced chan struct{}
 }
 
@@ -65,11 +74,13 @@
 func (h *history) add(b Batch) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if b.Whole {
-		clear(h.items)
-		h.changes, h.base = nil, b.Revision
+	items := b.Items
+	if b.Whole && h.revision < 0 {
+		h.base = b.Revision
+	} else if b.Whole {
+		items = h.missingFrom(b)
 	}
-	for _, item := range b.Items {
+	for _, item := range items {
 		if old, ok := h.items[item.Key]; ok && item.Revision <= old.Revision {
 			continue
 		}
@@ -78,8 +89,8 @@
 		} else {
 			h.items[item.Key] = item
 		}
-		if !b.Whole {
-			h.changes = append(h.changes, item)
+		if h.revision >= 0 {
+			h.changes = append(slices.DeleteFunc(h.changes, func(old Item) bool { return old.Key == item.Key }), item)
 		}
 	}
 	if over := len(h.changes) - maxHistoryItems; over > 0 {
@@ -93,28 +104,64 @@
 	}
 }
 
+// missingFrom returns the items of a complete batch, ordered by revision, and
+// deletions of the entries that the batch lacks.
+func (h *history) missingFrom(whole Batch) []Item {
+	items := slices.Clone(whole.Items)
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[item.Key] = true
+	}
+	for key, old := range h.items {
+		if !present[key] && old.Revision <= whole.Revision {
+			items = append(items, Item{Key: key, Revision: whole.Revision, Gone: true})
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return items
+}
+
+// setTableKey notes the key of the routing table's entry.
+func (h *history) setTableKey(key string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tableKey = key
+}
+
 // since returns the changes after a revision, or the complete state if changes
 // doesn't reach back that far, and a channel that is closed at the next new
-// revision. For a revision newer than the history's own the batch is empty.
+// revision. For a revision newer than the history's own the batch is empty. Only
+// the complete state after -1 includes a routing table of more than
+// maxFeedTableBytes.
 func (h *history) since(after int64) (Batch, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := Batch{Revision: h.revision}
+	isOmitted := func(item Item) bool {
+		return after >= 0 && item.Key == h.tableKey && len(item.Value) > maxFeedTableBytes
+	}
 	if after < h.base {
 		b.Whole = true
 		for _, item := range h.items {
-			b.Items = append(b.Items, item)
+			if !isOmitted(item) {
+				b.Items = append(b.Items, item)
+			}
 		}
 		return b, h.advanced
 	}
 	for _, item := range h.changes {
-		if item.Revision > after {
+		if item.Revision > after && !isOmitted(item) {
 			b.Items = append(b.Items, item)
 		}
 	}
 	return b, h.advanced
 }
 
+// maxFeedTableBytes is the size of the largest routing table that a feed sends.
+// Larger ones would fill the link of an instance that feeds many others, so these
+// read the table from the store.
+const maxFeedTableBytes = 24 << 10
+
 // maxFullBatchBytes is the largest complete state that a feed sends to an
 // instance that is too far behind for changes. When 24 instances start together
 // and read 1 MB each from one instance, its link is busy for 20 s; the store
@@ -175,3 +222,26 @@
 		b.Table, b.Age = f.tableRevision, f.bootClock.Elapsed()-f.confirmedAt
 	}
 }
+
+// recordFeedTable notes which routing table a feed has reached. A table that the
+// batch should have included, had it not been too large, is read from the store by
+// confirmLoop. The caller holds mu.
+func (f *Follower) recordFeedTable(b Batch) {
+	if b.Revision >= b.Table {
+		f.feedTable = b.Table
+	}
+}
+
+// isTableOmitted reports whether a feed has left out a routing table that is newer
+// than the follower's.
+func (f *Follower) isTableOmitted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.feedTable > f.tableRevision
+}
+
+// isTable reports whether a change holds a routing table.
+func isTable(c Change) bool {
+	t, ok := c.Subject.(*route.Table)
+	return ok && t != nil
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -97,6 +97,9 @@
 	fleet         Fleet
 	tableRevision int64 // store revision of the routing table's entry
 	tableVersion  int64 // version of the current table
+	// feedTable is the revision of the routing table up to which a feed has sent
+	// all other changes.
+	feedTable int64
 	// revision is the store revision up to which all changes are applied. It
 	// is below 0 before the first load and after a lost history.
 	revision int64
@@ -290,6 +293,9 @@
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
+	if f.IsCutOff() && f.isTableOmitted() {
+		revision = -1 // the store can't be asked for the table
+	}
 	requestedAt := f.bootClock.Elapsed()
 	feedCtx, cancel := context.WithTimeout(ctx, f.settings.FeedWait+f.settings.FeedTimeout)
 	defer cancel()
@@ -304,6 +310,7 @@
 	f.applyBatch(batch, batch.Table > 0 && batch.Age < f.settings.MaxFeedAge)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordFeedTable(batch)
 	if batch.Table > 0 && batch.Table == f.tableRevision {
 		f.recordConfirmation(requestedAt - batch.Age)
 	}
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -1,7 +1,9 @@
 package follower
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"strconv"
 	"strings"
@@ -24,7 +26,7 @@
 	case strings.HasPrefix(item.Key, "servers/") && item.Gone:
 		c.Subject = ServerRemoved{ID: item.Key[8:]}
 	case kind == "table":
-		version, _ := strconv.ParseInt(arg, 10, 64)
+		version, _ := strconv.ParseInt(strings.TrimSpace(arg), 10, 64)
 		t := &route.Table{Version: version}
 		t.Index()
 		c.Subject = t
@@ -68,6 +70,13 @@
 	return Item{Key: "op/config", Value: []byte("table " + strconv.FormatInt(version, 10)), Revision: revision}
 }
 
+// tableItemOfSize is a tableItem whose value has the given number of bytes.
+func tableItemOfSize(version, revision int64, size int) Item {
+	item := tableItem(version, revision)
+	item.Value = append(item.Value, bytes.Repeat([]byte(" "), size-len(item.Value))...)
+	return item
+}
+
 func (f *testFollower) hasServer(id string) bool {
 	l := f.View.Servers.Get()
 	return l != nil && l.ByID[id] != nil
@@ -423,3 +432,90 @@
 	f.clock.Advance(f.settings.MaxWatchLag)
 	<-stopped
 }
+
+// A reader's answers to 24 followers fit through its link of 10 Mbit/s within the
+// time that a follower waits for one. With every version of the table in them, a
+// change every 80 ms kept the link of a reader busy for 5 s, in which it couldn't
+// reach the store: its followers and itself used old tables and servers that had
+// left (pottyround-lhr-grown, trouble-1 --seed 674091884777).
+func TestFeedFitsThroughReaderLink(t *testing.T) {
+	const (
+		followers  = 24
+		linkBytes  = 10e6 / 8 // per second
+		readWithin = 625 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name             string
+		changes, newSize int
+	}{
+		{"many versions", 25, 15 << 10},
+		{"a large table", 1, 350 << 10},
+		{"many versions of a large table", 12, 350 << 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			source := newTestFollower()
+			source.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 10, Whole: true}, true)
+			batch := Batch{Revision: 100}
+			for i := range int64(c.changes) {
+				batch.Items = append(batch.Items, tableItemOfSize(2+i, 20+2*i, c.newSize), serverItem("s"+strconv.FormatInt(i, 10), "Ready", 21+2*i))
+			}
+			source.applyBatch(batch, true)
+			answer, err := source.Next(t.Context(), 10, 0)
+			is.NoErr(err)
+			raw, err := json.Marshal(answer)
+			is.NoErr(err)
+			busy := time.Duration(followers * float64(len(raw)) / linkBytes * float64(time.Second))
+			if busy > readWithin {
+				t.Fatalf("the link is busy for %v", busy)
+			}
+			is.Equal(len(answer.Items) >= c.changes, true) // no server is missing
+		})
+	}
+}
+
+// A follower reads a table that its feed leaves out from the store, and from the
+// feed's complete state if it can't reach the store.
+func TestOmittedTableIsRead(t *testing.T) {
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	for _, x := range []*testFollower{source, f} {
+		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 1, Whole: true}, true)
+	}
+	large := tableItemOfSize(2, 5, maxFeedTableBytes+1)
+	source.applyBatch(Batch{Items: []Item{large, serverItem("a", "Ready", 6)}, Revision: 6}, true)
+	source.applyConfirmation(large, 6, 0)
+	f.readFeed(t.Context(), followerFeed{source})
+	is.True(f.hasServer("a"))
+	is.Equal(f.View.Table.Get().Version, int64(1))
+	is.True(f.isTableOmitted())
+	f.applyConfirmation(large, 6, 0)
+	is.Equal(f.View.Table.Get().Version, int64(2))
+	is.True(!f.isTableOmitted())
+
+	source.applyBatch(Batch{Items: []Item{tableItemOfSize(3, 7, maxFeedTableBytes+1)}, Revision: 7}, true)
+	f.readFeed(t.Context(), followerFeed{source})
+	f.advance(f.settings.OutageThreshold + time.Millisecond)
+	f.recordFailure(errors.New("refused"))
+	is.True(f.IsCutOff())
+	f.readFeed(t.Context(), followerFeed{source})
+	is.Equal(f.View.Table.Get().Version, int64(3))
+}
+
+// An instance that loads the state again sends its followers only what changed.
+func TestReloadIsSentAsChanges(t *testing.T) {
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	first := []Item{tableItem(1, 1), serverItem("a", "Ready", 2), serverItem("b", "Ready", 3)}
+	for _, x := range []*testFollower{source, f} {
+		x.applyBatch(Batch{Items: first, Revision: 3, Whole: true}, true)
+	}
+	source.applyBatch(Batch{Items: []Item{first[0], first[1], serverItem("c", "Ready", 7)}, Revision: 8, Whole: true}, true)
+	answer, err := source.Next(t.Context(), 3, 0)
+	is.NoErr(err)
+	is.True(!answer.Whole)
+	is.Equal(len(answer.Items), 2)
+	f.readFeed(t.Context(), followerFeed{source})
+	is.True(f.hasServer("a") && !f.hasServer("b") && f.hasServer("c"))
+	is.Equal(f.revision, int64(8))
+}
