Load the state instead of repeating a lagging watch

Cause: a watch that hadn't delivered a revision 150 ms after a confirmation showed it was stopped and asked again for the same changes, every version of the table among them. An answer that takes longer than the time between two confirmations never arrives, and no change behind it is applied. The stop also counted as a failed call to the store.

Change: after a lagging watch the follower loads the state, which has one version of each entry. Load leaves out the routing table, which Confirm reads, and the tallies, which nobody applies: two calls instead of one. The history keeps the table over a load.

--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -29,7 +29,7 @@
 			changes, shared = append(changes, c), append(shared, item)
 		}
 		if isTable(c) {
-			f.history.setTableKey(item.Key)
+			f.history.setTable(item)
 		}
 	}
 	b.Items = shared
--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -40,6 +40,7 @@
 	}
 	if item.Revision > f.tableRevision {
 		f.apply(f.decode(item))
+		f.history.setTable(item)
 	}
 	if f.tableRevision >= item.Revision {
 		f.recordConfirmation(requestedAt)
@@ -49,15 +50,18 @@
 	}
 }
 
-// restartLaggingWatch stops the watch in progress, so that readLoop starts a new
-// one, if it hasn't delivered the revision yet. A watch can hang on a connection
-// that no longer delivers anything.
+// restartLaggingWatch stops the watch in progress if it hasn't delivered the
+// revision yet, so that readLoop loads the state and starts a new one. The watch can
+// hang on a connection that no longer delivers anything, or can be busy with an
+// answer that holds every version of a large entry. The state holds one version of
+// each.
 func (f *Follower) restartLaggingWatch(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision >= 0 && f.revision < revision && f.stopWatch != nil {
+	if f.revision >= 0 && f.revision < revision && f.stopWatch != nil && !f.reload {
 		counters.Add("WatchLagged", 1)
 		f.log.Info("WatchRenewed", zap.Int64("Revision", f.revision), zap.Int64("Store", revision))
+		f.reload = true
 		f.stopWatch()
 	}
 }
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -81,7 +81,7 @@
 		items = h.missingFrom(b)
 	}
 	for _, item := range items {
-		if old, ok := h.items[item.Key]; ok && item.Revision <= old.Revision {
+		if old, ok := h.items[item.Key]; ok && item.Revision < old.Revision {
 			continue
 		}
 		if item.Gone {
@@ -94,7 +94,7 @@
 		}
 	}
 	if over := len(h.changes) - maxHistoryItems; over > 0 {
-		h.base = h.changes[over-1].Revision
+		h.base = max(h.base, h.changes[over-1].Revision)
 		h.changes = append([]Item(nil), h.changes[over:]...)
 	}
 	if b.Whole || b.Revision > h.revision {
@@ -105,7 +105,8 @@
 }
 
 // missingFrom returns the items of a complete batch, ordered by revision, and
-// deletions of the entries that the batch lacks.
+// deletions of the entries that the batch lacks. A complete batch from the store
+// lacks the routing table, which stays as it is.
 func (h *history) missingFrom(whole Batch) []Item {
 	items := slices.Clone(whole.Items)
 	present := make(map[string]bool, len(items))
@@ -113,7 +114,11 @@
 		present[item.Key] = true
 	}
 	for key, old := range h.items {
-		if !present[key] && old.Revision <= whole.Revision {
+		switch {
+		case present[key] || old.Revision > whole.Revision:
+		case key == h.tableKey:
+			items = append(items, old)
+		default:
 			items = append(items, Item{Key: key, Revision: whole.Revision, Gone: true})
 		}
 	}
@@ -121,11 +126,14 @@
 	return items
 }
 
-// setTableKey notes the key of the routing table's entry.
-func (h *history) setTableKey(key string) {
+// setTable notes a version of the routing table's entry.
+func (h *history) setTable(item Item) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.tableKey = key
+	h.tableKey = item.Key
+	if item.Revision > h.items[item.Key].Revision {
+		h.items[item.Key] = item
+	}
 }
 
 // since returns the changes after a revision, or the complete state if changes
@@ -150,7 +158,7 @@
 		return b, h.advanced
 	}
 	for _, item := range h.changes {
-		if item.Revision > after && !isOmitted(item) {
+		if item.Revision > after && item.Revision <= h.revision && !isOmitted(item) {
 			b.Items = append(b.Items, item)
 		}
 	}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -125,6 +125,8 @@
 	storeBackoffUntil time.Time
 	// feedBackoffUntil is when a feed may be read again.
 	feedBackoffUntil time.Time
+	// reload makes the next call of readStore a load although there is a state.
+	reload bool
 	// stopWatch cancels the call of readStore in progress; nil if there is none.
 	stopWatch context.CancelFunc
 }
@@ -195,6 +197,9 @@
 			continue
 		}
 		if err := f.readStore(ctx); err != nil {
+			if f.isReloadDue() {
+				continue // the watch lagged and was stopped
+			}
 			delay := f.recordFailure(err)
 			if f.currentFeed() != nil {
 				delay = minRetryDelay // a feed is available
@@ -217,15 +222,24 @@
 	return f.upstream()
 }
 
-// readStore makes one call to the store, a load if there is no state yet and else
-// a watch, and applies the result. A lost history makes the next call a load.
+// isReloadDue reports whether readStore is to load the state.
+func (f *Follower) isReloadDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reload
+}
+
+// readStore makes one call to the store, a load if there is no state yet or the last
+// watch lagged and else a watch, and applies the result. A lost history makes the
+// next call a load.
 func (f *Follower) readStore(ctx context.Context) error {
 	f.mu.Lock()
-	revision := f.revision
+	revision, load := f.revision, f.revision < 0 || f.reload
+	f.reload = false
 	ctx, f.stopWatch = context.WithCancel(ctx)
 	f.mu.Unlock()
 	defer f.cancelWatch()
-	if revision < 0 {
+	if load {
 		items, at, err := f.store.Load(ctx)
 		if err == nil {
 			f.recordAnswer()
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -519,3 +521,92 @@
 	is.True(f.hasServer("a") && !f.hasServer("b") && f.hasServer("c"))
 	is.Equal(f.revision, int64(8))
 }
+
+// slowStore is a store before a slow link: each call takes as long as its answer needs
+// on the link, and ends early if its context does.
+type slowStore struct {
+	clock    *clockwork.FakeClock
+	items    []Item // all versions of all entries, in the order of their revisions
+	linkRate float64
+	table    string
+}
+
+func (s *slowStore) transfer(ctx context.Context, items []Item) error {
+	done := s.clock.After(time.Duration(float64((&Batch{Items: items}).size()) / s.linkRate * float64(time.Second)))
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *slowStore) revision() int64 { return s.items[len(s.items)-1].Revision }
+
+func (s *slowStore) Load(ctx context.Context) ([]Item, int64, error) {
+	newest := map[string]Item{}
+	for _, item := range s.items {
+		if item.Key != s.table {
+			newest[item.Key] = item
+		}
+	}
+	items := slices.Collect(maps.Values(newest))
+	return items, s.revision(), s.transfer(ctx, items)
+}
+
+func (s *slowStore) Watch(ctx context.Context, after int64, _ time.Duration) ([]Item, int64, error) {
+	var items []Item
+	for _, item := range s.items {
+		if item.Revision > after {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision(), s.transfer(ctx, items)
+}
+
+func (s *slowStore) Confirm(ctx context.Context) (Item, int64, error) {
+	var newest Item
+	for _, item := range s.items {
+		if item.Key == s.table {
+			newest = item
+		}
+	}
+	return newest, s.revision(), s.transfer(ctx, []Item{newest})
+}
+
+// A reader on a link of 10 Mbit/s learns within 2 s that a server is leaving and which
+// table is current, although a dozen versions of a large table lie before these changes.
+// A watch that was stopped for its lag used to ask for all versions again, 4 MB, and was
+// stopped again at the next confirmation.
+func TestReaderKeepsUpWithLargeTables(t *testing.T) {
+	is := is.New(t)
+	const within = 2 * time.Second // of the 3 s that the platform allows; the rest is for followers
+	f := newTestFollower()
+	store := &slowStore{clock: f.clock, linkRate: 10e6 / 8, table: "op/config"}
+	f.store = store
+	f.applyBatch(Batch{Items: []Item{tableItem(1, 1), serverItem("a", "Ready", 2)}, Revision: 2, Whole: true}, true)
+	store.items = []Item{tableItem(1, 1), serverItem("a", "Ready", 2)}
+	for i := range int64(12) {
+		store.items = append(store.items, tableItemOfSize(2+i, 3+i, 350<<10))
+	}
+	store.items = append(store.items, Item{Key: "servers/a", Value: []byte("server Draining"), Revision: 20})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	isCurrent := func() bool {
+		l, table := f.View.Servers.Get(), f.View.Table.Get()
+		return l.ByID["a"].State == backend.Draining && table.Version == 13
+	}
+	for elapsed := time.Duration(0); elapsed < within && !isCurrent(); elapsed += 10 * time.Millisecond {
+		is.NoErr(f.clock.BlockUntilContext(t.Context(), 3))
+		f.clock.Advance(10 * time.Millisecond)
+		time.Sleep(time.Millisecond) // lets the follower's goroutines run
+	}
+	current := isCurrent()
+	cancel()
+	<-done
+	is.True(current)
+}
