Leave a stale feed even if the own confirmation is young

Cause: a follower compared the age of its own confirmation with MaxFeedAge, not that of the feed.

Change: either age over MaxFeedAge makes it leave.

Test: TestStaleFeedIsLeftDespiteOwnConfirmation fails without the change.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -301,8 +301,8 @@
 }
 
 // readFeed makes one call to another instance's feed and applies the result. It
-// reports whether the feed answered and the routing table's confirmation is at
-// most MaxFeedAge old.
+// reports whether the feed answered, and both the feed's confirmation of the routing
+// table and the follower's are at most MaxFeedAge old.
 func (f *Follower) readFeed(ctx context.Context, feed Feed) bool {
 	f.mu.Lock()
 	revision := f.revision
@@ -328,7 +328,7 @@
 	if batch.Table > 0 && batch.Table == f.tableRevision {
 		f.recordConfirmation(requestedAt - batch.Age)
 	}
-	if f.bootClock.Elapsed()-f.confirmedAt > f.settings.MaxFeedAge {
+	if max(batch.Age, f.bootClock.Elapsed()-f.confirmedAt) > f.settings.MaxFeedAge {
 		feed.Reject()
 		f.switchToStore("confirmation too old", batch.Age, nil)
 		return false
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -363,6 +363,24 @@
 	is.True(f.currentFeed() != nil)
 }
 
+// A follower leaves a stale feed at once, even if its own confirmation, from another
+// source, is young. It used to wait until that was old too, and learned nothing of the
+// servers for up to MaxFeedAge, each time that a reader without contact to the store was
+// tried again.
+func TestStaleFeedIsLeftDespiteOwnConfirmation(t *testing.T) {
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	for _, x := range []*testFollower{source, f} {
+		x.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true)
+	}
+	source.applyConfirmation(tableItem(3, 4), 5, 0)
+	f.upstream = func() Feed { return followerFeed{source} }
+	source.bootClock.now, f.bootClock.now = 5*time.Second, 5*time.Second
+	f.applyConfirmation(tableItem(3, 4), 5, 5*time.Second)
+	is.True(!f.readFeed(t.Context(), followerFeed{source}))
+	is.True(f.currentFeed() == nil)
+}
+
 // A feed that has confirmed a different table than the follower's confirms
 // nothing.
 func TestFeedWithOtherTableDoesNotConfirm(t *testing.T) {
