--- a/internal/relay/attempt/error.go
+++ b/internal/relay/attempt/error.go
@@ -91,6 +91,12 @@
 	return true
 }
 
+// LostAnswer reports whether the connection ended while the server may have been
+// working on the request.
+func (e *Error) LostAnswer() bool {
+	return e.State != call.NotRun && (e.Kind == Reset || e.Kind == Truncated || e.Kind == WriteFailed)
+}
+
 // failures counts the attempts that ended without a complete answer, by kind.
 var failures = expvar.NewMap("AttemptFailures")
 
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -196,12 +196,24 @@
 		zap.Int("Confidence", answer.Metadata.Confidence), zap.Int("Status", answer.Status), zap.Int("Last", answer.LastEvent),
 	}
 	if err != nil {
+		if e != nil && e.LostAnswer() {
+			fields = append(fields, zap.Strings("Parts", promptPartIDs(ex.call.PromptParts)))
+		}
 		ex.log.Info("AttemptFailed", append(fields, zap.Error(err))...)
 		return
 	}
 	ex.log.Debug("AttemptAnswered", fields...)
 }
 
+// promptPartIDs returns the IDs of the parts of a prompt.
+func promptPartIDs(parts []dispatch.PromptPart) []string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // assignmentResult returns what a failed attempt says about its server.
 func assignmentResult(e *attempt.Error) dispatch.Result {
 	switch e.Kind {
