Quarantine prompt parts that crash servers

Cause: nothing related a server's crash to the prompt that it was working on. A lost attempt counted against the server, and the request went on to as many servers as its route allows attempts, the next one too. An instance that saw a crash told nobody.

Change: an attempt that lost an answer before its first event, at a server that then refuses connections, is a crash under that prompt; so is that of a server whose answer was declined before. A call under which two servers crashed is given up. Instances report crashes to the readers, with how long ago answers with the same parts began. A part that three crashes and two requests have in common, and that no answer has cleared for a second, is written to the store for 5 minutes; prompts with it are refused, not run. Crashes that a quarantined part explains are no evidence against others, and of several parts the least recently answered is taken, then the later one in the prompt.

--- a/internal/fleet/follower/fleet.go
+++ b/internal/fleet/follower/fleet.go
@@ -12,16 +12,21 @@
 	Rollouts  map[string]RolloutProgress
 	Instances map[string]Instance
 	Driver    Driver
+	// QuarantinedParts holds the IDs of the prompt parts that crash servers.
+	QuarantinedParts map[string]bool
 }
 
 func newFleet() Fleet {
-	return Fleet{ClosedDataCentres: map[string]bool{}, Orders: map[string]RolloutOrder{}, Rollouts: map[string]RolloutProgress{}, Instances: map[string]Instance{}}
+	return Fleet{
+		ClosedDataCentres: map[string]bool{}, Orders: map[string]RolloutOrder{}, Rollouts: map[string]RolloutProgress{}, Instances: map[string]Instance{},
+		QuarantinedParts: map[string]bool{},
+	}
 }
 
 func (fl *Fleet) clone() Fleet {
 	return Fleet{
 		ClosedDataCentres: maps.Clone(fl.ClosedDataCentres), Orders: maps.Clone(fl.Orders), Rollouts: maps.Clone(fl.Rollouts),
-		Instances: maps.Clone(fl.Instances), Driver: fl.Driver,
+		Instances: maps.Clone(fl.Instances), Driver: fl.Driver, QuarantinedParts: maps.Clone(fl.QuarantinedParts),
 	}
 }
 
@@ -36,6 +41,8 @@
 		return putOrDelete(fl.Rollouts, s.Service, s, s.Ended)
 	case Instance:
 		return putOrDelete(fl.Instances, s.Name, s, s.Ended)
+	case QuarantinedPart:
+		return putOrDelete(fl.QuarantinedParts, s.Part, true, s.Ended)
 	case Driver:
 		if s.Ended {
 			s = Driver{}
@@ -57,6 +64,7 @@
 	deleteMissing(fl.Orders, present.Orders)
 	deleteMissing(fl.Rollouts, present.Rollouts)
 	deleteMissing(fl.Instances, present.Instances)
+	deleteMissing(fl.QuarantinedParts, present.QuarantinedParts)
 	fl.Driver = present.Driver
 }
 
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -66,6 +66,11 @@
 		PeerAddress string
 		Ended       bool
 	}
+	// QuarantinedPart keeps prompts with a part away from the servers, until Ended.
+	QuarantinedPart struct {
+		Part  string
+		Ended bool
+	}
 	// Ignored is an entry that followers don't use. Feeds leave it out.
 	Ignored struct{}
 	// Driver names the instance that makes the rollout decisions.
--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -85,4 +87,13 @@
 }
 
 // ObserveAttempt implements pipeline.Fleet.
-func (g *Gateway) ObserveAttempt(o pipeline.AttemptOutcome) { g.rollouts.observe(o) }
+func (g *Gateway) ObserveAttempt(o pipeline.AttemptOutcome) {
+	g.rollouts.observe(o)
+	g.crashes.observe(o)
+}
+
+// IsQuarantined implements pipeline.Fleet.
+func (g *Gateway) IsQuarantined(parts []dispatch.PromptPart) bool {
+	quarantined := g.fleet().QuarantinedParts
+	return len(quarantined) > 0 && slices.ContainsFunc(sharedParts(parts), func(id string) bool { return quarantined[id] })
+}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -43,6 +43,8 @@
 	// operator, if the stored progress is still at p.Revision and the driver's
 	// entry at driver.Revision. It reports whether it has written them.
 	RecordProgress(ctx context.Context, p follower.RolloutProgress, driver follower.Driver) (bool, error)
+	// Quarantine quarantines a prompt part for a time, unless it already is.
+	Quarantine(ctx context.Context, part string, crashes int, d time.Duration) error
 	// WriteTallies replaces stored tallies by those that are due, if the stored
 	// ones are still at the marks in written. It writes all and reports true,
 	// or none and reports false. The returned marks are what it has learnt of
@@ -106,6 +108,7 @@
 	peers      *peers
 	feeds      *feeds
 	billing    *billing
+	crashes    *crashes
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
 
@@ -174,6 +177,7 @@
 	g.rollouts = newRollouts(g)
 	g.membership = &membership{gateway: g}
 	g.peers = &peers{gateway: g}
+	g.crashes = newCrashes(g)
 	g.runID = deps.Clock.Now().UnixNano()
 	g.billing = &billing{gateway: g, counter: tally.NewCounter(s.Instance, g.runID), copies: tally.NewCopies(), written: map[string]tally.WriteMark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.client, deps.Codec, deps.Codec, pipeline.WithForwardClock(deps.Clock), pipeline.WithForwardLogger(deps.Log))
@@ -226,6 +230,7 @@
 	group.Go(func() { g.rollouts.run(background) })
 	group.Go(func() { g.peers.run(background) })
 	group.Go(func() { g.billing.run(background) })
+	group.Go(func() { g.crashes.run(background) })
 	group.Go(g.peers.receive)
 	g.publishAges()
 	if g.MetricsAddress != "" {
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -361,3 +361,68 @@
 	g.billing.flush()
 	is.Equal(store.total[local.Key()], int64(2))
 }
+
+// quarantineStore is a store that keeps the parts written to it.
+type quarantineStore struct {
+	Store
+	parts []string
+}
+
+func (s *quarantineStore) Quarantine(_ context.Context, part string, _ int, _ time.Duration) error {
+	s.parts = append(s.parts, part)
+	return nil
+}
+
+// The prompts that crash servers are spread over the instances, so that none sees
+// enough crashes. The reader adds up what they report and quarantines the part that all
+// have in common, once; the part that sound prompts share stays.
+func TestPartThatCrashesServersIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	instances := map[string]follower.Instance{}
+	for _, name := range []string{"edge-1", "edge-2", "edge-3"} {
+		instances[name] = follower.Instance{Name: name, DataCentre: "gulberg"}
+	}
+	var gateways []*Gateway
+	store := &quarantineStore{}
+	for name := range instances {
+		g := newTestGateway(clock)
+		g.Settings.Instance, g.Store = name, store
+		publish(g, follower.Fleet{Instances: instances})
+		gateways = append(gateways, g)
+	}
+	prompt := func(parts ...string) []dispatch.PromptPart {
+		var prompt []dispatch.PromptPart
+		for _, p := range parts {
+			prompt = append(prompt, dispatch.PromptPart{ID: p})
+		}
+		return prompt
+	}
+	for i, g := range gateways {
+		g.crashes.observe(pipeline.AttemptOutcome{
+			PromptParts: prompt("shared", "bad", fmt.Sprint("request-", i)), Crashed: []*backend.Server{{ID: fmt.Sprint("s", i)}},
+		})
+	}
+	clock.Advance(300 * time.Millisecond)
+	gateways[0].crashes.observe(pipeline.AttemptOutcome{PromptParts: prompt("shared", "request-9"), Begun: true})
+	for range 8 {
+		for _, g := range gateways {
+			report, recent := g.crashes.local.Report(clock.Now())
+			is.True(recent)
+			for _, other := range gateways {
+				other.peers.handle(&message{From: g.Settings.Instance, Crashes: &report})
+			}
+			is.True(g.crashes.tick(t.Context()))
+		}
+		clock.Advance(reportInterval)
+	}
+	slices.Sort(store.parts)
+	is.Equal(slices.Compact(store.parts), []string{"bad"})
+	is.True(len(store.parts) <= minReaders)
+	for _, g := range gateways {
+		publish(g, follower.Fleet{Instances: instances, QuarantinedParts: map[string]bool{"bad": true}})
+		is.True(g.IsQuarantined(prompt("shared", "bad", "request-9")))
+		is.True(!g.IsQuarantined(prompt("shared", "request-9")))
+		is.True(!g.IsQuarantined(prompt("shared", "bad"))) // the last part belongs to one request
+	}
+}
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/quarantine"
 )
 
 // peers exchanges short-lived state with the other instances in datagrams,
@@ -46,6 +47,8 @@
 	Tally *tally.Tally `json:",omitzero"`
 	// Evidence is the sender's evidence on one rollout.
 	Evidence *evidenceMessage `json:",omitzero"`
+	// Crashes is the sender's evidence on prompt parts that crash servers.
+	Crashes *quarantine.Report `json:",omitzero"`
 	// Sessions says on which versions sessions ran at the sender during a
 	// rollout's canary phase.
 	Sessions []sessionMessage `json:",omitzero"`
@@ -127,6 +130,9 @@
 	if m.Tally != nil {
 		g.billing.copies.Merge(*m.Tally)
 	}
+	if m.Crashes != nil {
+		g.crashes.fleet.Merge(*m.Crashes, now)
+	}
 	for _, s := range m.Sessions {
 		g.rollouts.recordPeerSession(s)
 	}
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -163,6 +163,20 @@
 	return true
 }
 
+// Refuses reports whether address refuses new connections: nothing listens there, as
+// after a crash. A server that doesn't reply within the limit refuses nothing.
+func (c *Client) Refuses(ctx context.Context, address string, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	connections.Add("Probed", 1)
+	nc, err := c.dial(ctx, address)
+	if err != nil {
+		return classifyDial(err) == DialRefused
+	}
+	nc.Close()
+	return false
+}
+
 var errUnsigned = errors.New("the answer is not signed or not in the form that was asked for")
 
 // Write writes the request to w: the request line, the header and the body.
--- a/internal/relay/call/call.go
+++ b/internal/relay/call/call.go
@@ -114,6 +114,7 @@
 	ReasonIncomplete              Reason = "Incomplete"
 	ReasonCallerGone              Reason = "CallerGone"
 	ReasonDataCentreOut           Reason = "DataCentreOut"
+	ReasonPromptQuarantined       Reason = "PromptQuarantined"
 )
 
 // Refusal is the error returned for a request that gets no complete answer.
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -97,6 +98,8 @@
 	// budget allows it. urgent is false for a retry that only improves the answer;
 	// such retries leave a reserve for those after failures.
 	TryRetry(service string, urgent bool) bool
+	// IsQuarantined reports whether a part of a prompt is known to crash servers.
+	IsQuarantined(parts []dispatch.PromptPart) bool
 	// ObserveAttempt records the outcome of an attempt.
 	ObserveAttempt(o AttemptOutcome)
 	// ObserveCall records the outcome of a call.
@@ -128,6 +131,12 @@
 	FirstEvent time.Duration
 	// PredictedWait is the wait that the placement predicted.
 	PredictedWait time.Duration
+	PromptParts   []dispatch.PromptPart
+	// Begun is set if an event of the answer arrived.
+	Begun bool
+	// Crashed lists the servers that have crashed while they worked on the call,
+	// without an event of the answer.
+	Crashed []*backend.Server
 }
 
 // CallOutcome is the outcome of one call.
@@ -158,6 +167,8 @@
 type ForwardClient interface {
 	Forward(ctx context.Context, target attempt.Target, f attempt.ForwardRequest, sink attempt.EventSink) (attempt.ForwardAnswer, error)
 	Reachable(ctx context.Context, address string, limit time.Duration) bool
+	// Refuses reports whether the address refuses new connections.
+	Refuses(ctx context.Context, address string, limit time.Duration) bool
 }
 
 // Forwarder runs forwarded calls. Create one with NewForwarder.
@@ -231,6 +242,10 @@
 	// failureAnswer is an error answer of a server, which is delivered if no later
 	// attempt succeeds.
 	failureAnswer *attempt.ForwardAnswer
+	// declinedServers lists the servers whose answers were declined for a larger model's.
+	declinedServers []*backend.Server
+	// crashes is the number of servers that have crashed under the call.
+	crashes int
 }
 
 // responseMargin is subtracted from the time that a server gets. It leaves time to
@@ -261,6 +276,9 @@
 
 // attempt implements retryPolicy.
 func (ex *forwardExecution) attempt(ctx context.Context) error {
+	if err := ex.checkQuarantine(); err != nil {
+		return err
+	}
 	assigned, err := ex.place(ctx)
 	if err != nil {
 		return err
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -31,6 +32,15 @@
 	// stallShare is the share of the longest pause that the route allows between
 	// events after which a stream is resumed at another server.
 	stallShare = 0.6
+	// maxCrashesPerCall is the number of servers that may crash under a call before it
+	// is given up, since its prompt may be the cause.
+	maxCrashesPerCall = 2
+	// crashProbeTimeout bounds the check whether a server has crashed. It is several
+	// round trips within a region.
+	crashProbeTimeout = 100 * time.Millisecond
+	// quarantineRetryAfter is how long a caller is told to wait whose prompt is
+	// quarantined.
+	quarantineRetryAfter = time.Minute
 	// refusalRetryAfter is the shortest time that a refused caller is told to wait.
 	// The longest is twice that, so that callers do not retry at the same time.
 	refusalRetryAfter = 250 * time.Millisecond
@@ -95,7 +105,7 @@
 		BeforeWrite:    func() error { return ex.recheck(assigned) },
 		ConfirmTimeout: func(s attempt.Stall) bool { return stall.confirmTimeout(ctx, s) },
 	}, sink)
-	ex.recordOutcome(assigned, answer, err, startedAt)
+	ex.recordOutcome(ctx, assigned, answer, sink.firstSeen, err, startedAt)
 	return answer, err
 }
 
@@ -134,12 +144,45 @@
 	if err := ex.checkRoutingTable(ex.call, ex.service); err != nil {
 		return err
 	}
+	if err := ex.checkQuarantine(); err != nil {
+		return err
+	}
 	if !ex.fleet.StillEligible(assigned, ex.placementRequest(ex.model, ex.sizeRank)) {
 		return &stalePlacementError{errServerIneligible}
 	}
 	return nil
 }
 
+// checkQuarantine returns a refusal if the call's prompt is quarantined.
+func (ex *forwardExecution) checkQuarantine() error {
+	if !ex.fleet.IsQuarantined(ex.call.PromptParts) {
+		return nil
+	}
+	return &call.Refusal{Reason: call.ReasonPromptQuarantined, State: ex.state, Detail: "a part of the prompt crashes servers", RetryAfter: quarantineRetryAfter}
+}
+
+// findCrashes returns the servers that have crashed under the call: the attempt's server,
+// if it refuses connections right after it lost an answer that hadn't begun, and those
+// whose answers were declined before, which may crash once they begin.
+func (ex *forwardExecution) findCrashes(ctx context.Context, server *backend.Server, begun bool, e *attempt.Error) []*backend.Server {
+	if e != nil && e.Kind == attempt.Unwanted {
+		ex.declinedServers = append(ex.declinedServers, server)
+		return nil
+	}
+	if e == nil || begun || !e.LostAnswer() || len(ex.call.PromptParts) < 2 || !ex.client.Refuses(ctx, server.Address, crashProbeTimeout) {
+		return nil
+	}
+	crashed := []*backend.Server{server}
+	for _, s := range ex.declinedServers {
+		if ex.client.Refuses(ctx, s.Address, crashProbeTimeout) {
+			crashed = append(crashed, s)
+		}
+	}
+	ex.declinedServers = nil
+	ex.crashes += len(crashed)
+	return crashed
+}
+
 var errServerIneligible = errors.New("the server may not be used any more")
 
 // checkRoutingTable returns an error if the table in force no longer allows the call.
@@ -171,8 +214,8 @@
 }
 
 // recordOutcome ends the assignment of an attempt and reports and logs its
-// outcome.
-func (ex *forwardExecution) recordOutcome(assigned *dispatch.Assignment, answer attempt.ForwardAnswer, err error, startedAt time.Time) {
+// outcome. begun is set if an event of the answer arrived.
+func (ex *forwardExecution) recordOutcome(ctx context.Context, assigned *dispatch.Assignment, answer attempt.ForwardAnswer, begun bool, err error, startedAt time.Time) {
 	now := ex.clock.Now()
 	if l := answer.Metadata.Load; l != nil {
 		assigned.RecordLoad(l.Running, l.Waiting, now)
@@ -188,8 +231,12 @@
 	assigned.Done(result, now)
 	ex.fleet.ObserveAttempt(AttemptOutcome{
 		Assignment: assigned, Route: ex.call.Route.Name, Failed: e != nil && e.Kind == attempt.Status && result == dispatch.ServerFailed,
-		FirstEvent: answer.FirstEvent, PredictedWait: assigned.PredictedWait,
+		FirstEvent: answer.FirstEvent, PredictedWait: assigned.PredictedWait, PromptParts: ex.call.PromptParts, Begun: begun,
+		Crashed: ex.findCrashes(ctx, assigned.Server, begun, e),
 	})
+	if ex.crashes >= maxCrashesPerCall {
+		ex.maxAttempts = ex.serverAttempts
+	}
 	fields := []zap.Field{
 		zap.String("RequestId", ex.call.ID), zap.String("Server", assigned.Server.ID), zap.String("Version", assigned.Server.Version), zap.String("Model", ex.model),
 		zap.Duration("Predicted", assigned.PredictedWait), zap.Duration("First", answer.FirstEvent), zap.Duration("Took", now.Sub(startedAt)), zap.Int("Held", assigned.CachedTokens),
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	retries     int
 	noRetries   bool
 	ineligible  map[string]bool
+	quarantined map[string]bool
 	observed    []AttemptOutcome
 }
 
@@ -54,6 +56,9 @@
 	f.retries++
 	return true
 }
+func (f *fakeFleet) IsQuarantined(parts []dispatch.PromptPart) bool {
+	return slices.ContainsFunc(parts, func(p dispatch.PromptPart) bool { return f.quarantined[p.ID] })
+}
 func (f *fakeFleet) ObserveAttempt(o AttemptOutcome) { f.observed = append(f.observed, o) }
 func (f *fakeFleet) ObserveCall(CallOutcome)         {}
 func (f *fakeFleet) Changed() <-chan struct{}        { return nil }
@@ -65,6 +70,7 @@
 	sent      []attempt.ForwardRequest
 	servers   []string
 	reachable bool
+	crashed   map[string]bool // by address
 }
 
 func (c *fakeClient) Forward(_ context.Context, target attempt.Target, f attempt.ForwardRequest, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
@@ -76,6 +82,10 @@
 	return c.steps[min(n, len(c.steps)-1)](f, sink)
 }
 
+func (c *fakeClient) Refuses(_ context.Context, address string, _ time.Duration) bool {
+	return c.crashed[address]
+}
+
 func (c *fakeClient) Reachable(context.Context, string, time.Duration) bool { return c.reachable }
 
 // fakeResponseWriter records what the caller receives.
@@ -366,3 +376,80 @@
 		})
 	}
 }
+
+// promptOf returns a prompt with the given parts.
+func promptOf(ids ...string) []dispatch.PromptPart {
+	var parts []dispatch.PromptPart
+	for _, id := range ids {
+		parts = append(parts, dispatch.PromptPart{ID: id, Tokens: 10})
+	}
+	return parts
+}
+
+// A prompt that crashes servers used to be sent to as many of them as its route allows
+// attempts. It is given up after two, one of which crashed after its answer had been
+// declined.
+func TestPromptThatCrashesServersIsGivenUp(t *testing.T) {
+	lost := func(attempt.ForwardRequest, attempt.EventSink) (attempt.ForwardAnswer, error) {
+		return attempt.ForwardAnswer{}, &attempt.Error{Kind: attempt.Reset, State: call.MayHaveRun}
+	}
+	declined := func(attempt.ForwardRequest, attempt.EventSink) (attempt.ForwardAnswer, error) {
+		return attempt.ForwardAnswer{}, &attempt.Error{Kind: attempt.Unwanted, State: call.Ran}
+	}
+	type steps = []func(attempt.ForwardRequest, attempt.EventSink) (attempt.ForwardAnswer, error)
+	for _, c := range []struct {
+		name    string
+		steps   steps
+		crashed map[string]bool
+		sent    int
+		crashes int
+	}{
+		{"servers crash", steps{lost}, map[string]bool{"s1": true, "s2": true}, 2, 2},
+		{"a declined answer's server crashes too", steps{declined, lost}, map[string]bool{"s1": true, "s2": true}, 2, 2},
+		{"connections are lost", steps{lost}, nil, 3, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newForwardFixture(func(r *route.Route) {
+				r.Kind, r.Resumable, r.Models = route.Streaming, true, []string{"small", "large"}
+			})
+			fx.call.PromptParts = promptOf("shared", "own")
+			fx.client.steps, fx.client.crashed = c.steps, c.crashed
+			is.True(fx.forwarder.Run(t.Context(), fx.call, fx.out) != nil)
+			is.Equal(len(fx.client.sent), c.sent)
+			crashes := 0
+			for _, o := range fx.fleet.observed {
+				crashes += len(o.Crashed)
+			}
+			is.Equal(crashes, c.crashes)
+		})
+	}
+}
+
+// A call whose prompt is quarantined is refused without being sent, also if that becomes
+// known between two attempts. The refusal says whether it has run.
+func TestQuarantinedPromptIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after int // attempts
+		state call.RunState
+	}{{"at once", 0, call.NotRun}, {"between two attempts", 1, call.MayHaveRun}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newForwardFixture(func(*route.Route) {})
+			fx.call.PromptParts = promptOf("bad", "own")
+			fx.fleet.quarantined = map[string]bool{"bad": c.after == 0}
+			fx.client.steps = append(fx.client.steps, func(attempt.ForwardRequest, attempt.EventSink) (attempt.ForwardAnswer, error) {
+				fx.fleet.quarantined["bad"] = true
+				return attempt.ForwardAnswer{}, &attempt.Error{Kind: attempt.Reset, State: call.MayHaveRun}
+			})
+			err := fx.forwarder.Run(t.Context(), fx.call, fx.out)
+			var refusal *call.Refusal
+			is.True(errors.As(err, &refusal))
+			is.Equal(refusal.Reason, call.ReasonPromptQuarantined)
+			is.Equal(refusal.State, c.state)
+			is.True(refusal.RetryAfter > 0)
+			is.Equal(len(fx.client.sent), c.after)
+		})
+	}
+}
