Bound the bytes that are read for the head of an answer

Servers in trouble may send bytes that are no answer without end, until the caller closes.

Cause: the HTTP reader has no limit for a status line, a header or the informational answers before it, and the body of a mismatched answer was skipped whole. An endless head was kept in memory until the first byte timeout, at the speed of the link; the others went on until the deadline. Bodies, events and refusals were bounded.

Change: 64 KB for a head with the informational answers before it, 256 KB for a skipped body. Then the attempt fails as malformed and may be repeated like any other.

Test: TestEndlessBytes, with a clock on which no timeout passes. Without the change six of its cases do not end (stopped after 2 s): status line, header line, header, no answer, informational answers, answer to another request. The other six, bodies, an event, an error and a refusal, pass either way.

--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -41,6 +41,9 @@
 	// armedAt is when the watchdog was last armed; extend leaves it unchanged.
 	armedAt      time.Time
 	bytesWritten int
+	// headBytes is how many more bytes may be read before the head of the answer is
+	// complete; below 0 there is no limit.
+	headBytes int
 	// readErr is the last error of the network connection. The HTTP libraries
 	// replace it by their own errors.
 	readErr error
@@ -51,7 +54,7 @@
 
 func newConn(nc net.Conn, target Target, clock clockwork.Clock) *conn {
 	now := clock.Now()
-	c := &conn{Conn: nc, target: target, clock: clock, dialledAt: now, lastActiveAt: now}
+	c := &conn{Conn: nc, target: target, clock: clock, dialledAt: now, lastActiveAt: now, headBytes: -1}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
@@ -72,9 +75,24 @@
 	c.confirmTimeout = confirm
 }
 
+// limitHead bounds the bytes that may be read before the next limitHead. A limit below 0
+// is none. It must not be called during a Read.
+func (c *conn) limitHead(limit int) { c.headBytes = limit }
+
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
 // Read records when bytes arrive and the error of the network, if any.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.headBytes == 0 {
+		return 0, errHeadTooLarge
+	}
+	if c.headBytes > 0 && len(p) > c.headBytes {
+		p = p[:c.headBytes]
+	}
 	n, err := c.Conn.Read(p)
+	if c.headBytes > 0 {
+		c.headBytes -= n
+	}
 	if n > 0 {
 		now := c.clock.Now()
 		c.mu.Lock()
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -108,6 +108,11 @@
 	// maxMismatchedAnswers is how many mismatched answers, which do not carry the
 	// request's ID, an attempt skips before it fails.
 	maxMismatchedAnswers = 3
+	// maxHeadBytes bounds the bytes that are read for one head, including informational
+	// answers before it.
+	maxHeadBytes = 64 << 10
+	// maxMismatchedBytes bounds the body of a mismatched answer that is skipped.
+	maxMismatchedBytes = 256 << 10
 	// maxSyncBodyBytes is the size of the largest body that is written completely
 	// before the answer is read. A larger one is written concurrently, since a
 	// server may answer before it has read everything.
@@ -224,9 +229,12 @@
 }
 
 // readForwardHead reads the head of the answer. It skips mismatched answers, such as
-// late answers to other requests, up to maxMismatchedAnswers of them.
+// late answers to other requests, up to maxMismatchedAnswers of them. A head, or what is
+// skipped, without end is a malformed answer.
 func (x *exchange) readForwardHead(f ForwardRequest) (*http.Response, Head, error) {
 	req := &http.Request{Method: f.Method}
+	x.conn.limitHead(maxHeadBytes)
+	defer x.conn.limitHead(-1)
 	for mismatched := 0; ; {
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
@@ -245,9 +253,11 @@
 			return nil, Head{}, x.fail(CrossedAnswer, mismatch)
 		}
 		connections.Add("StrayAnswers", 1)
+		x.conn.limitHead(maxMismatchedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, Head{}, x.fail(CrossedAnswer, mismatch)
 		}
+		x.conn.limitHead(maxHeadBytes)
 	}
 }
 
--- a/internal/relay/attempt/forward_test.go
+++ b/internal/relay/attempt/forward_test.go
@@ -254,3 +254,74 @@
 	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
 	is.Equal(c.failureKind(Reset), Reset)
 }
+
+// Bytes without end, whose server goes on until the connection is closed, end the attempt
+// after a bounded number of bytes, long before its timeouts. An endless head was kept in
+// memory until the first byte timeout, and an endless series of informational answers
+// until the deadline.
+func TestEndlessBytes(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: r1\r\nSealed: 1\r\n"
+	for _, c := range []struct {
+		name          string
+		start, repeat string
+		stream        bool
+		kind          Kind
+		maxBytes      int
+	}{
+		{"status line", "HTTP/1.1 200 ", "x", false, Malformed, maxHeadBytes},
+		{"header line", head + "X: ", "x", false, Malformed, maxHeadBytes},
+		{"header", head, "X: y\r\n", false, Malformed, maxHeadBytes},
+		{"no answer", "", "noise", false, Malformed, maxHeadBytes},
+		{"informational answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n", false, Malformed, maxHeadBytes},
+		{"answer to another request", "HTTP/1.1 200 OK\r\nId: r0\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nxxxxx\r\n", false, CrossedAnswer, maxMismatchedBytes},
+		{"body", head + "\r\n", "x", false, AnswerTooLarge, defaultMaxAnswerBytes},
+		{"chunked body", head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nxxxxx\r\n", false, AnswerTooLarge, 3 * defaultMaxAnswerBytes},
+		{"chunk size", head + "Transfer-Encoding: chunked\r\n\r\n", "0", false, Malformed, maxHeadBytes},
+		{"event", head + "\r\n", "x", true, Malformed, 2 * maxEventBytes},
+		{"error answer", "HTTP/1.1 500 No\r\nId: r1\r\n\r\n", "x", false, AnswerTooLarge, defaultMaxAnswerBytes},
+		{"refusal", "HTTP/1.1 503 No\r\nId: r1\r\nNotRun: 1\r\n\r\n", "x", false, Refused503, 2 * maxErrorBodyBytes},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := endlessServer(t, c.start, c.repeat)
+			client := New(WithClock(clockwork.NewFakeClock())) // no timeout passes
+			_, err := client.Forward(t.Context(), Target{Server: "s", Address: address}, ForwardRequest{
+				RequestID: "r1", Method: http.MethodGet, URI: "/", Host: "h", Stream: c.stream, Dialect: scriptedDialect{},
+			}, &recordingSink{})
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Kind, c.kind)
+			// The server counts what the sockets hold as well.
+			const socketBytes = 16 << 20
+			is.True(<-closed <= c.maxBytes+socketBytes)
+		})
+	}
+}
+
+// endlessServer answers with start and then repeats the same bytes until its connection
+// is closed. It returns its address and a channel for the number of bytes written.
+func endlessServer(t *testing.T, start, repeat string) (address string, written <-chan int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	done := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		total, err := io.WriteString(c, start)
+		block := bytes.Repeat([]byte(repeat), 4096)
+		for err == nil {
+			var n int
+			n, err = c.Write(block)
+			total += n
+		}
+		done <- total
+	}()
+	return l.Addr().String(), done
+}
