Tell a slow version by the time between events and by answers that are late

Cause: only answers counted as evidence, and those of a slow version come several times later.

Change: an attempt is observed once, as soon as its answer is late, has its first pauses or has ended. It is slow if it is late or if the median of its first three pauses is 2.5 times the usual one of the service's model, measured on the other versions.

Tests: TestAnswersAreObservedEarly, TestSlowVersionIsSeenEarly; they need the new interface and do not compile before.

--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
@@ -87,11 +88,16 @@
 }
 
 // ObserveAttempt implements pipeline.Fleet.
-func (g *Gateway) ObserveAttempt(o pipeline.AttemptOutcome) {
-	g.rollouts.observe(o)
-	g.crashes.observe(o)
+func (g *Gateway) ObserveAttempt(o pipeline.AttemptOutcome) { g.crashes.observe(o) }
+
+// LateAfter implements pipeline.Fleet.
+func (g *Gateway) LateAfter(predictedWait time.Duration) time.Duration {
+	return max(minSlowLatency, slowFactor*predictedWait)
 }
 
+// ObserveAnswer implements pipeline.Fleet.
+func (g *Gateway) ObserveAnswer(o pipeline.AnswerObservation) { g.rollouts.observe(o) }
+
 // IsQuarantined implements pipeline.Fleet.
 func (g *Gateway) IsQuarantined(parts []dispatch.PromptPart) bool {
 	quarantined := g.fleet().QuarantinedParts
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
+	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 )
 
@@ -426,3 +427,36 @@
 		is.True(!g.IsQuarantined(prompt("shared", "bad"))) // the last part belongs to one request
 	}
 }
+
+// A version whose answers are several times slower is found by the time between their
+// events and by answers that have yet to begin. Their first events alone, compared with
+// a prediction that has learned the servers' slowness, showed it in one answer of eight,
+// and late (Csatornakep, hasty, seed 3).
+func TestSlowVersionIsSeenEarly(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	g := newTestGateway(clock)
+	fleet := fleetWithRollout(follower.RolloutActive, 0.15)
+	publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
+	g.rollouts.syncOrders(fleet)
+	observe := func(version string, late bool, pace time.Duration) {
+		g.ObserveAnswer(pipeline.AnswerObservation{
+			Server: &backend.Server{Service: "assistant", Version: version}, Route: "r", Model: "large", Late: late, Pace: pace,
+		})
+	}
+	for range 40 {
+		observe("v1", false, 25*time.Millisecond)
+		observe("v1", false, 45*time.Millisecond)
+	}
+	observe("v1", false, 2*time.Second) // a single pause
+	for range 3 {
+		observe("v2", false, 110*time.Millisecond)
+		observe("v2", true, 0)
+	}
+	observe("v2", false, 40*time.Millisecond)
+	evidence, _, _ := g.rollouts.totalEvidence("assistant")
+	is.Equal(evidence["r"], verdict.Comparison{Old: verdict.Counts{Answers: 81, Slow: 1}, New: verdict.Counts{Answers: 7, Slow: 6}})
+	is.True(verdict.IsRegression(evidence))
+	is.Equal(g.LateAfter(20*time.Millisecond), minSlowLatency)
+	is.Equal(g.LateAfter(time.Second), slowFactor*time.Second)
+}
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -32,6 +32,9 @@
 	peerEvidence map[string]map[string]verdict.Evidence
 	// pins holds the version that each session last ran on.
 	pins map[string]pin
+	// paces holds the usual pace of each service's models, from the versions that
+	// aren't the target of a rollout.
+	paces map[paceKey]*pace
 	// driverMissingSince is when this instance first saw that a driver was
 	// needed and missing, or last tried to become the driver.
 	driverMissingSince time.Time
@@ -78,15 +81,45 @@
 	progressRecordsPerRollout = 8
 	// maxPins bounds the number of sessions whose version is remembered.
 	maxPins = 20000
-	// An answer is slow if its first event took more than slowFactor times the
-	// prediction and more than minSlowLatency.
+	// An answer is slow if its first event takes more than slowFactor times the
+	// prediction and more than minSlowLatency, or if its events come slowPaceFactor times
+	// slower than the other versions' and more than minSlowPace apart. The prediction
+	// has learned how slow a server is and what waits there, the pace hasn't.
 	slowFactor     = 4
 	minSlowLatency = 250 * time.Millisecond
+	slowPaceFactor = 2.5
+	minSlowPace    = 40 * time.Millisecond
 )
 
+type paceKey struct{ service, model string }
+
+// pace is the usual time between two events: the exponential of a moving average of its
+// logarithm, which single long pauses hardly change.
+type pace struct {
+	logSeconds float64
+	samples    int
+}
+
+const (
+	// paceWeight is the weight of a sample. Until there are minPaceSamples, no answer is
+	// slow by its pace.
+	paceWeight     = 0.05
+	minPaceSamples = 10
+)
+
+func (p *pace) observe(d time.Duration) {
+	p.samples++
+	p.logSeconds += max(paceWeight, 1/float64(p.samples)) * (math.Log(d.Seconds()) - p.logSeconds)
+}
+
+// isSlow reports whether a pace is much slower than the usual one.
+func (p *pace) isSlow(d time.Duration) bool {
+	return p.samples >= minPaceSamples && d > minSlowPace && d.Seconds() > slowPaceFactor*math.Exp(p.logSeconds)
+}
+
 // newRollouts returns the rollouts of a gateway, without evidence or pins.
 func newRollouts(g *Gateway) *rollouts {
-	return &rollouts{gateway: g, local: map[string]*localRollout{}, peerEvidence: map[string]map[string]verdict.Evidence{}, pins: map[string]pin{}}
+	return &rollouts{gateway: g, local: map[string]*localRollout{}, peerEvidence: map[string]map[string]verdict.Evidence{}, pins: map[string]pin{}, paces: map[paceKey]*pace{}}
 }
 
 // allowedVersions returns the versions that a request of a session may run on.
@@ -186,22 +219,30 @@
 	return n
 }
 
-// observe adds the outcome of an attempt to the evidence on its service's
-// rollout.
-func (r *rollouts) observe(o pipeline.AttemptOutcome) {
-	server := o.Assignment.Server
+// observe adds an answer to the evidence on its service's rollout and to the usual pace.
+func (r *rollouts) observe(o pipeline.AnswerObservation) {
+	server := o.Server
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.local[server.Service]
-	if ro == nil || o.FirstEvent <= 0 && !o.Failed {
-		return
+	usual := r.paces[paceKey{server.Service, o.Model}]
+	if usual == nil {
+		usual = &pace{}
+		r.paces[paceKey{server.Service, o.Model}] = usual
 	}
 	counts := verdict.Counts{Answers: 1}
-	if o.Failed {
+	switch {
+	case o.Failed:
 		counts.Failed = 1
-	} else if o.FirstEvent > minSlowLatency && o.FirstEvent > slowFactor*o.PredictedWait {
+	case o.Late || o.Pace > 0 && usual.isSlow(o.Pace):
 		counts.Slow = 1
 	}
+	if o.Pace > 0 && (ro == nil || ro.ended || server.Version != ro.target) {
+		usual.observe(o.Pace)
+	}
+	if ro == nil {
+		return
+	}
 	comparison := verdict.Comparison{Old: counts}
 	if server.Version == ro.target {
 		comparison = verdict.Comparison{New: counts}
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -100,6 +100,11 @@
 	TryRetry(service string, urgent bool) bool
 	// IsQuarantined reports whether a part of a prompt is known to crash servers.
 	IsQuarantined(parts []dispatch.PromptPart) bool
+	// LateAfter returns after which time without an event an answer is late.
+	LateAfter(predictedWait time.Duration) time.Duration
+	// ObserveAnswer records how a server answers. It is called once for an attempt, as
+	// soon as that can be told.
+	ObserveAnswer(o AnswerObservation)
 	// ObserveAttempt records the outcome of an attempt.
 	ObserveAttempt(o AttemptOutcome)
 	// ObserveCall records the outcome of a call.
@@ -120,18 +125,23 @@
 	ExcludeServers []string
 }
 
-// AttemptOutcome is the outcome of one attempt.
-type AttemptOutcome struct {
-	Assignment *dispatch.Assignment
-	Route      string
+// AnswerObservation tells how a server answers one attempt.
+type AnswerObservation struct {
+	Server *backend.Server
+	Route  string
+	Model  string
 	// Failed is set if the server answered with an error status of its own.
 	Failed bool
-	// FirstEvent is the time to the first event of the answer, or to its head if it
-	// has no event; 0 if the attempt returned no answer.
-	FirstEvent time.Duration
-	// PredictedWait is the wait that the placement predicted.
-	PredictedWait time.Duration
-	PromptParts   []dispatch.PromptPart
+	// Late is set if LateAfter has passed before the first event of the answer, or
+	// before its head if it has no event.
+	Late bool
+	// Pace is the usual time between the first events; 0 if there are too few.
+	Pace time.Duration
+}
+
+// AttemptOutcome is the outcome of one attempt.
+type AttemptOutcome struct {
+	PromptParts []dispatch.PromptPart
 	// Begun is set if an event of the answer arrived.
 	Begun bool
 	// Crashed lists the servers that have crashed while they worked on the call,
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -92,7 +92,8 @@
 	if ex.totalAttempts == 0 {
 		ex.queueTime = startedAt.Sub(ex.call.ArrivedAt)
 	}
-	sink := &eventSink{forwardExecution: ex, assignment: assigned, startedAt: startedAt}
+	observer := newAnswerObserver(ex.Forwarder, AnswerObservation{Server: assigned.Server, Route: r.Name, Model: ex.model}, assigned.PredictedWait)
+	sink := &eventSink{forwardExecution: ex, assignment: assigned, startedAt: startedAt, observer: observer}
 	stall := ex.newStallPolicy(assigned)
 	metadata := AttemptMetadata{
 		Server: assigned.Server.ID, Customer: ex.call.Customer, Model: ex.model, Priority: ex.call.Priority, ResumeFrom: ex.lastEvent,
@@ -105,6 +106,9 @@
 		BeforeWrite:    func() error { return ex.recheck(assigned) },
 		ConfirmTimeout: func(s attempt.Stall) bool { return stall.confirmTimeout(ctx, s) },
 	}, sink)
+	var e *attempt.Error
+	failed := errors.As(err, &e) && e.Kind == attempt.Status && assignmentResult(e) == dispatch.ServerFailed
+	observer.ended(answer.FirstEvent > 0, failed)
 	ex.recordOutcome(ctx, assigned, answer, sink.firstSeen, err, startedAt)
 	return answer, err
 }
@@ -229,11 +233,7 @@
 	}
 	ex.recordResult(assigned.Server.ID, err)
 	assigned.Done(result, now)
-	ex.fleet.ObserveAttempt(AttemptOutcome{
-		Assignment: assigned, Route: ex.call.Route.Name, Failed: e != nil && e.Kind == attempt.Status && result == dispatch.ServerFailed,
-		FirstEvent: answer.FirstEvent, PredictedWait: assigned.PredictedWait, PromptParts: ex.call.PromptParts, Begun: begun,
-		Crashed: ex.findCrashes(ctx, assigned.Server, begun, e),
-	})
+	ex.fleet.ObserveAttempt(AttemptOutcome{PromptParts: ex.call.PromptParts, Begun: begun, Crashed: ex.findCrashes(ctx, assigned.Server, begun, e)})
 	if ex.crashes >= maxCrashesPerCall {
 		ex.maxAttempts = ex.serverAttempts
 	}
@@ -353,6 +353,7 @@
 	*forwardExecution
 	assignment *dispatch.Assignment
 	startedAt  time.Time
+	observer   *answerObserver
 	head       attempt.Head
 	firstSeen  bool
 }
@@ -368,6 +369,7 @@
 
 // Event implements attempt.EventSink.
 func (s *eventSink) Event(number int, raw []byte) error {
+	s.observer.event()
 	if !s.firstSeen {
 		s.firstSeen = true
 		s.assignment.RecordFirstEvent(s.clock.Since(s.startedAt))
--- /dev/null
+++ b/internal/relay/pipeline/forward_observation.go
@@ -0,0 +1,87 @@
+package pipeline
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// paceGaps is the number of pauses between events from which the pace of a stream is
+// known. Their median ignores a single long pause.
+const paceGaps = 3
+
+// answerObserver reports how a server answers an attempt, once and as soon as that can be
+// told: a slow version is found by the answers that have yet to begin, or to end. Its
+// methods may be called from different goroutines.
+type answerObserver struct {
+	fleet Fleet
+	clock clockwork.Clock
+	timer clockwork.Timer
+
+	mu          sync.Mutex
+	observation AnswerObservation
+	reported    bool
+	begun       bool
+	gaps        []time.Duration
+	lastEventAt time.Time
+}
+
+// newAnswerObserver returns an observer of an attempt that starts now. The caller must
+// call ended.
+func newAnswerObserver(f *Forwarder, o AnswerObservation, predictedWait time.Duration) *answerObserver {
+	a := &answerObserver{fleet: f.fleet, clock: f.clock, observation: o}
+	a.timer = f.clock.AfterFunc(f.fleet.LateAfter(predictedWait), a.late)
+	return a
+}
+
+// late reports an answer that hasn't begun in time.
+func (a *answerObserver) late() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.begun {
+		a.observation.Late = true
+		a.report()
+	}
+}
+
+// event records an event of the answer.
+func (a *answerObserver) event() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	switch {
+	case !a.begun:
+		a.begun = true
+		a.timer.Stop()
+	case len(a.gaps) < paceGaps:
+		a.gaps = append(a.gaps, now.Sub(a.lastEventAt))
+	}
+	a.lastEventAt = now
+	if len(a.gaps) == paceGaps && !a.reported {
+		slices.Sort(a.gaps)
+		a.observation.Pace = a.gaps[paceGaps/2]
+		a.report()
+	}
+}
+
+// ended reports the attempt at its end, unless it was reported before. answered is set if
+// the server answered, failed if it did so with an error status of its own.
+func (a *answerObserver) ended(answered, failed bool) {
+	a.timer.Stop()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.observation.Failed = failed
+	if answered || failed {
+		a.report()
+	}
+}
+
+// report reports the observation once. The caller holds mu.
+func (a *answerObserver) report() {
+	if !a.reported {
+		a.reported = true
+		a.fleet.ObserveAnswer(a.observation)
+	}
+}
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,8 +31,14 @@
 	ineligible  map[string]bool
 	quarantined map[string]bool
 	observed    []AttemptOutcome
+
+	mu      sync.Mutex
+	answers []AnswerObservation
 }
 
+// lateAfter is after which time a fakeFleet counts an answer as late.
+const lateAfter = 300 * time.Millisecond
+
 func (f *fakeFleet) Table() *route.Table { return f.table }
 func (f *fakeFleet) IsConfirmed() bool   { return !f.unconfirmed }
 func (f *fakeFleet) query(req PlacementRequest) *dispatch.Query {
@@ -59,6 +66,19 @@
 func (f *fakeFleet) IsQuarantined(parts []dispatch.PromptPart) bool {
 	return slices.ContainsFunc(parts, func(p dispatch.PromptPart) bool { return f.quarantined[p.ID] })
 }
+func (f *fakeFleet) LateAfter(time.Duration) time.Duration { return lateAfter }
+func (f *fakeFleet) ObserveAnswer(o AnswerObservation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answers = append(f.answers, o)
+}
+
+// observations returns the observed answers so far.
+func (f *fakeFleet) observations() []AnswerObservation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.answers)
+}
 func (f *fakeFleet) ObserveAttempt(o AttemptOutcome) { f.observed = append(f.observed, o) }
 func (f *fakeFleet) ObserveCall(CallOutcome)         {}
 func (f *fakeFleet) Changed() <-chan struct{}        { return nil }
@@ -122,6 +142,7 @@
 	out       *fakeResponseWriter
 	forwarder *Forwarder
 	call      *ForwardRequest
+	clock     *clockwork.FakeClock
 }
 
 func newForwardFixture(change func(r *route.Route)) *forwardFixture {
@@ -140,7 +161,7 @@
 	}
 	fx := &forwardFixture{
 		fleet:  &fakeFleet{table: table, dispatcher: dispatch.New(dispatch.Settings{}), listing: d.Listing(), clock: clock, ineligible: map[string]bool{}},
-		client: &fakeClient{reachable: true}, out: &fakeResponseWriter{},
+		client: &fakeClient{reachable: true}, out: &fakeResponseWriter{}, clock: clock,
 	}
 	fx.forwarder = NewForwarder(fx.fleet, fx.client, modelHeaderEncoder{}, nil, WithForwardClock(clock))
 	fx.call = &ForwardRequest{
@@ -453,3 +474,52 @@
 		})
 	}
 }
+
+// Each attempt is observed once, as soon as its answer is late, has its first few events
+// or has ended.
+func TestAnswersAreObservedEarly(t *testing.T) {
+	const pace = 20 * time.Millisecond
+	type step func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error)
+	events := func(n int) step {
+		return func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+			for i := 1; i <= n; i++ {
+				if err := sink.Event(i, nil); err != nil {
+					return attempt.ForwardAnswer{}, err
+				}
+				fx.clock.Advance(pace)
+			}
+			return attempt.ForwardAnswer{FirstEvent: time.Millisecond, LastEvent: n}, nil
+		}
+	}
+	for _, c := range []struct {
+		name string
+		step step
+		want AnswerObservation
+	}{
+		{"paced", events(paceGaps + 3), AnswerObservation{Route: "r", Pace: pace}},
+		{"too short for a pace", events(paceGaps), AnswerObservation{Route: "r"}},
+		{"late", func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+			fx.clock.Advance(lateAfter)
+			for len(fx.fleet.observations()) == 0 {
+				time.Sleep(time.Millisecond) // the timer runs on a goroutine of its own
+			}
+			return events(paceGaps+1)(fx, sink)
+		}, AnswerObservation{Route: "r", Late: true}},
+		{"failed", func(*forwardFixture, attempt.EventSink) (attempt.ForwardAnswer, error) {
+			return attempt.ForwardAnswer{Head: attempt.Head{Status: http.StatusInternalServerError}}, &attempt.Error{Kind: attempt.Status, State: call.Ran, Status: http.StatusInternalServerError}
+		}, AnswerObservation{Route: "r", Failed: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newForwardFixture(func(r *route.Route) { r.Kind, r.MaxAttempts = route.Streaming, 1 })
+			fx.client.steps = append(fx.client.steps, func(_ attempt.ForwardRequest, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+				return c.step(fx, sink)
+			})
+			_ = fx.forwarder.Run(t.Context(), fx.call, fx.out) // the error status is delivered
+			is.Equal(len(fx.fleet.answers), 1)
+			got := fx.fleet.answers[0]
+			got.Server = nil
+			is.Equal(got, c.want)
+		})
+	}
+}
