Let a new version's share grow with its answers

Cause: the shares grew by time alone. In roll-outs of up to 15 s the trial before reached nobody: instances keep sessions on their version for 8 s after the order, and the first step was at 7.8 s.

The share grows to 0.3, 0.6 and 1 with 12, 24 and 30 answers of the new version, or at 0.66, 0.71 and 0.76 of the duration where requests are few, and stays while the new version looks worse without certainty.

--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -129,6 +130,7 @@
 	}
 	advance(0)
 	is.Equal(len(store.records), 0) // the first stage begins at 52% of the duration, and 50% has passed
+	g.rollouts.storePeerEvidence("edge-2", evidenceMessage{"assistant", 7, verdict.Evidence{"r": {New: verdict.Counts{Answers: 30}}}})
 	advance(time.Second)
 	is.Equal(len(store.records), 1)
 	is.Equal(store.records[0].Share, 0.3) // 13 of 24 s
@@ -460,3 +462,23 @@
 	is.Equal(g.LateAfter(20*time.Millisecond), minSlowLatency)
 	is.Equal(g.LateAfter(time.Second), slowFactor*time.Second)
 }
+
+// In the second half of a rollout sessions in progress take part in the trial, so that
+// there is evidence before the share grows. In rollouts of up to 15 s no request reached
+// the new version before.
+func TestSessionsTakePartInSecondTrial(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(clockwork.NewFakeClock())
+	fleet := fleetWithRollout(follower.RolloutActive, 0.15)
+	progress := fleet.Rollouts["assistant"]
+	for _, c := range []struct {
+		elapsed time.Duration
+		share   float64
+	}{{11 * time.Second, 0}, {13 * time.Second, 0.15}} {
+		progress.Elapsed = c.elapsed
+		fleet.Rollouts["assistant"] = progress
+		publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
+		g.rollouts.syncOrders(fleet)
+		is.True(math.Abs(newVersionShare(g)-c.share) < 0.03)
+	}
+}
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -44,6 +44,7 @@
 type localRollout struct {
 	orderRevision int64
 	target        string
+	duration      time.Duration
 	firstSeenAt   time.Time
 	evidence      verdict.Evidence
 	// startedAt is the earliest known time of the order: when this instance
@@ -151,8 +152,8 @@
 // usesNewVersion reports whether a session runs on the target of a rollout in
 // progress. Sessions are selected by the hash of their names, so that all
 // instances agree and a growing share moves no session back to the old version.
-// While the share is at most ExposureShare, the canary phase, a session in
-// progress stays on its version.
+// In the first half of the rollout, while the share is at most ExposureShare, a session
+// in progress stays on its version: the canary phase.
 func (r *rollouts) usesNewVersion(progress follower.RolloutProgress, service, session string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -163,7 +164,7 @@
 	if !isInShare(session, progress.Share) {
 		return false
 	}
-	if progress.Share > r.gateway.currentSettings().ExposureShare {
+	if progress.Share > r.gateway.currentSettings().ExposureShare || 2*progress.Elapsed > ro.duration {
 		return true
 	}
 	p, pinned := r.pins[session]
@@ -284,7 +285,7 @@
 		now := r.gateway.Clock.Now()
 		ro := r.local[service]
 		if ro == nil || ro.orderRevision != order.Revision {
-			ro = &localRollout{orderRevision: order.Revision, target: order.Target, firstSeenAt: now, startedAt: now, evidence: verdict.Evidence{}}
+			ro = &localRollout{orderRevision: order.Revision, target: order.Target, duration: order.Duration, firstSeenAt: now, startedAt: now, evidence: verdict.Evidence{}}
 			r.local[service] = ro
 			delete(r.peerEvidence, service)
 		}
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -15,7 +15,8 @@
 type Counts struct {
 	Answers int
 	// Failed counts failures of the backend server itself. Slow counts answers
-	// that took several times as long as predicted.
+	// that took several times as long as they should, also those that have yet to
+	// begin.
 	Failed int
 	Slow   int
 }
@@ -42,10 +43,21 @@
 	}
 }
 
+// newAnswers returns the number of answers of the new version.
+func (e Evidence) newAnswers() int {
+	n := 0
+	for _, pair := range e {
+		n += pair.New.Answers
+	}
+	return n
+}
+
 const (
 	// minBad is the number of bad answers below which a rate is not evaluated.
 	// A single crashing server causes two or three bad answers.
 	minBad = 4
+	// minSuspect is the number of bad answers below which a version isn't suspect.
+	minSuspect = 3
 	// zScore is the width of the confidence bounds in standard deviations. The
 	// one-sided error probability is about 1 in 100.
 	zScore = 2.3
@@ -53,7 +65,7 @@
 	// rates of the two versions. slowMargin is larger because load also makes
 	// answers slow.
 	failedMargin = 0.05
-	slowMargin   = 0.15
+	slowMargin   = 0.1
 )
 
 // IsRegression reports whether the new version is worse than the old one on any
@@ -70,6 +82,29 @@
 	return isWorse(all)
 }
 
+// isSuspect reports whether the new version looks worse than the old one on any route or
+// over all routes together, with less certainty than IsRegression.
+func isSuspect(e Evidence) bool {
+	var all Comparison
+	looksWorse := func(p Comparison) bool {
+		return isHigher(p.New.Failed, p.New.Answers, p.Old.Failed, p.Old.Answers, failedMargin) ||
+			isHigher(p.New.Slow, p.New.Answers, p.Old.Slow, p.Old.Answers, slowMargin)
+	}
+	for _, pair := range e {
+		all.Old.add(pair.Old)
+		all.New.add(pair.New)
+		if looksWorse(pair) {
+			return true
+		}
+	}
+	return looksWorse(all)
+}
+
+// isHigher reports whether the rate bad/n is more than margin above the rate oldBad/oldN.
+func isHigher(bad, n, oldBad, oldN int, margin float64) bool {
+	return bad >= minSuspect && float64(bad)/float64(n) > float64(oldBad)/float64(max(1, oldN))+margin
+}
+
 func isWorse(p Comparison) bool {
 	return exceeds(p.New.Failed, p.New.Answers, p.Old.Failed, p.Old.Answers, failedMargin) ||
 		exceeds(p.New.Slow, p.New.Answers, p.Old.Slow, p.Old.Answers, slowMargin)
@@ -100,16 +135,23 @@
 }
 
 // Stage gives the new version a share of the sessions from a given fraction of
-// the rollout's duration on.
+// the rollout's duration on, once there are enough answers of the new version, or
+// from a later fraction on without them: a service with few requests exposes few.
 type Stage struct {
-	From  float64
-	Share float64
+	From    float64
+	Share   float64
+	Answers int
+	Latest  float64
 }
 
 // stages moves the traffic in the second half of the duration, because sessions
 // must not change to the new version earlier. The time after the last stage is
 // reserved for a driver that is late.
-var stages = []Stage{{0.52, 0.3}, {0.58, 0.6}, {0.64, 1}}
+var stages = []Stage{{0.52, 0.3, 12, 0.66}, {0.58, 0.6, 24, 0.71}, {0.64, 1, 30, 0.76}}
+
+// secondTrialFrom is the fraction of the duration from which on sessions in progress
+// take part in the trial.
+const secondTrialFrom = 0.52
 
 // completeAt is the fraction of the duration at which a rollout is complete. By
 // then the answers that the old version had begun at the last stage have ended
@@ -143,12 +185,13 @@
 
 // Decide returns how the rollout continues. It reverts on evidence of a
 // regression. Otherwise the share never shrinks, and the rollout completes on
-// time. While no server of the new version is ready the share stays as it is.
+// time. While no server of the new version is ready, or the new version looks worse
+// without certainty, the share stays as it is.
 func Decide(in DecisionInput) Decision {
 	if IsRegression(in.Evidence) {
 		return Decision{Revert: true}
 	}
-	if in.Ready == 0 {
+	if in.Ready == 0 || isSuspect(in.Evidence) {
 		return Decision{Share: in.Share}
 	}
 	progress := 1.0
@@ -156,8 +199,12 @@
 		progress = float64(in.Elapsed) / float64(in.Duration)
 	}
 	share := trialExposureShare * in.MaxExposure
+	if progress >= secondTrialFrom {
+		share = in.MaxExposure
+	}
+	answers := in.Evidence.newAnswers()
 	for _, s := range stages {
-		if progress >= s.From {
+		if progress >= s.From && answers >= s.Answers || progress >= s.Latest {
 			share = s.Share
 		}
 	}
