Don't close a caller's connection while its request is handled

Cause, found by reading: the timer of an idle connection that had fired, but whose function was yet to run, wasn't stopped by the arrival of a request. It closed the connection after the request had been passed on. On machines with a fifth of a core the function may run tens of milliseconds late.

Change: a timer closes the connection only if it is still the current one, decided under a lock. A request that arrives after that is dropped with its connection and isn't passed on.

Test: TestRequestAtIdleTimeoutIsHandledOrDropped. The case "the request comes first" needs the new function; without the check in it the connection is closed.

--- a/internal/fleet/gateway/callers.go
+++ b/internal/fleet/gateway/callers.go
@@ -39,7 +39,7 @@
 
 // newCallerServer returns the HTTP server for callers.
 func (g *Gateway) newCallerServer() *http.Server {
-	timeouts := &callerTimeouts{gateway: g, timers: map[net.Conn]clockwork.Timer{}}
+	timeouts := newCallerTimeouts(g)
 	return &http.Server{
 		Handler: timeouts.stopHeaderTimer(g.NewHandler(g, g.forwarder)), ConnState: timeouts.trackState, ConnContext: timeouts.connContext,
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: maxConnectionTimeout, IdleTimeout: maxConnectionTimeout,
@@ -53,7 +53,19 @@
 	gateway *Gateway
 
 	mu     sync.Mutex
-	timers map[net.Conn]clockwork.Timer
+	timers map[net.Conn]*callerTimer
+}
+
+// callerTimer closes a connection unless it is stopped before. A timer that has fired but
+// has yet to run counts as stopped.
+type callerTimer struct {
+	clockwork.Timer
+	// expired is set once the connection is being closed.
+	expired bool
+}
+
+func newCallerTimeouts(g *Gateway) *callerTimeouts {
+	return &callerTimeouts{gateway: g, timers: map[net.Conn]*callerTimer{}}
 }
 
 // connKey is the context key of a request's connection.
@@ -77,7 +89,7 @@
 	case http.StateActive:
 		c.startTimer(conn, header)
 	default:
-		c.stopTimer(conn)
+		c.forgetTimer(conn)
 	}
 }
 
@@ -101,27 +113,59 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old := c.timers[conn]; old != nil {
+		if old.expired {
+			return
+		}
 		old.Stop()
 	}
-	c.timers[conn] = c.gateway.Clock.AfterFunc(timeout, func() { conn.Close() })
+	t := &callerTimer{}
+	c.timers[conn] = t
+	t.Timer = c.gateway.Clock.AfterFunc(timeout, func() { c.expire(conn, t) })
+}
+
+// expire closes the connection if the timer is still its current one.
+func (c *callerTimeouts) expire(conn net.Conn, t *callerTimer) {
+	c.mu.Lock()
+	current := c.timers[conn] == t
+	t.expired = current
+	c.mu.Unlock()
+	if current {
+		conn.Close()
+	}
 }
 
-// stopTimer stops the connection's timer, if there is one.
-func (c *callerTimeouts) stopTimer(conn net.Conn) {
+// stopTimer stops the connection's timer, if there is one. It reports false if the timer
+// has expired, so that the connection is closed.
+func (c *callerTimeouts) stopTimer(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old := c.timers[conn]; old != nil {
-		old.Stop()
-		delete(c.timers, conn)
+	t := c.timers[conn]
+	if t == nil {
+		return true
+	}
+	if t.expired {
+		return false
 	}
+	t.Stop()
+	delete(c.timers, conn)
+	return true
+}
+
+// forgetTimer drops the timer of a connection that is closed or no longer the server's.
+func (c *callerTimeouts) forgetTimer(conn net.Conn) {
+	c.stopTimer(conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.timers, conn)
 }
 
 // stopHeaderTimer returns a handler that stops the header timer, as the header
-// has been read, and calls next.
+// has been read, and calls next. A request that crosses the close of its connection is
+// dropped: it must not run without an answer.
 func (c *callerTimeouts) stopHeaderTimer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-			c.stopTimer(conn)
+		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && !c.stopTimer(conn) {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"maps"
 	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -482,3 +485,53 @@
 		is.True(math.Abs(newVersionShare(g)-c.share) < 0.03)
 	}
 }
+
+// closeCountingConn counts how often it is closed.
+type closeCountingConn struct {
+	net.Conn
+	closed int
+}
+
+func (c *closeCountingConn) Close() error {
+	c.closed++
+	return nil
+}
+
+// A request that arrives as the idle timeout of its connection ends is either handled, with
+// the connection left open, or dropped with it. A timer that had fired but was yet to run
+// used to close the connection of a request that was already at its server, and the caller
+// got no answer (csatornakep-grown, mix --seed 694301396535, reported by the users).
+func TestRequestAtIdleTimeoutIsHandledOrDropped(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		timerRuns    string // before or after the request stops it
+		handled      bool
+		closedByThen int
+	}{{"the request comes first", "after", true, 0}, {"the timer comes first", "before", false, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			timeouts := newCallerTimeouts(newTestGateway(clockwork.NewFakeClock()))
+			conn := &closeCountingConn{}
+			timeouts.trackState(conn, http.StateIdle)
+			fired := timeouts.timers[conn]
+			if c.timerRuns == "before" {
+				timeouts.expire(conn, fired)
+			}
+			handled := false
+			handler := timeouts.stopHeaderTimer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				handled = true
+				timeouts.expire(conn, fired)
+			}))
+			func() {
+				defer func() { _ = recover() }()
+				timeouts.trackState(conn, http.StateActive)
+				r := httptest.NewRequest(http.MethodGet, "/", nil)
+				handler.ServeHTTP(httptest.NewRecorder(), r.WithContext(timeouts.connContext(r.Context(), conn)))
+			}()
+			is.Equal(handled, c.handled)
+			is.Equal(conn.closed, c.closedByThen)
+			timeouts.trackState(conn, http.StateClosed)
+			is.Equal(len(timeouts.timers), 0)
+		})
+	}
+}
