Don't send large tables to instances that can't reach the store

An instance that the store turns away asked its feed for the complete state, half a megabyte, as long as the feed's table was newer.

Change: such an instance keeps its table, unconfirmed, becomes unready and refuses calls with keys, as it does when it has no feed.

--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -167,7 +167,8 @@
 
 // maxFeedTableBytes is the size of the largest routing table that a feed sends.
 // Larger ones would fill the link of an instance that feeds many others, so these
-// read the table from the store.
+// read the table from the store. An instance that can't reach the store keeps its
+// table, unconfirmed, and becomes unready.
 const maxFeedTableBytes = 24 << 10
 
 // maxFullBatchBytes is the largest complete state that a feed sends to an
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -312,9 +312,6 @@
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
-	if f.IsCutOff() && f.isTableOmitted() {
-		revision = -1 // the store can't be asked for the table
-	}
 	requestedAt := f.bootClock.Elapsed()
 	feedCtx, cancel := context.WithTimeout(ctx, f.settings.FeedWait+f.settings.FeedTimeout)
 	defer cancel()
