Don't stop a load for a lagging watch

A load that followed a lagging watch could be stopped like a watch: 150 ms after the next confirmation, before its answer had arrived on a slow link, and then began again.

Change: a load in progress goes on. A stalled one ends by the store's timeout.

Test: TestLoadIsNotStopped fails without the change.

--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -97,7 +97,7 @@
 func (f *Follower) restartLaggingWatch(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision >= 0 && f.revision < revision && f.stopWatch != nil && !f.reload {
+	if f.revision >= 0 && f.revision < revision && f.stopWatch != nil && !f.reload && !f.loading {
 		counters.Add("WatchLagged", 1)
 		f.log.Info("WatchRenewed", zap.Int64("Revision", f.revision), zap.Int64("Store", revision))
 		f.reload = true
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -130,8 +130,9 @@
 	storeBackoffUntil time.Time
 	// feedBackoffUntil is when a feed may be read again.
 	feedBackoffUntil time.Time
-	// reload makes the next call of readStore a load although there is a state.
-	reload bool
+	// reload makes the next call of readStore a load although there is a state; loading
+	// is set while one is in progress.
+	reload, loading bool
 	// stopWatch cancels the call of readStore in progress; nil if there is none.
 	stopWatch context.CancelFunc
 }
@@ -240,7 +241,7 @@
 func (f *Follower) readStore(ctx context.Context) error {
 	f.mu.Lock()
 	revision, load := f.revision, f.revision < 0 || f.reload
-	f.reload = false
+	f.reload, f.loading = false, load
 	ctx, f.stopWatch = context.WithCancel(ctx)
 	f.mu.Unlock()
 	defer f.cancelWatch()
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -723,3 +723,19 @@
 		})
 	}
 }
+
+// A load in progress isn't stopped: it brings the newest state, and on a slow link it takes
+// longer than a watch may lag.
+func TestLoadIsNotStopped(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	f.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 3, Whole: true}, true)
+	f.store = &fakeStore{load: func() ([]Item, int64, error) {
+		f.restartLaggingWatch(9)
+		return []Item{serverItem("a", "Ready", 5)}, 9, nil
+	}}
+	f.reload = true
+	is.NoErr(f.readStore(t.Context()))
+	is.True(f.hasServer("a"))
+	is.True(!f.isReloadDue())
+}
