Don't quarantine shared parts when many servers crash at once

When all servers of a data centre crash at the same moment, prompts with the part that a quarter of all requests share are lost on several, and if nothing is answered for the next second the part was quarantined for 5 minutes: a quarter of the callers of a kind refused.

Change: for a part that has been answered before, the crashes must be spread over three moments, 250 ms apart. A part that was never answered is found as before, since a burst of prompts with it takes all servers down within a few hundred milliseconds.

--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -23,6 +23,11 @@
 	// minCrashesAlone is the number of crashed servers that suffices for the prompts of
 	// a single request.
 	minCrashesAlone = 4
+	// minMoments is the number of moments, momentGap apart, at which servers must have
+	// crashed for a part that has been answered before. When many servers crash at
+	// once, prompts with the parts that most requests share are lost on several.
+	minMoments = 3
+	momentGap  = 250 * time.Millisecond
 	// settleTime is how old a crash must be to count. When many servers crash at
 	// once, answers with the sound parts begin elsewhere meanwhile, and other
 	// instances report them.
@@ -222,8 +227,9 @@
 // its prompts, which fewer sound prompts share. The caller holds mu.
 func (t *Tracker) worst(isKnown func(part string) bool, now time.Time) (Found, bool) {
 	type total struct {
-		crashes, depth int
-		requests       map[string]bool
+		times    []time.Time
+		depth    int
+		requests map[string]bool
 	}
 	totals := map[string]*total{}
 	for _, c := range t.crashes {
@@ -238,22 +244,38 @@
 				totals[part] = &total{requests: map[string]bool{}}
 			}
 			sum := totals[part]
-			sum.crashes++
+			sum.times = append(sum.times, c.at)
 			sum.depth = max(sum.depth, x.depth)
 			maps.Copy(sum.requests, x.requests)
 		}
 	}
-	maps.DeleteFunc(totals, func(_ string, sum *total) bool {
-		return sum.crashes < minCrashes || len(sum.requests) < minRequests && sum.crashes < minCrashesAlone
+	maps.DeleteFunc(totals, func(part string, sum *total) bool {
+		_, answered := t.answeredAt[part]
+		return len(sum.times) < minCrashes || len(sum.requests) < minRequests && len(sum.times) < minCrashesAlone ||
+			answered && countMoments(sum.times) < minMoments
 	})
 	if len(totals) == 0 {
 		return Found{}, false
 	}
 	part := slices.MinFunc(slices.Collect(maps.Keys(totals)), func(a, b string) int {
-		return cmp.Or(cmp.Compare(totals[b].crashes, totals[a].crashes), t.answeredAt[a].Compare(t.answeredAt[b]),
+		return cmp.Or(cmp.Compare(len(totals[b].times), len(totals[a].times)), t.answeredAt[a].Compare(t.answeredAt[b]),
 			cmp.Compare(totals[b].depth, totals[a].depth), cmp.Compare(a, b))
 	})
-	return Found{part, totals[part].crashes}, true
+	return Found{part, len(totals[part].times)}, true
+}
+
+// countMoments returns the number of times that are at least momentGap after the one
+// counted before.
+func countMoments(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, at := range times {
+		if n == 0 || at.Sub(last) >= momentGap {
+			n, last = n+1, at
+		}
+	}
+	return n
 }
 
 func (c *crash) isExplained(isKnown func(part string) bool) bool {
