Count the pace of answers apart, and tell certain differences without a margin

Cause: late beginnings, which load brings about on either version, and slow paces, which it doesn't, were one count, and a margin of 0.1 or 0.15 hid a difference that 128 answers make certain. Once the new version had all traffic, a look of being worse kept it from being completed.

Change: paces are counted apart, with a margin of 0.1. A difference of over 0.05 and 3.5 standard deviations with 8 bad answers is certain; one of 2 keeps the share, unless the new version has all traffic.

--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -83,9 +83,10 @@
 	// maxPins bounds the number of sessions whose version is remembered.
 	maxPins = 20000
 	// An answer is slow if its first event takes more than slowFactor times the
-	// prediction and more than minSlowLatency, or if its events come slowPaceFactor times
-	// slower than the other versions' and more than minSlowPace apart. The prediction
-	// has learned how slow a server is and what waits there, the pace hasn't.
+	// prediction and more than minSlowLatency. Its pace is slow if its events come
+	// slowPaceFactor times slower than the other versions' and more than minSlowPace
+	// apart. The prediction has learned how slow a server is and what waits there, the
+	// usual pace hasn't.
 	slowFactor     = 4
 	minSlowLatency = 250 * time.Millisecond
 	slowPaceFactor = 2.5
@@ -235,9 +236,15 @@
 	switch {
 	case o.Failed:
 		counts.Failed = 1
-	case o.Late || o.Pace > 0 && usual.isSlow(o.Pace):
+	case o.Late:
 		counts.Slow = 1
 	}
+	if o.Pace > 0 {
+		counts.Paced = 1
+		if usual.isSlow(o.Pace) {
+			counts.SlowPaced = 1
+		}
+	}
 	if o.Pace > 0 && (ro == nil || ro.ended || server.Version != ro.target) {
 		usual.observe(o.Pace)
 	}
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -15,16 +15,22 @@
 type Counts struct {
 	Answers int
 	// Failed counts failures of the backend server itself. Slow counts answers
-	// that took several times as long as they should, also those that have yet to
-	// begin.
+	// that took several times as long as they should to begin, also those that have
+	// yet to.
 	Failed int
 	Slow   int
+	// Paced counts answers whose time between events is known, SlowPaced those of them
+	// in which it is several times the usual one.
+	Paced     int
+	SlowPaced int
 }
 
 func (c *Counts) add(o Counts) {
 	c.Answers += o.Answers
 	c.Failed += o.Failed
 	c.Slow += o.Slow
+	c.Paced += o.Paced
+	c.SlowPaced += o.SlowPaced
 }
 
 // Comparison holds the counts of the old and the new version.
@@ -61,58 +67,78 @@
 	// zScore is the width of the confidence bounds in standard deviations. The
 	// one-sided error probability is about 1 in 100.
 	zScore = 2.3
-	// failedMargin and slowMargin are the tolerated differences between the
-	// rates of the two versions. slowMargin is larger because load also makes
-	// answers slow.
+	// minSignificant is the number of bad answers from which a difference that is
+	// certainSigma standard deviations wide counts as certain, however small the margin.
+	// suspectSigma makes a version suspect.
+	minSignificant = 8
+	certainSigma   = 3.5
+	suspectSigma   = 2
+	// minDifference is the difference of rates below which it doesn't matter.
+	minDifference = 0.05
+	// failedMargin, slowMargin and paceMargin are the tolerated differences between
+	// the rates of the two versions. slowMargin is larger because load also makes
+	// answers begin late; it hardly changes their pace.
 	failedMargin = 0.05
-	slowMargin   = 0.1
+	slowMargin   = 0.15
+	paceMargin   = 0.1
 )
 
 // IsRegression reports whether the new version is worse than the old one on any
 // route or over all routes together.
-func IsRegression(e Evidence) bool {
-	var all Comparison
-	for _, pair := range e {
-		all.Old.add(pair.Old)
-		all.New.add(pair.New)
-		if isWorse(pair) {
-			return true
-		}
-	}
-	return isWorse(all)
-}
+func IsRegression(e Evidence) bool { return e.anyWorse(exceeds) }
 
 // isSuspect reports whether the new version looks worse than the old one on any route or
 // over all routes together, with less certainty than IsRegression.
-func isSuspect(e Evidence) bool {
+func isSuspect(e Evidence) bool { return e.anyWorse(isHigher) }
+
+// anyWorse reports whether the new version is worse on any route or over all routes
+// together. compare compares two rates.
+func (e Evidence) anyWorse(compare rateComparison) bool {
 	var all Comparison
-	looksWorse := func(p Comparison) bool {
-		return isHigher(p.New.Failed, p.New.Answers, p.Old.Failed, p.Old.Answers, failedMargin) ||
-			isHigher(p.New.Slow, p.New.Answers, p.Old.Slow, p.Old.Answers, slowMargin)
-	}
 	for _, pair := range e {
 		all.Old.add(pair.Old)
 		all.New.add(pair.New)
-		if looksWorse(pair) {
+		if pair.isWorse(compare) {
 			return true
 		}
 	}
-	return looksWorse(all)
+	return all.isWorse(compare)
+}
+
+// rateComparison reports whether the rate bad/n is more than margin above oldBad/oldN.
+type rateComparison func(bad, n, oldBad, oldN int, margin float64) bool
+
+// isWorse reports whether the new version fails more often, begins late more often or
+// makes its events more slowly.
+func (p Comparison) isWorse(compare rateComparison) bool {
+	return compare(p.New.Failed, p.New.Answers, p.Old.Failed, p.Old.Answers, failedMargin) ||
+		compare(p.New.Slow, p.New.Answers, p.Old.Slow, p.Old.Answers, slowMargin) ||
+		compare(p.New.SlowPaced, p.New.Paced, p.Old.SlowPaced, p.Old.Paced, paceMargin)
 }
 
-// isHigher reports whether the rate bad/n is more than margin above the rate oldBad/oldN.
+// isHigher compares the rates as they are.
 func isHigher(bad, n, oldBad, oldN int, margin float64) bool {
-	return bad >= minSuspect && float64(bad)/float64(n) > float64(oldBad)/float64(max(1, oldN))+margin
+	if bad < minSuspect {
+		return false
+	}
+	return float64(bad)/float64(n) > float64(oldBad)/float64(max(1, oldN))+margin || isSignificant(bad, n, oldBad, oldN, suspectSigma)
 }
 
-func isWorse(p Comparison) bool {
-	return exceeds(p.New.Failed, p.New.Answers, p.Old.Failed, p.Old.Answers, failedMargin) ||
-		exceeds(p.New.Slow, p.New.Answers, p.Old.Slow, p.Old.Answers, slowMargin)
+// isSignificant reports whether the rate bad/n is above oldBad/oldN by minDifference and by
+// a number of standard deviations of two samples of the same rate.
+func isSignificant(bad, n, oldBad, oldN int, sigma float64) bool {
+	if oldN == 0 {
+		return false
+	}
+	difference := float64(bad)/float64(n) - float64(oldBad)/float64(oldN)
+	common := float64(bad+oldBad) / float64(n+oldN)
+	deviation := math.Sqrt(common * (1 - common) * (1/float64(n) + 1/float64(oldN)))
+	return difference > minDifference && difference > sigma*deviation
 }
 
 // exceeds reports whether the lower confidence bound of the rate bad/n is more
-// than margin above the rate oldBad/oldN. Without data on the old version its
-// rate is taken as 0.
+// than margin above the rate oldBad/oldN, or the difference is certain without a
+// margin. Without data on the old version its rate is taken as 0.
 func exceeds(bad, n, oldBad, oldN int, margin float64) bool {
 	if bad < minBad {
 		return false
@@ -121,7 +147,7 @@
 	if oldN > 0 {
 		old = float64(oldBad) / float64(oldN)
 	}
-	return lowerBound(bad, n) > old+margin
+	return lowerBound(bad, n) > old+margin || bad >= minSignificant && isSignificant(bad, n, oldBad, oldN, certainSigma)
 }
 
 // lowerBound returns the lower end of the Wilson score interval of the rate
@@ -186,12 +212,13 @@
 // Decide returns how the rollout continues. It reverts on evidence of a
 // regression. Otherwise the share never shrinks, and the rollout completes on
 // time. While no server of the new version is ready, or the new version looks worse
-// without certainty, the share stays as it is.
+// without certainty, the share stays as it is. Once the new version has all traffic,
+// the old one's answers are of another load, and only certainty counts.
 func Decide(in DecisionInput) Decision {
 	if IsRegression(in.Evidence) {
 		return Decision{Revert: true}
 	}
-	if in.Ready == 0 || isSuspect(in.Evidence) {
+	if in.Ready == 0 || in.Share < 1 && isSuspect(in.Evidence) {
 		return Decision{Share: in.Share}
 	}
 	progress := 1.0
--- a/internal/release/verdict/verdict_test.go
+++ b/internal/release/verdict/verdict_test.go
@@ -64,8 +64,13 @@
 		case "old", "new":
 			route, counts, _ := strings.Cut(value, ":")
 			var c Counts
+			counts, paces, _ := strings.Cut(counts, "+")
 			_, err := fmt.Sscanf(counts, "%d/%d/%d", &c.Answers, &c.Failed, &c.Slow)
 			is.NoErr(err)
+			if paces != "" {
+				_, err = fmt.Sscanf(paces, "%d/%d", &c.Paced, &c.SlowPaced)
+				is.NoErr(err)
+			}
 			pair := Comparison{Old: c}
 			if key == "new" {
 				pair = Comparison{New: c}
