--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -62,6 +62,9 @@
 type Admission interface {
 	// Table returns the current routing table, or nil.
 	Table() *route.Table
+	// TableAge returns the time since the table was last confirmed to be the current
+	// one. It reports false if it never was.
+	TableAge() (time.Duration, bool)
 	// TrackRequest counts a request as in flight until the returned function is
 	// called.
 	TrackRequest() func()
@@ -343,6 +346,9 @@
 // IsConfirmed implements pipeline.Fleet.
 func (g *Gateway) IsConfirmed() bool { return g.isConfirmedWithin(confirmedShare) }
 
+// TableAge implements Admission.
+func (g *Gateway) TableAge() (time.Duration, bool) { return g.follower.ConfirmationAge() }
+
 // IsStopping implements Admission.
 func (g *Gateway) IsStopping() bool { return g.stopping.Load() }
 
