--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -65,6 +65,9 @@
 	// TableAge returns the time since the table was last confirmed to be the current
 	// one. It reports false if it never was.
 	TableAge() (time.Duration, bool)
+	// IsTableCurrent reports whether the table was confirmed within MaxApplyDelay, so
+	// that no newer one is due yet.
+	IsTableCurrent() bool
 	// TrackRequest counts a request as in flight until the returned function is
 	// called.
 	TrackRequest() func()
@@ -349,6 +352,13 @@
 // TableAge implements Admission.
 func (g *Gateway) TableAge() (time.Duration, bool) { return g.follower.ConfirmationAge() }
 
+// IsTableCurrent implements Admission.
+func (g *Gateway) IsTableCurrent() bool {
+	age, confirmed := g.follower.ConfirmationAge()
+	within := g.currentSettings().MaxApplyDelay
+	return confirmed && (within <= 0 || age < within)
+}
+
 // IsStopping implements Admission.
 func (g *Gateway) IsStopping() bool { return g.stopping.Load() }
 
