Failing tests: large tables reach followers and readers late

Followers read a table of more than 24 KB from the store, each by itself (TestLargeTableReachesFollowersThroughFeed: version 1 != 2 after the feed was read), and a reader transfers it twice, so that its confirmation gets too old for its followers (TestConfirmationStaysYoungWhileTableArrives).

--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,7 +31,8 @@
 	case strings.HasPrefix(item.Key, "servers/") && item.Gone:
 		c.Subject = ServerRemoved{ID: item.Key[8:]}
 	case kind == "table":
-		version, _ := strconv.ParseInt(strings.TrimSpace(arg), 10, 64)
+		number, _, _ := strings.Cut(arg, " ")
+		version, _ := strconv.ParseInt(number, 10, 64)
 		t := &route.Table{Version: version}
 		t.Index()
 		c.Subject = t
@@ -532,6 +536,69 @@
 	is.True(!f.readFeed(t.Context(), followerFeed{source})) // the old table isn't confirmed again
 }
 
+// tableItemWithRoutes is a tableItem with a number of routes, of the size and the entropy
+// that they have on the platform. Tables with the same seed begin with the same routes.
+func tableItemWithRoutes(version, revision int64, routes int, seed uint64) Item {
+	random := rand.New(rand.NewPCG(seed, 0))
+	value := []byte("table " + strconv.FormatInt(version, 10) + " ")
+	for range routes {
+		value = fmt.Appendf(value, `{"Name":"r-%s","Host":"figo39.example","Prefix":"/%s/","Type":"streaming","TimeoutMs":8000,"GoalMs":3000,"Priority":1,`+
+			`"Sizes":["small","medium","large"],"Split":[{"Service":"assistant","Weight":90},{"Service":"rounds","Weight":10}],"MaxAttempts":3,"Public":false,`+
+			`"Sticky":true,"Resumable":true,"GapTargetMs":1500},`, strconv.FormatUint(random.Uint64N(1<<36), 36), strconv.FormatUint(random.Uint64N(1<<40), 36))
+	}
+	return Item{Key: "op/config", Value: value, Revision: revision}
+}
+
+// The followers of a reader get a large table from its feed, within what its link carries
+// in the time that they wait. When each of 90 instances read 1,400 added routes from the
+// store, their confirmations ran out, and they answered 404 for these routes 3 s after the
+// change (pottyround-lhr-grown).
+func TestLargeTableReachesFollowersThroughFeed(t *testing.T) {
+	const (
+		followers  = 24
+		linkBytes  = 10e6 / 8 // per second
+		readWithin = 625 * time.Millisecond
+	)
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	first := tableItemWithRoutes(1, 1, 1400, 1)
+	for _, x := range []*testFollower{source, f} {
+		x.applyBatch(Batch{Items: []Item{first}, Revision: 1, Whole: true}, true)
+		x.applyConfirmation(first, 1, 0)
+	}
+	for i, change := range []struct {
+		name string
+		next Item
+	}{
+		{"routes added", tableItemWithRoutes(2, 5, 2800, 1)},
+		{"nothing but the version", tableItemWithRoutes(3, 7, 2800, 1)},
+		{"routes removed", tableItemWithRoutes(4, 9, 1400, 1)},
+	} {
+		t.Run(change.name, func(t *testing.T) {
+			is := is.New(t)
+			server := serverItem("s"+strconv.Itoa(i), "Ready", change.next.Revision+1)
+			source.applyBatch(Batch{Items: []Item{change.next, server}, Revision: server.Revision}, true)
+			source.applyConfirmation(change.next, server.Revision, 0)
+			answer := Batch{}
+			is.True(f.readFeed(t.Context(), recordingFeed{followerFeed{source}, &answer}))
+			raw, err := json.Marshal(answer)
+			is.NoErr(err)
+			is.Equal(f.View.Table.Get().Version, int64(i+2))
+			is.True(f.hasServer("s" + strconv.Itoa(i)))
+			is.True(time.Duration(followers*float64(len(raw))/linkBytes*float64(time.Second)) < readWithin)
+		})
+	}
+	// The store turns the follower away.
+	f.advance(f.settings.OutageThreshold + time.Millisecond)
+	f.recordFailure(errors.New("refused"))
+	last := tableItemWithRoutes(5, 20, 1500, 1)
+	source.advance(f.settings.OutageThreshold + time.Millisecond)
+	source.applyBatch(Batch{Items: []Item{last}, Revision: 20}, true)
+	source.applyConfirmation(last, 20, source.bootClock.now)
+	is.True(f.readFeed(t.Context(), followerFeed{source}))
+	is.Equal(f.View.Table.Get().Version, int64(5))
+}
+
 // recordingFeed keeps the last answer of a feed.
 type recordingFeed struct {
 	followerFeed
@@ -569,10 +636,25 @@
 	items    []Item // all versions of all entries, in the order of their revisions
 	linkRate float64
 	table    string
+	// shared makes calls take turns on the link, which is free again at freeAt.
+	shared bool
+	mu     sync.Mutex
+	freeAt time.Time
 }
 
 func (s *slowStore) transfer(ctx context.Context, items []Item) error {
-	done := s.clock.After(time.Duration(float64((&Batch{Items: items}).size()) / s.linkRate * float64(time.Second)))
+	d := time.Duration(float64((&Batch{Items: items}).size()) / s.linkRate * float64(time.Second))
+	if s.shared {
+		s.mu.Lock()
+		now := s.clock.Now()
+		if s.freeAt.Before(now) {
+			s.freeAt = now
+		}
+		s.freeAt = s.freeAt.Add(d)
+		d = s.freeAt.Sub(now)
+		s.mu.Unlock()
+	}
+	done := s.clock.After(d)
 	select {
 	case <-done:
 		return nil
@@ -585,11 +667,27 @@
 	return s.revision(), s.transfer(ctx, nil)
 }
 
-func (s *slowStore) revision() int64 { return s.items[len(s.items)-1].Revision }
+func (s *slowStore) revision() int64 {
+	items := s.all()
+	return items[len(items)-1].Revision
+}
+
+// all returns all versions of all entries.
+func (s *slowStore) all() []Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.items)
+}
+
+func (s *slowStore) write(item Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = append(s.items, item)
+}
 
 func (s *slowStore) Load(ctx context.Context) ([]Item, int64, error) {
 	newest := map[string]Item{}
-	for _, item := range s.items {
+	for _, item := range s.all() {
 		if item.Key != s.table {
 			newest[item.Key] = item
 		}
@@ -600,7 +698,7 @@
 
 func (s *slowStore) Watch(ctx context.Context, after int64, _ time.Duration) ([]Item, int64, error) {
 	var items []Item
-	for _, item := range s.items {
+	for _, item := range s.all() {
 		if item.Revision > after {
 			items = append(items, item)
 		}
@@ -610,7 +708,7 @@
 
 func (s *slowStore) Confirm(ctx context.Context) (Item, int64, error) {
 	var newest Item
-	for _, item := range s.items {
+	for _, item := range s.all() {
 		if item.Key == s.table {
 			newest = item
 		}
@@ -688,6 +786,45 @@
 	is.True(oldest < f.settings.MaxFeedAge)
 }
 
+// A reader's confirmation stays young enough for its followers while a new large table
+// arrives. The watch and the confirmation both transferred it, so that followers left a
+// sound feed and read the table from the store as well (pottyround-lhr-grown).
+func TestConfirmationStaysYoungWhileTableArrives(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	f.settings.ConfirmInterval, f.settings.MaxFeedAge, f.settings.FeedWait = 1200*time.Millisecond, 1950*time.Millisecond, 375*time.Millisecond
+	f.settings.MinWatchInterval = 900 * time.Millisecond
+	f.bootClock = nil
+	f.Follower.bootClock = elapsedClock{f.clock, f.clock.Now()}
+	table := tableItemOfSize(1, 1, 900<<10)
+	store := &slowStore{clock: f.clock, linkRate: 10e6 / 8, table: "op/config", shared: true, items: []Item{table}}
+	f.store = store
+	f.applyBatch(Batch{Items: []Item{table}, Revision: 1, Whole: true}, true)
+	f.applyConfirmation(table, 1, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	oldest := time.Duration(0)
+	for i := range int64(1000) {
+		is.NoErr(f.clock.BlockUntilContext(t.Context(), 3))
+		if i%300 == 250 && i < 900 {
+			store.write(tableItemOfSize(2+i, 2+i, 900<<10))
+		}
+		f.clock.Advance(10 * time.Millisecond)
+		time.Sleep(200 * time.Microsecond) // lets the follower's goroutines run
+		age, _ := f.ConfirmationAge()
+		oldest = max(oldest, age)
+	}
+	version := f.View.Table.Get().Version
+	cancel()
+	<-done
+	is.Equal(version, int64(852))
+	is.True(oldest <= f.settings.MaxFeedAge-f.settings.FeedWait)
+}
+
 // elapsedClock is a boot clock that follows a fake clock.
 type elapsedClock struct {
 	clock *clockwork.FakeClock
