--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -38,6 +38,19 @@
 	URI    string
 	Body   string
 	Ran    bool
+	At     time.Time
+}
+
+// Notice is what a backend server says about itself in all its answers.
+type Notice struct {
+	// Limit is how many requests a second it takes from all instances together; 0 if it
+	// names none.
+	Limit float64
+	// Leaving is set if it is about to stop.
+	Leaving bool
+	// RetryAfter is for how long it wants no request from an instance to which it
+	// answers that it did not run one.
+	RetryAfter time.Duration
 }
 
 // Server is a backend server. It answers plain calls with their body, and calls
@@ -48,11 +61,12 @@
 	// EventPause is the time between two events.
 	EventPause time.Duration
 
-	http *http.Server
-	mu   sync.Mutex
-	how  Behaviour
-	runs []Run
-	left []string
+	http   *http.Server
+	mu     sync.Mutex
+	how    Behaviour
+	notice Notice
+	runs   []Run
+	left   []string
 }
 
 // NewServer starts a backend server on a loopback port.
@@ -77,6 +91,26 @@
 	s.how = b
 }
 
+// Notify changes what the server says about itself.
+func (s *Server) Notify(n Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notice = n
+}
+
+// setNotice adds the notice to the head of an answer.
+func setNotice(h http.Header, n Notice, refused bool) {
+	if n.Limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(n.Limit, 'f', -1, 64))
+	}
+	if n.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if refused && n.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(n.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+}
+
 // Runs returns the requests that arrived.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -105,17 +139,20 @@
 		return // the caller broke off
 	}
 	s.mu.Lock()
-	how := s.how
+	how, notice := s.how, s.notice
 	expected := r.Header.Get("X-Expect-Instance")
 	misdirected := expected != "" && expected != s.ID
 	s.runs = append(s.runs, Run{
 		Server: s.ID, ID: r.Header.Get("X-Request-Id"), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body),
-		Ran: how != Sheds && !misdirected,
+		Ran: how != Sheds && !misdirected, At: time.Now(),
 	})
 	s.mu.Unlock()
 	h := w.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Instance-Id", s.ID)
+	if !misdirected {
+		setNotice(h, notice, how == Sheds)
+	}
 	switch {
 	case misdirected:
 		w.WriteHeader(http.StatusMisdirectedRequest)
