Keep to the limits that servers name

Cause: nothing decoded what servers say about themselves; placement knew only their load. The class: a fact that one instance learns from an answer and all have to act on.

Answers now carry a backend.Notice, recorded when the head arrives, which dispatch keeps for the server's run. Instances pass recent notices on in datagrams with their age, so that those that the server has not told keep to it as well. Each instance holds its share of what the limit allows in 4 s, by rank, like that of a cold server; at least one instance may send one request, whose answer shows when the limit ends. Only an answer to a request sent after the notice ends it. Weighed against a key in the store, one limit for each instance, and a limit that expires: docs/design/platform.md.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -54,6 +54,13 @@
 // IsCold reports whether the server is still cold.
 func (s *Server) IsCold(now time.Time) bool { return now.Before(s.ColdUntil) }
 
+// Notice is what a server says about itself in its answers, for as long as it says so.
+type Notice struct {
+	// Limit is the number of requests a second that the server takes from all instances
+	// together; 0 if it names none.
+	Limit float64
+}
+
 // Listing is an immutable snapshot of the directory.
 type Listing struct {
 	// Revision is the newest store revision that the snapshot includes.
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -49,6 +49,8 @@
 	Evidence *evidenceMessage `json:",omitzero"`
 	// Crashes is the sender's evidence on prompt parts that crash servers.
 	Crashes *quarantine.Report `json:",omitzero"`
+	// Notices holds what servers have lately said about themselves, by their IDs.
+	Notices map[string]dispatch.NoticeReport `json:",omitzero"`
 	// Sessions says on which versions sessions ran at the sender during a
 	// rollout's canary phase.
 	Sessions []sessionMessage `json:",omitzero"`
@@ -124,6 +126,9 @@
 		p.mu.Unlock()
 		g.dispatcher.UpdateTotal(m.From, m.Run, m.Sequence, rest, now)
 	}
+	if m.Notices != nil {
+		g.dispatcher.MergeNotices(m.Notices, now)
+	}
 	if m.Evidence != nil {
 		g.rollouts.storePeerEvidence(m.From, *m.Evidence)
 	}
@@ -170,7 +175,7 @@
 	}
 }
 
-// run reports the backlog until the context ends.
+// run reports the backlog and the servers' notices until the context ends.
 func (p *peers) run(ctx context.Context) {
 	g := p.gateway
 	for sequence := int64(1); ; sequence++ {
@@ -179,6 +184,7 @@
 			return
 		case <-g.Clock.After(jitter(backlogInterval)):
 			p.shareBacklog(sequence)
+			p.shareNotices()
 		}
 	}
 }
@@ -209,6 +215,32 @@
 	p.shareGroupSums(sequence, local, instances)
 }
 
+// shareNotices passes the recent notices of servers on, along the paths of shareBacklog.
+// A notice keeps its age on the way, so that it isn't passed on for ever.
+func (p *peers) shareNotices() {
+	g := p.gateway
+	m := &message{Notices: g.dispatcher.RecentNotices(g.Clock.Now())}
+	instances := g.fleet().Instances
+	reader, found := g.feeds.reader()
+	switch {
+	case len(m.Notices) == 0:
+	case len(instances) <= smallFleetSize:
+		p.broadcast(m)
+	case !found:
+	case reader.Name != g.Settings.Instance:
+		p.send(reader.PeerAddress, m)
+	default:
+		for _, other := range chooseReaders(instances) {
+			if other.Name != g.Settings.Instance {
+				p.send(other.PeerAddress, m)
+			}
+		}
+		for _, name := range g.dispatcher.ActivePeers(g.Clock.Now()) {
+			p.send(instances[name].PeerAddress, m) // the names of groups have no address
+		}
+	}
+}
+
 // shareGroupSums is what a reader does in shareBacklog.
 func (p *peers) shareGroupSums(sequence int64, local dispatch.Backlog, instances map[string]follower.Instance) {
 	g := p.gateway
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 )
 
@@ -37,6 +38,9 @@
 	Dialect    Dialect
 	// BeforeWrite is as in ChatRequest.
 	BeforeWrite func() error
+	// HeadArrived is called with the head of the answer, before the rest is read. It may
+	// be nil.
+	HeadArrived func(h Head)
 	// ConfirmTimeout is called before the attempt is aborted because the server
 	// stalled. If it returns false, the same timeout starts again. It may block.
 	ConfirmTimeout func(Stall) bool
@@ -66,6 +70,8 @@
 	// IdleLimit is how long the server keeps an idle connection open, or 0 if
 	// unknown.
 	IdleLimit time.Duration
+	// Notice is what the server says about itself.
+	Notice backend.Notice
 }
 
 // Load is the load that a server reports with its answer.
@@ -140,6 +146,9 @@
 	// to the pool.
 	defer resp.Body.Close()
 	x.conn.setIdleLimit(head.Metadata.IdleLimit)
+	if f.HeadArrived != nil {
+		f.HeadArrived(head)
+	}
 	answer := ForwardAnswer{Head: head, LastEvent: f.ResumeFrom, FirstEvent: x.elapsed()}
 	switch {
 	case head.Metadata.NotRun:
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -104,6 +104,7 @@
 		Header: ex.headers.Header(ex.call.Header, metadata), Stream: r.Kind == route.Streaming, ResumeFrom: ex.lastEvent,
 		AllowReuse: ex.mayReuseConnection(), Limits: ex.limits(assigned, startedAt), Dialect: ex.dialect,
 		BeforeWrite:    func() error { return ex.recheck(assigned) },
+		HeadArrived:    func(h attempt.Head) { ex.recordNotice(assigned, h.Metadata, startedAt) },
 		ConfirmTimeout: func(s attempt.Stall) bool { return stall.confirmTimeout(ctx, s) },
 	}, sink)
 	var e *attempt.Error
@@ -113,6 +114,17 @@
 	return answer, err
 }
 
+// recordNotice records what the server says about itself in its answer to the attempt
+// that began at startedAt.
+func (ex *forwardExecution) recordNotice(assigned *dispatch.Assignment, m attempt.Metadata, startedAt time.Time) {
+	if m.Misdirected {
+		return // the answer is another server's
+	}
+	if assigned.RecordNotice(m.Notice, m.Signed || m.NotRun, startedAt, ex.clock.Now()) {
+		ex.log.Info("ServerNotice", zap.String("Server", assigned.Server.ID), zap.Float64("Limit", m.Notice.Limit))
+	}
+}
+
 // mayReuseConnection reports whether the attempt may use a pooled connection. The
 // server may close such a connection just as the call is sent, which leaves in
 // doubt whether the call ran and uses up the attempt. So calls that are not
--- a/internal/routing/dispatch/cold.go
+++ b/internal/routing/dispatch/cold.go
@@ -8,24 +8,27 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// ColdQuota divides limit, the number of requests that a cold server can take per
-// second, among the members and returns the share of self. The division is
+// Quota divides limit, the number of requests that a server can take in some time, among
+// the members and returns the share of self. The division is
 // deterministic, so instances that know the same members stay within the limit
 // together without exchanging messages. If the limit is below the number of
 // members, some get no share, and an instance that is not a member gets none. If
 // there are no members, the result is limit.
-func ColdQuota(server, self string, members []string, limit int) int {
+func Quota(server, self string, members []string, limit int) int {
 	n := len(members)
 	if n == 0 {
 		return limit
 	}
-	ranked := slices.Clone(members)
-	weight := func(member string) uint64 { return xxhash.Sum64String(server + "\x00" + member) }
-	slices.SortFunc(ranked, func(a, b string) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
-	rank := slices.Index(ranked, self)
-	if rank < 0 {
+	if !slices.Contains(members, self) {
 		return 0
 	}
+	weight := func(member string) uint64 { return xxhash.Sum64String(server + "\x00" + member) }
+	own, rank := weight(self), 0
+	for _, m := range members {
+		if cmp.Or(cmp.Compare(weight(m), own), cmp.Compare(m, self)) < 0 {
+			rank++
+		}
+	}
 	quota := limit / n
 	if rank < limit%n {
 		quota++
@@ -48,17 +51,21 @@
 	s.times = append(s.times, now)
 }
 
-// trim drops the times before the window.
+// trim drops the times before the longest window, which is limitWindow.
 func (s *sendLog) trim(now time.Time) {
 	i := 0
-	for i < len(s.times) && now.Sub(s.times[i]) >= coldWindow {
+	for i < len(s.times) && now.Sub(s.times[i]) >= limitWindow {
 		i++
 	}
 	s.times = s.times[i:]
 }
 
-// recent returns the number of requests within the window.
-func (s *sendLog) recent(now time.Time) int {
+// recent returns the number of requests within a window of at most limitWindow.
+func (s *sendLog) recent(now time.Time, window time.Duration) int {
 	s.trim(now)
-	return len(s.times)
+	n := 0
+	for n < len(s.times) && now.Sub(s.times[len(s.times)-1-n]) < window {
+		n++
+	}
+	return n
 }
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -93,12 +93,12 @@
 	Service string
 	// Listed is the number of servers that the service has. The other fields
 	// count the servers ruled out, by reason.
-	Listed, Draining, Closed, OtherVersion, Excluded, Cold, Full int
+	Listed, Draining, Closed, OtherVersion, Excluded, Cold, Full, Limited int
 }
 
 func (e *NoServerError) Error() string {
-	return fmt.Sprintf("no server of %s: %d listed, %d draining, %d in closed data centres, %d of other versions, %d tried before, %d cold, %d full",
-		e.Service, e.Listed, e.Draining, e.Closed, e.OtherVersion, e.Excluded, e.Cold, e.Full)
+	return fmt.Sprintf("no server of %s: %d listed, %d draining, %d in closed data centres, %d of other versions, %d tried before, %d cold, %d full, %d at their limit",
+		e.Service, e.Listed, e.Draining, e.Closed, e.OtherVersion, e.Excluded, e.Cold, e.Full, e.Limited)
 }
 
 // Dispatcher chooses servers and tracks this instance's requests on them. It is
@@ -139,10 +139,15 @@
 	otherLoad   float64
 	otherLoadAt time.Time
 	sends       sendLog
+	notice      serverNotice
 	failures    failureRate
 	slowness    slowness
 }
 
+func newServerState(born int64) *serverState {
+	return &serverState{born: born, awaitingFirstEvent: map[*Assignment]time.Time{}}
+}
+
 // New returns a Dispatcher that knows of no requests yet.
 func New(settings Settings) *Dispatcher {
 	return &Dispatcher{settings: settings, states: map[string]*serverState{}, cache: newPrefixCache(), peers: map[string]*peerReport{}, prefill: newPrefillModel(), meanPrefillTime: 100 * time.Millisecond}
@@ -271,6 +276,8 @@
 		none.Cold++
 	case q.MaxConnections > 0 && d.state(s).inFlight >= max(1, int(connectionQuotaShare*float64(q.MaxConnections))/max(1, len(q.Members))):
 		none.Full++
+	case !d.withinLimit(s, q, now):
+		none.Limited++
 	default:
 		return true
 	}
@@ -284,7 +291,7 @@
 		return true
 	}
 	limit := int(coldQuotaShare * (q.ColdRate*d.settings.ColdOverrun + d.settings.ColdSlack))
-	return d.state(s).sends.recent(now) < ColdQuota(s.ID, d.settings.Instance, q.Members, limit)
+	return d.state(s).sends.recent(now, coldWindow) < Quota(s.ID, d.settings.Instance, q.Members, limit)
 }
 
 // evaluate predicts the wait at a server and the cost by which servers are
@@ -438,7 +445,7 @@
 func (d *Dispatcher) state(s *backend.Server) *serverState {
 	st := d.states[s.ID]
 	if st == nil || st.born != s.StartedAt {
-		st = &serverState{born: s.StartedAt, awaitingFirstEvent: map[*Assignment]time.Time{}}
+		st = newServerState(s.StartedAt)
 		d.states[s.ID] = st
 	}
 	return st
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -46,7 +46,7 @@
 
 // The quotas of all instances at a cold server add up to exactly its limit, for any
 // number of instances.
-func TestColdQuotaSum(t *testing.T) {
+func TestQuotaSum(t *testing.T) {
 	is := is.New(t)
 	for _, n := range []int{1, 2, 8, 9, 30, 73, 90, 360} {
 		members := make([]string, n)
@@ -56,12 +56,12 @@
 		for _, limit := range []int{0, 3, 16, 21} {
 			sum := 0
 			for _, m := range members {
-				sum += ColdQuota("server", m, members, limit)
+				sum += Quota("server", m, members, limit)
 			}
 			is.Equal(sum, limit)
 		}
 	}
-	is.Equal(ColdQuota("server", "stranger", []string{"a", "b"}, 16), 0)
+	is.Equal(Quota("server", "stranger", []string{"a", "b"}, 16), 0)
 }
 
 // All instances together stay within a cold server's limit in any second, even if it
--- /dev/null
+++ b/internal/routing/dispatch/notice.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+)
+
+const (
+	// limitWindow is the time over which requests to a server with a limit are counted:
+	// the 4 s over which servers count them, plus the amount by which the delays of two
+	// requests from one instance can differ on the way.
+	limitWindow = 4150 * time.Millisecond
+	// limitPeriod is the time for which the requests that a limit allows are divided
+	// among the instances. It is long enough for a limit below one request a second.
+	limitPeriod = 4 * time.Second
+	// noticeReportTime is how long a notice is passed on to other instances, in
+	// messages that may be lost.
+	noticeReportTime = 3 * time.Second
+	// maxNoticeReports bounds the notices in one message.
+	maxNoticeReports = 200
+)
+
+// serverNotice is the latest notice of a server that has reached this instance, in an
+// answer or from another instance. Servers repeat their notices in all answers.
+type serverNotice struct {
+	notice backend.Notice
+	// heardAt is when an answer last gave the notice, or showed that it no longer
+	// holds; zero if no answer has given any.
+	heardAt time.Time
+}
+
+// record takes in the notice of an answer to a request sent at sentAt. conclusive is set
+// if the answer would have held any notice. It reports whether the notice changed.
+func (s *serverNotice) record(n backend.Notice, conclusive bool, sentAt, now time.Time) bool {
+	old := s.notice
+	switch {
+	case n.Limit > 0:
+		s.notice.Limit, s.heardAt = n.Limit, now
+	case s.notice.Limit > 0 && conclusive && sentAt.After(s.heardAt):
+		// An answer to an earlier request may have been overtaken by the notice.
+		s.notice.Limit, s.heardAt = 0, now
+	}
+	return s.notice != old
+}
+
+// NoticeReport is a server's notice as one instance tells it to others.
+type NoticeReport struct {
+	// StartedAt identifies the server's run, as in backend.Server.
+	StartedAt int64
+	// Age is the time since an answer last gave the notice.
+	Age   time.Duration
+	Limit float64 `json:",omitzero"`
+}
+
+// RecentNotices returns the notices that servers have given or withdrawn within
+// noticeReportTime, by the server's ID. If there are more than maxNoticeReports, it
+// returns the newest ones.
+func (d *Dispatcher) RecentNotices(now time.Time) map[string]NoticeReport {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	reports := map[string]NoticeReport{}
+	for id, st := range d.states {
+		if age := now.Sub(st.notice.heardAt); age < noticeReportTime {
+			reports[id] = NoticeReport{StartedAt: st.born, Age: age, Limit: st.notice.notice.Limit}
+		}
+	}
+	if len(reports) > maxNoticeReports {
+		byAge := slices.SortedFunc(maps.Keys(reports), func(a, b string) int {
+			return cmp.Or(cmp.Compare(reports[a].Age, reports[b].Age), cmp.Compare(a, b))
+		})
+		for _, id := range byAge[maxNoticeReports:] {
+			delete(reports, id)
+		}
+	}
+	return reports
+}
+
+// MergeNotices takes in the notices that another instance knows. Older ones than this
+// instance's are ignored, and those of another run of a server.
+func (d *Dispatcher) MergeNotices(reports map[string]NoticeReport, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, r := range reports {
+		st := d.states[id]
+		if st == nil {
+			st = newServerState(r.StartedAt)
+			d.states[id] = st
+		}
+		if heardAt := now.Add(-r.Age); st.born == r.StartedAt && heardAt.After(st.notice.heardAt) {
+			st.notice.notice.Limit, st.notice.heardAt = r.Limit, heardAt
+		}
+	}
+}
+
+// RecordNotice records what the server said about itself in its answer to a request sent
+// at sentAt. conclusive is set if the answer is the server's own and would have held any
+// notice. It reports whether that is new.
+func (a *Assignment) RecordNotice(n backend.Notice, conclusive bool, sentAt, now time.Time) bool {
+	a.dispatcher.mu.Lock()
+	defer a.dispatcher.mu.Unlock()
+	return a.state.notice.record(n, conclusive, sentAt, now)
+}
+
+// withinLimit reports whether this instance's share of the limit that a server has named
+// allows another request now. At least one instance may send one in limitPeriod, whose
+// answer shows when the limit ends.
+func (d *Dispatcher) withinLimit(s *backend.Server, q *Query, now time.Time) bool {
+	st := d.state(s)
+	limit := st.notice.notice.Limit
+	if limit <= 0 {
+		return true
+	}
+	allowed := max(1, int(min(limit*limitPeriod.Seconds(), math.MaxInt32)))
+	return st.sends.recent(now, limitWindow) < Quota(s.ID, d.settings.Instance, q.Members, allowed)
+}
