Pass a large table on as soon as a reader has it

A feed now takes the follower's table beside its revision, sends the difference as soon as there is one, and wakes those that wait for a change. The difference is made from just the version that the follower has. Instances of the landed version send no table's revision and get none.

--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -37,13 +37,22 @@
 	TableDiff *TableDiff `json:",omitzero"`
 }
 
+// Position is what the reader of a feed has.
+type Position struct {
+	// Revision is the store revision up to which it has all changes, -1 if none.
+	Revision int64
+	// Table is the revision of its routing table, 0 if it has none or can't take
+	// differences.
+	Table int64
+}
+
 // Feed reads the store's changes from another instance.
 type Feed interface {
-	// Next returns the changes after a revision, without versions of entries that
+	// Next returns the changes after a position, without versions of entries that
 	// newer ones have replaced. It waits up to wait for the first change. A large
 	// routing table is sent as a difference, or left out, which the batch's Table then
 	// shows, unless the complete state after -1 is requested.
-	Next(ctx context.Context, after int64, wait time.Duration) (Batch, error)
+	Next(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 	// Reject reports that the feed's data is too old to use.
 	Reject()
 }
@@ -106,8 +115,7 @@
 	}
 	if b.Whole || b.Revision > h.revision {
 		h.revision = b.Revision
-		close(h.advanced)
-		h.advanced = make(chan struct{})
+		h.wake()
 	}
 }
 
@@ -146,6 +154,13 @@
 		h.tables = append(h.tables[:0:0], h.tables[1:]...)
 	}
 	h.tables = append(h.tables, item)
+	h.wake()
+}
+
+// wake makes those that wait for a change look again. The caller holds mu.
+func (h *history) wake() {
+	close(h.advanced)
+	h.advanced = make(chan struct{})
 }
 
 // table returns the newest version of the routing table's entry.
@@ -155,25 +170,25 @@
 	return h.items[h.tableKey]
 }
 
-// nextAdvance returns a channel that is closed at the next new revision.
+// nextAdvance returns a channel that is closed at the next new revision or table.
 func (h *history) nextAdvance() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.advanced
 }
 
-// tableDiff returns the difference to the newest routing table for a follower that has
-// all changes up to a revision. It is nil if the follower has that table or gets it as an
-// item, if it is too large, or if it is newer than the history's own revision.
-func (h *history) tableDiff(after int64) (*TableDiff, error) {
+// tableDiff returns the difference to the newest routing table for a follower at a
+// position. It is nil if the follower has that table or gets it as an item, or if it is
+// too large. The table may be newer than the history's other items.
+func (h *history) tableDiff(after Position) (*TableDiff, error) {
 	h.mu.Lock()
 	newest, base := h.items[h.tableKey], Item{}
-	if after < 0 || len(newest.Value) <= maxFeedTableBytes || newest.Revision <= after || newest.Revision > h.revision {
+	if after.Revision < 0 || after.Table == 0 || newest.Revision <= after.Table || len(newest.Value) <= maxFeedTableBytes {
 		h.mu.Unlock()
 		return nil, nil
 	}
 	for _, version := range h.tables {
-		if version.Revision <= after {
+		if version.Revision == after.Table {
 			base = version
 		}
 	}
@@ -187,7 +202,7 @@
 
 // since returns the changes after a revision, or the complete state if changes
 // doesn't reach back that far, and a channel that is closed at the next new
-// revision. For a revision newer than the history's own the batch is empty. Only
+// revision or table. For a revision newer than the history's own the batch is empty. Only
 // the complete state after -1 includes a routing table of more than
 // maxFeedTableBytes.
 func (h *history) since(after int64) (Batch, <-chan struct{}) {
@@ -243,17 +258,17 @@
 // ErrNotSynced reports that the follower hasn't loaded the store's state yet.
 var ErrNotSynced = errors.New("nothing is known of the store yet")
 
-// Next returns the changes after a revision, for other instances to read as
+// Next returns the changes after a position, for other instances to read as
 // described at Feed. The error is ErrNotSynced, ErrTooFarBehind or the
 // context's.
-func (f *Follower) Next(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (f *Follower) Next(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	timer := f.clock.After(wait)
 	for {
-		b, changed := f.history.since(after)
+		b, changed := f.history.since(after.Revision)
 		if b.Revision < 0 {
 			return Batch{}, ErrNotSynced
 		}
-		if b.Whole && after >= 0 && b.size() > maxFullBatchBytes {
+		if b.Whole && after.Revision >= 0 && b.size() > maxFullBatchBytes {
 			return Batch{}, ErrTooFarBehind
 		}
 		diff, err := f.history.tableDiff(after)
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -314,14 +314,14 @@
 // table and the follower's are at most MaxFeedAge old.
 func (f *Follower) readFeed(ctx context.Context, feed Feed) bool {
 	f.mu.Lock()
-	revision := f.revision
+	position := Position{Revision: f.revision, Table: f.tableRevision}
 	f.mu.Unlock()
 	requestedAt := f.bootClock.Elapsed()
 	feedCtx, cancel := context.WithTimeout(ctx, f.settings.FeedWait+f.settings.FeedTimeout)
 	defer cancel()
-	batch, err := feed.Next(feedCtx, revision, f.settings.FeedWait)
+	batch, err := feed.Next(feedCtx, position, f.settings.FeedWait)
 	if errors.Is(err, ErrTooFarBehind) && f.IsCutOff() {
-		batch, err = feed.Next(feedCtx, -1, f.settings.FeedWait)
+		batch, err = feed.Next(feedCtx, Position{Revision: -1}, f.settings.FeedWait)
 	}
 	if err != nil {
 		f.recordFeedFailure(err)
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -239,7 +239,7 @@
 // followerFeed is the feed of another follower. It doesn't wait for changes.
 type followerFeed struct{ *testFollower }
 
-func (f followerFeed) Next(ctx context.Context, after int64, _ time.Duration) (Batch, error) {
+func (f followerFeed) Next(ctx context.Context, after Position, _ time.Duration) (Batch, error) {
 	return f.Follower.Next(ctx, after, 0)
 }
 
@@ -248,7 +248,7 @@
 func TestFeed(t *testing.T) {
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
-	_, err := followerFeed{source}.Next(t.Context(), 0, 0)
+	_, err := followerFeed{source}.Next(t.Context(), Position{}, 0)
 	is.True(errors.Is(err, ErrNotSynced))
 	source.applyBatch(Batch{Items: []Item{tableItem(3, 4), serverItem("a", "Ready", 5)}, Revision: 5, Whole: true}, true)
 	source.bootClock.now = 100 * time.Second
@@ -331,13 +331,13 @@
 	ahead.readFeed(t.Context(), followerFeed{source})
 	is.Equal(ahead.revision, int64(60))
 
-	_, err := followerFeed{source}.Next(t.Context(), 40, 0)
+	_, err := followerFeed{source}.Next(t.Context(), Position{Revision: 40}, 0)
 	is.NoErr(err) // the complete state is small
 	for i := range 2000 {
 		items = append(items, serverItem(strconv.Itoa(i)+strings.Repeat("x", 60), "Ready", 5))
 	}
 	source.applyBatch(Batch{Items: items, Revision: 51, Whole: true}, true)
-	_, err = followerFeed{source}.Next(t.Context(), 40, 0)
+	_, err = followerFeed{source}.Next(t.Context(), Position{Revision: 40}, 0)
 	is.True(errors.Is(err, ErrTooFarBehind))
 
 	behind.applyBatch(Batch{Items: items[:1], Revision: 40, Whole: true}, true)
@@ -491,7 +491,7 @@
 				batch.Items = append(batch.Items, tableItemOfSize(2+i, 20+2*i, c.newSize), serverItem("s"+strconv.FormatInt(i, 10), "Ready", 21+2*i))
 			}
 			source.applyBatch(batch, true)
-			answer, err := source.Next(t.Context(), 10, 0)
+			answer, err := source.Next(t.Context(), Position{Revision: 10}, 0)
 			is.NoErr(err)
 			raw, err := json.Marshal(answer)
 			is.NoErr(err)
@@ -628,29 +628,41 @@
 func TestDifferenceFromOtherTableIsNotApplied(t *testing.T) {
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
-	tables := []Item{tableItemWithRoutes(1, 1, 1400, 1), tableItemWithRoutes(2, 5, 1400, 2), tableItemWithRoutes(3, 9, 1500, 2), tableItemWithRoutes(4, 11, 1600, 2)}
-	source.applyBatch(Batch{Items: tables[:1], Revision: 1, Whole: true}, true)
-	f.applyBatch(Batch{Items: tables[:1], Revision: 1, Whole: true}, true)
-	source.applyBatch(Batch{Items: tables[1:2], Revision: 5}, true)
-	f.applyBatch(Batch{Revision: 5}, true) // a loaded state, which has no table
-	source.applyBatch(Batch{Items: tables[2:3], Revision: 9}, true)
-	source.applyConfirmation(tables[2], 9, 0)
-	f.readFeed(t.Context(), followerFeed{source})
+	first := tableItemWithRoutes(1, 1, 2800, 1)
+	source.applyBatch(Batch{Items: []Item{tableItemWithRoutes(2, 5, 2800, 2)}, Revision: 5, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{first}, Revision: 5, Whole: true}, true)
+	next := tableItemWithRoutes(3, 9, 2900, 2)
+	source.applyBatch(Batch{Items: []Item{next}, Revision: 9}, true)
+	source.applyConfirmation(next, 9, 0)
+	f.readFeed(t.Context(), otherTableFeed{followerFeed{source}, 5})
 	is.Equal(f.View.Table.Get().Version, int64(1))
 	is.True(f.isTableOmitted())
-	f.applyConfirmation(tables[2], 9, 0)
-	source.applyBatch(Batch{Items: tables[3:], Revision: 11}, true)
+	f.readFeed(t.Context(), followerFeed{source}) // the reader doesn't have the follower's table either
+	is.Equal(f.View.Table.Get().Version, int64(1))
+	f.applyConfirmation(next, 9, 0)
+	source.applyBatch(Batch{Items: []Item{tableItemWithRoutes(4, 11, 3000, 2)}, Revision: 11}, true)
 	f.readFeed(t.Context(), followerFeed{source})
 	is.Equal(f.View.Table.Get().Version, int64(4))
 }
 
+// otherTableFeed asks a feed for the difference from another table than its reader's.
+type otherTableFeed struct {
+	followerFeed
+	table int64
+}
+
+func (f otherTableFeed) Next(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
+	after.Table = f.table
+	return f.followerFeed.Next(ctx, after, wait)
+}
+
 // recordingFeed keeps the last answer of a feed.
 type recordingFeed struct {
 	followerFeed
 	answer *Batch
 }
 
-func (f recordingFeed) Next(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (f recordingFeed) Next(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	b, err := f.followerFeed.Next(ctx, after, wait)
 	*f.answer = b
 	return b, err
@@ -665,7 +677,7 @@
 		x.applyBatch(Batch{Items: first, Revision: 3, Whole: true}, true)
 	}
 	source.applyBatch(Batch{Items: []Item{first[0], first[1], serverItem("c", "Ready", 7)}, Revision: 8, Whole: true}, true)
-	answer, err := source.Next(t.Context(), 3, 0)
+	answer, err := source.Next(t.Context(), Position{Revision: 3}, 0)
 	is.NoErr(err)
 	is.True(!answer.Whole)
 	is.Equal(len(answer.Items), 2)
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -174,7 +174,7 @@
 }
 
 // Next implements follower.Feed.
-func (f *remoteFeed) Next(ctx context.Context, after int64, wait time.Duration) (follower.Batch, error) {
+func (f *remoteFeed) Next(ctx context.Context, after follower.Position, wait time.Duration) (follower.Batch, error) {
 	b, err := f.fetch(ctx, after, wait)
 	if err != nil && !errors.Is(err, follower.ErrTooFarBehind) {
 		f.feeds.markFailed(f.address)
@@ -185,10 +185,10 @@
 // Reject implements follower.Feed.
 func (f *remoteFeed) Reject() { f.feeds.markFailed(f.address) }
 
-// fetch requests the changes after a revision. The other instance waits up to
+// fetch requests the changes after a position. The other instance waits up to
 // the given time for one.
-func (f *remoteFeed) fetch(ctx context.Context, after int64, wait time.Duration) (follower.Batch, error) {
-	query := url.Values{"After": {strconv.FormatInt(after, 10)}, "Wait": {wait.String()}}
+func (f *remoteFeed) fetch(ctx context.Context, after follower.Position, wait time.Duration) (follower.Batch, error) {
+	query := url.Values{"After": {strconv.FormatInt(after.Revision, 10)}, "Table": {strconv.FormatInt(after.Table, 10)}, "Wait": {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return follower.Batch{}, fmt.Errorf("build feed request: %w", err)
@@ -215,13 +215,27 @@
 	return b, nil
 }
 
+// parsePosition returns the position of the follower that sent a request. An instance of
+// an earlier version doesn't send its table's revision.
+func parsePosition(r *http.Request) (p follower.Position, err error) {
+	if p.Revision, err = strconv.ParseInt(r.FormValue("After"), 10, 64); err != nil {
+		return p, errors.New("After must be a revision")
+	}
+	if table := r.FormValue("Table"); table != "" {
+		if p.Table, err = strconv.ParseInt(table, 10, 64); err != nil {
+			return p, errors.New("Table must be a revision")
+		}
+	}
+	return p, nil
+}
+
 // handler serves this instance's own feed.
 func (f *feeds) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+feedPath, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseInt(r.FormValue("After"), 10, 64)
+		after, err := parsePosition(r)
 		if err != nil {
-			http.Error(w, "After must be a revision", http.StatusBadRequest)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		wait, err := time.ParseDuration(r.FormValue("Wait"))
