Stay with a feed whose reader has a newer table

Cause: the follower left a feed if its own confirmation was old, also if the reader's was young and of a newer table, which the follower was about to get. Its own age now counts only against a reader that has no newer table.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -311,7 +311,8 @@
 
 // readFeed makes one call to another instance's feed and applies the result. It
 // reports whether the feed answered, and both the feed's confirmation of the routing
-// table and the follower's are at most MaxFeedAge old.
+// table and the follower's are at most MaxFeedAge old. If the feed's is of a newer table,
+// the follower's doesn't count: the table is on its way, or confirmLoop reads it.
 func (f *Follower) readFeed(ctx context.Context, feed Feed) bool {
 	f.mu.Lock()
 	position := Position{Revision: f.revision, Table: f.tableRevision}
@@ -336,7 +337,11 @@
 	if batch.Table > 0 && batch.Table == f.tableRevision {
 		f.recordConfirmation(requestedAt - batch.Age)
 	}
-	if max(batch.Age, f.bootClock.Elapsed()-f.confirmedAt) > f.settings.MaxFeedAge {
+	age := batch.Age
+	if batch.Table <= f.tableRevision {
+		age = max(age, f.bootClock.Elapsed()-f.confirmedAt)
+	}
+	if age > f.settings.MaxFeedAge {
 		feed.Reject()
 		f.switchToStore("confirmation too old", batch.Age, nil)
 		return false
@@ -356,6 +361,9 @@
 	if err != nil {
 		counters.Add("TableNotExpanded", 1)
 		f.log.Info("TableNotExpanded", zap.Int64("Revision", b.TableDiff.Revision), zap.Error(err))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.feedTable = b.TableDiff.Revision
 		return
 	}
 	counters.Add("TableExpanded", 1)
