Let the watch confirm a large table while other entries change

A reader read an unchanged table of 0.7 MB with each confirmation while servers were replaced, 0.6 s of its link of 10 Mbit/s each time, and a changed one twice. Cause: a confirmation whose store revision was ahead waited for the watch only if one was in progress, but watches are paced at 0.9 s and mostly weren't. The confirmation now makes the next watch start at once and waits for it: the watch shows whether the table is among the changes.

--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -70,23 +70,27 @@
 // maxTableWait bounds the time that awaitWatch waits.
 const maxTableWait = 2 * time.Second
 
-// awaitWatch waits until the watch in progress has delivered all changes up to a
-// revision, and reports whether it has. A new version of a large table may be among
-// them, which a read of the table's entry would transfer a second time over the same
-// link. It waits for twice the time of the last such read, as the table may have grown,
-// and not at all if there is no watch that could confirm the table.
+// awaitWatch waits until a watch has delivered all changes up to a revision, and reports
+// whether it has. The watch shows whether the table is among them, and if so a read of the
+// table's entry would transfer it a second time over the same link. awaitWatch waits for
+// twice the time of the last such read, as the table may have grown, and not at all if
+// the watch couldn't confirm the table.
 func (f *Follower) awaitWatch(ctx context.Context, revision int64) bool {
 	timeout := f.clock.After(min(maxTableWait, f.settings.MaxWatchLag+2*f.tableReadTime))
 	for {
 		advanced := f.history.nextAdvance()
 		f.mu.Lock()
 		delivered := f.revision >= revision
-		watching := f.stopWatch != nil && !f.loading && f.tableReadAt >= f.tableGap
+		mayConfirm := !f.loading && !f.reload && f.tableReadAt >= f.tableGap
 		f.mu.Unlock()
-		if delivered || !watching {
+		if delivered || !mayConfirm || !f.isReadingStore() {
 			return delivered
 		}
 		select {
+		case f.watchWanted <- struct{}{}:
+		default:
+		}
+		select {
 		case <-advanced:
 		case <-timeout:
 			return false
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -136,6 +136,8 @@
 	// reload makes the next call of readStore a load although there is a state; loading
 	// is set while one is in progress.
 	reload, loading bool
+	// watchWanted makes readLoop start the next watch at once.
+	watchWanted chan struct{}
 	// stopWatch cancels the call of readStore in progress; nil if there is none.
 	stopWatch context.CancelFunc
 }
@@ -167,6 +169,7 @@
 	f := &Follower{
 		settings: DefaultSettings, store: store, decode: decode, upstream: func() Feed { return nil },
 		clock: clockwork.NewRealClock(), bootClock: systemBootClock{}, log: zap.NewNop(), revision: -1, history: newHistory(),
+		watchWanted: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -216,7 +219,19 @@
 			f.sleep(ctx, delay)
 			continue
 		}
-		f.sleep(ctx, f.settings.MinWatchInterval-f.clock.Since(start))
+		f.sleepBetweenWatches(ctx, f.settings.MinWatchInterval-f.clock.Since(start))
+	}
+}
+
+// sleepBetweenWatches sleeps until d has passed or a watch is wanted.
+func (f *Follower) sleepBetweenWatches(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.watchWanted:
+	case <-f.clock.After(d):
 	}
 }
 
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -951,9 +951,10 @@
 		age, _ := f.ConfirmationAge()
 		oldest = max(oldest, age)
 	}
+	transferred := store.transferred()
 	cancel()
 	<-done
-	is.True(store.transferred() < len(table.Value))
+	is.True(transferred < len(table.Value))
 	is.True(oldest <= f.settings.ConfirmInterval)
 }
 
