Don't give a feed's answer up while it arrives

Cause: a request to a feed had 250 ms from the end of its wait for the whole answer; the same difference to 22 followers, 26 KB each, takes 0.45 s of a link of 10 Mbit/s. The time now bounds how long nothing arrives, and the whole answer may take 1.25 s.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -42,7 +42,8 @@
 	// FeedWait is how long a request to another instance's feed waits for a
 	// change.
 	FeedWait time.Duration
-	// FeedTimeout is how much longer than FeedWait such a request may take.
+	// FeedTimeout is how much longer than FeedWait such a request may take as a whole.
+	// The Feed gives up sooner if nothing arrives.
 	FeedTimeout time.Duration
 	// MaxFeedAge is how old the confirmation from a feed may be; beyond it the
 	// follower switches to the store.
@@ -71,7 +72,7 @@
 	MaxWatchLag:      150 * time.Millisecond,
 	ConfirmInterval:  800 * time.Millisecond,
 	FeedWait:         250 * time.Millisecond,
-	FeedTimeout:      250 * time.Millisecond,
+	FeedTimeout:      1250 * time.Millisecond,
 	MaxFeedAge:       1300 * time.Millisecond,
 	FeedBackoff:      time.Second,
 	StoreBackoff:     3 * time.Second,
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/platform/transfer"
 )
 
 // feeds limits the number of instances that read the store. The others follow
@@ -53,6 +54,10 @@
 	feedPath = "/feed"
 	// feedDialTimeout bounds the time to connect to a reader.
 	feedDialTimeout = 250 * time.Millisecond
+	// feedStallTimeout bounds the time in which nothing of a feed's answer arrives, beyond
+	// the time that the reader may wait for a change. A reader sends the same change to
+	// all its followers at the same time, over one link.
+	feedStallTimeout = 250 * time.Millisecond
 	// maxFeedBytes bounds the size of an answer, which may include a routing
 	// table of a megabyte.
 	maxFeedBytes = 16 << 20
@@ -188,6 +193,8 @@
 // fetch requests the changes after a position. The other instance waits up to
 // the given time for one.
 func (f *remoteFeed) fetch(ctx context.Context, after follower.Position, wait time.Duration) (follower.Batch, error) {
+	ctx, timeout := transfer.WithTimeout(ctx, wait+feedStallTimeout, feedStallTimeout)
+	defer timeout.Stop()
 	query := url.Values{"After": {strconv.FormatInt(after.Revision, 10)}, "Table": {strconv.FormatInt(after.Table, 10)}, "Wait": {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
 	if err != nil {
@@ -195,12 +202,12 @@
 	}
 	resp, err := f.feeds.client.Do(req)
 	if err != nil {
-		return follower.Batch{}, fmt.Errorf("request feed of %s: %w", f.address, err)
+		return follower.Batch{}, fmt.Errorf("request feed of %s: %w", f.address, cmp.Or(context.Cause(ctx), err))
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxFeedBytes))
+	raw, err := io.ReadAll(io.LimitReader(timeout.Reader(resp.Body), maxFeedBytes))
 	if err != nil {
-		return follower.Batch{}, fmt.Errorf("read feed of %s: %w", f.address, err)
+		return follower.Batch{}, fmt.Errorf("read feed of %s: %w", f.address, cmp.Or(context.Cause(ctx), err))
 	}
 	if resp.StatusCode == http.StatusGone {
 		return follower.Batch{}, follower.ErrTooFarBehind
