Report the progress of a transfer through the context

Whoever waits for a large response needs to know whether it is arriving. A context made by transfer.WithProgress learns of each part that arrives; the store's client and feeds report it, and the follower's stand-in of a slow store does. No behaviour changes.

--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/platform/transfer"
 )
 
 // decodeTestItem decodes values of the form "table VERSION" and "server STATE",
@@ -744,11 +745,15 @@
 		s.mu.Unlock()
 	}
 	done := s.clock.After(d)
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for {
+		select {
+		case <-done:
+			return nil
+		case <-s.clock.After(50 * time.Millisecond):
+			transfer.ReportProgress(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
--- a/internal/platform/transfer/transfer.go
+++ b/internal/platform/transfer/transfer.go
@@ -12,8 +12,25 @@
 // ErrStalled is the cause of a context that a Timeout has cancelled.
 var ErrStalled = errors.New("nothing arrived in time")
 
+type progressKey struct{}
+
+// WithProgress returns a context that makes requests call report whenever bytes of their
+// response arrive.
+func WithProgress(ctx context.Context, report func()) context.Context {
+	return context.WithValue(ctx, progressKey{}, report)
+}
+
+// ReportProgress tells the one that made the context with WithProgress, if any, that bytes
+// have arrived.
+func ReportProgress(ctx context.Context) {
+	if report, ok := ctx.Value(progressKey{}).(func()); ok {
+		report()
+	}
+}
+
 // Timeout cancels a request's context if nothing of the response arrives for a time.
 type Timeout struct {
+	ctx    context.Context
 	timer  *time.Timer
 	stall  time.Duration
 	cancel context.CancelCauseFunc
@@ -24,7 +41,7 @@
 // The caller must call Stop once the response has been read.
 func WithTimeout(ctx context.Context, first, stall time.Duration) (context.Context, *Timeout) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	return ctx, &Timeout{timer: time.AfterFunc(first, func() { cancel(ErrStalled) }), stall: stall, cancel: cancel}
+	return ctx, &Timeout{ctx: ctx, timer: time.AfterFunc(first, func() { cancel(ErrStalled) }), stall: stall, cancel: cancel}
 }
 
 // Stop releases the timeout and cancels its context.
@@ -33,8 +50,8 @@
 	t.cancel(nil)
 }
 
-// Reader returns a reader of the response's body r that restarts the timeout whenever
-// bytes arrive.
+// Reader returns a reader of the response's body r that restarts the timeout and reports
+// progress whenever bytes arrive.
 func (t *Timeout) Reader(r io.Reader) io.Reader { return &reader{r, t} }
 
 type reader struct {
@@ -47,6 +64,7 @@
 	n, err := r.Reader.Read(p)
 	if n > 0 {
 		r.timeout.timer.Reset(r.timeout.stall)
+		ReportProgress(r.timeout.ctx)
 	}
 	return n, err
 }
