Wait for a watch as long as its answer arrives

Cause: the confirmation waited for the watch for twice the time of the last read of the table, which was of one of 12 KB.

--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -54,10 +54,8 @@
 		}
 		requestedAt = f.bootClock.Elapsed()
 	}
-	startedAt := f.clock.Now()
 	item, revision, err := f.store.Confirm(ctx)
 	if err == nil {
-		f.tableReadTime = f.clock.Since(startedAt)
 		f.applyConfirmation(item, revision, requestedAt)
 	}
 	return err
@@ -67,23 +65,23 @@
 // instances at once.
 func (f *Follower) isTableLarge() bool { return len(f.history.table().Value) > maxFeedTableBytes }
 
-// maxTableWait bounds the time that awaitWatch waits.
-const maxTableWait = 2 * time.Second
-
 // awaitWatch waits until a watch has delivered all changes up to a revision, and reports
 // whether it has. The watch shows whether the table is among them, and if so a read of the
 // table's entry would transfer it a second time over the same link. awaitWatch waits for
-// twice the time of the last such read, as the table may have grown, and not at all if
-// the watch couldn't confirm the table.
+// as long as the answer arrives, up to MaxWatchLag between two parts of it, and not at all
+// if the watch couldn't confirm the table.
 func (f *Follower) awaitWatch(ctx context.Context, revision int64) bool {
-	timeout := f.clock.After(min(maxTableWait, f.settings.MaxWatchLag+2*f.tableReadTime))
-	for {
+	for startedAt := f.clock.Now(); ; {
 		advanced := f.history.nextAdvance()
 		f.mu.Lock()
 		delivered := f.revision >= revision
 		mayConfirm := !f.loading && !f.reload && f.tableReadAt >= f.tableGap
+		lag := f.clock.Since(startedAt)
+		if f.progressAt.After(startedAt) {
+			lag = f.clock.Since(f.progressAt)
+		}
 		f.mu.Unlock()
-		if delivered || !mayConfirm || !f.isReadingStore() {
+		if delivered || !mayConfirm || lag >= f.settings.MaxWatchLag || !f.isReadingStore() {
 			return delivered
 		}
 		select {
@@ -92,8 +90,7 @@
 		}
 		select {
 		case <-advanced:
-		case <-timeout:
-			return false
+		case <-f.clock.After(f.settings.MaxWatchLag - lag):
 		case <-ctx.Done():
 			return false
 		}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/platform/transfer"
 )
 
 // BootClock is a clock that keeps running while the machine is suspended.
@@ -103,9 +104,6 @@
 	// a change of the table: those of a feed, and a loaded state.
 	tableReadAt int64
 	tableGap    int64
-	// tableReadTime is how long the last read of the table's entry took. It belongs to
-	// confirmLoop.
-	tableReadTime time.Duration
 	// feedTable is the revision of the routing table up to which a feed has sent
 	// all other changes.
 	feedTable int64
@@ -139,6 +137,8 @@
 	reload, loading bool
 	// watchWanted makes readLoop start the next watch at once.
 	watchWanted chan struct{}
+	// progressAt is when a part of an answer to readStore last arrived.
+	progressAt time.Time
 	// stopWatch cancels the call of readStore in progress; nil if there is none.
 	stopWatch context.CancelFunc
 }
@@ -264,6 +264,7 @@
 	ctx, f.stopWatch = context.WithCancel(ctx)
 	f.mu.Unlock()
 	defer f.cancelWatch()
+	ctx = transfer.WithProgress(ctx, f.recordProgress)
 	if load {
 		items, at, err := f.store.Load(ctx)
 		if err == nil {
@@ -287,6 +288,12 @@
 	return nil
 }
 
+func (f *Follower) recordProgress() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.progressAt = f.clock.Now()
+}
+
 // recordAnswer records that the store has answered this instance itself. It ends
 // the backoff.
 func (f *Follower) recordAnswer() {
