Let a feed stall for longer where more time is allowed for a change

26 of 90 instances left feeds while a reader sent the same difference to 22 followers (0.45 s of a link of 10 Mbit/s; 250 ms were allowed until the answer begins). The time is now 0.125 of the time within which a change must be applied, and at least 250 ms, so that it is unchanged on small deployments.

--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -54,10 +54,6 @@
 	feedPath = "/feed"
 	// feedDialTimeout bounds the time to connect to a reader.
 	feedDialTimeout = 250 * time.Millisecond
-	// feedStallTimeout bounds the time in which nothing of a feed's answer arrives, beyond
-	// the time that the reader may wait for a change. A reader sends the same change to
-	// all its followers at the same time, over one link.
-	feedStallTimeout = 250 * time.Millisecond
 	// maxFeedBytes bounds the size of an answer, which may include a routing
 	// table of a megabyte.
 	maxFeedBytes = 16 << 20
@@ -193,7 +189,8 @@
 // fetch requests the changes after a position. The other instance waits up to
 // the given time for one.
 func (f *remoteFeed) fetch(ctx context.Context, after follower.Position, wait time.Duration) (follower.Batch, error) {
-	ctx, timeout := transfer.WithTimeout(ctx, wait+feedStallTimeout, feedStallTimeout)
+	stall := feedStallTimeout(*f.feeds.gateway.currentSettings())
+	ctx, timeout := transfer.WithTimeout(ctx, wait+stall, stall)
 	defer timeout.Stop()
 	query := url.Values{"After": {strconv.FormatInt(after.Revision, 10)}, "Table": {strconv.FormatInt(after.Table, 10)}, "Wait": {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
--- a/internal/fleet/gateway/times.go
+++ b/internal/fleet/gateway/times.go
@@ -16,11 +16,23 @@
 	confirmIntervalShare  = 0.4
 	feedWaitShare         = 0.125
 	maxFeedAgeShare       = 0.65
+	feedStallShare        = 0.125
 	// confirmationsPerRevokeDelay is the least number of confirmations within
 	// MaxRevokeDelay.
 	confirmationsPerRevokeDelay = 4
 )
 
+// minFeedStallTimeout is the shortest time in which nothing of a feed's answer may arrive,
+// beyond the time that the reader waits for a change.
+const minFeedStallTimeout = 250 * time.Millisecond
+
+// feedStallTimeout returns how long nothing of a feed's answer may arrive. A reader sends
+// the same change to all its followers at the same time, over one link, and more of them
+// where more time is allowed for a change.
+func feedStallTimeout(s Settings) time.Duration {
+	return max(minFeedStallTimeout, time.Duration(feedStallShare*float64(min(s.DrainDuration, s.MaxApplyDelay))))
+}
+
 // followerSettings derives the follower's intervals from the platform's bounds.
 func followerSettings(s Settings) follower.Settings {
 	f := follower.DefaultSettings
