Send nothing to servers that say that they leave

A server that says in its answers that it leaves got requests until its entry in the store said so, which may be late or never. Cause: the header wasn't decoded. It is now part of the server's notice, which holds for its run and is passed on to the other instances; a leaving server isn't chosen, and an attempt that was placed before is moved if nothing was sent yet.

New case of TestNotices.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -56,6 +56,8 @@
 
 // Notice is what a server says about itself in its answers, for as long as it says so.
 type Notice struct {
+	// Leaving is set if the server is about to stop. It doesn't take that back.
+	Leaving bool
 	// Limit is the number of requests a second that the server takes from all instances
 	// together; 0 if it names none.
 	Limit float64
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -264,7 +264,7 @@
 // the reason in none.
 func (d *Dispatcher) eligible(s *backend.Server, q *Query, now time.Time, none *NoServerError) bool {
 	switch {
-	case !s.IsUsable(now):
+	case !s.IsUsable(now) || d.state(s).notice.notice.Leaving:
 		none.Draining++
 	case q.ClosedDataCentres[s.DataCentre]:
 		none.Closed++
@@ -370,11 +370,19 @@
 
 // StillEligible reports whether the server may still take the attempt: it is
 // listed with the same address and run, usable, in an open data centre and of an
-// allowed version.
+// allowed version, and hasn't said that it doesn't want it.
 func (a *Assignment) StillEligible(l *backend.Listing, versions VersionConstraint, closed map[string]bool, now time.Time) bool {
 	s := l.ByID[a.Server.ID]
 	return s != nil && s.Address == a.Server.Address && s.StartedAt == a.Server.StartedAt && s.IsUsable(now) &&
-		!closed[s.DataCentre] && versions.Allows(s.Version)
+		!closed[s.DataCentre] && versions.Allows(s.Version) && !a.isUnwanted()
+}
+
+// isUnwanted reports whether the server has said since the placement that it doesn't want
+// the attempt.
+func (a *Assignment) isUnwanted() bool {
+	a.dispatcher.mu.Lock()
+	defer a.dispatcher.mu.Unlock()
+	return a.state.notice.notice.Leaving
 }
 
 // RecordFirstEvent records that the first event of the answer arrived after the
--- a/internal/routing/dispatch/notice.go
+++ b/internal/routing/dispatch/notice.go
@@ -38,6 +38,9 @@
 // if the answer would have held any notice. It reports whether the notice changed.
 func (s *serverNotice) record(n backend.Notice, conclusive bool, sentAt, now time.Time) bool {
 	old := s.notice
+	if n.Leaving {
+		s.notice.Leaving, s.heardAt = true, now
+	}
 	switch {
 	case n.Limit > 0:
 		s.notice.Limit, s.heardAt = n.Limit, now
@@ -53,8 +56,9 @@
 	// StartedAt identifies the server's run, as in backend.Server.
 	StartedAt int64
 	// Age is the time since an answer last gave the notice.
-	Age   time.Duration
-	Limit float64 `json:",omitzero"`
+	Age     time.Duration
+	Leaving bool    `json:",omitzero"`
+	Limit   float64 `json:",omitzero"`
 }
 
 // RecentNotices returns the notices that servers have given or withdrawn within
@@ -66,7 +70,7 @@
 	reports := map[string]NoticeReport{}
 	for id, st := range d.states {
 		if age := now.Sub(st.notice.heardAt); age < noticeReportTime {
-			reports[id] = NoticeReport{StartedAt: st.born, Age: age, Limit: st.notice.notice.Limit}
+			reports[id] = NoticeReport{StartedAt: st.born, Age: age, Leaving: st.notice.notice.Leaving, Limit: st.notice.notice.Limit}
 		}
 	}
 	if len(reports) > maxNoticeReports {
@@ -93,6 +97,7 @@
 		}
 		if heardAt := now.Add(-r.Age); st.born == r.StartedAt && heardAt.After(st.notice.heardAt) {
 			st.notice.notice.Limit, st.notice.heardAt = r.Limit, heardAt
+			st.notice.notice.Leaving = st.notice.notice.Leaving || r.Leaving
 		}
 	}
 }
--- a/internal/routing/dispatch/notice_test.go
+++ b/internal/routing/dispatch/notice_test.go
@@ -84,6 +84,10 @@
 		notice := backend.Notice{}
 		for _, field := range f[4:] {
 			name, value, _ := strings.Cut(field, "=")
+			if name == "leaving" {
+				notice.Leaving = true
+				continue
+			}
 			n, err := strconv.ParseFloat(value, 64)
 			is.NoErr(err)
 			is.Equal(name, "limit")
