Keep away from a server for as long as it asked to

Cause: the header of a refusal wasn't read; the refusal only excluded the server from the same call. It is now part of the server's notice, holds for the instance that was told, at most 10 minutes, and is not passed on, as the server tells each instance itself. An attempt that was placed before is moved if nothing was sent yet. If all servers of a service have asked to wait for longer than the call may, it is refused at once.

New cases of TestNotices.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -61,6 +61,9 @@
 	// Limit is the number of requests a second that the server takes from all instances
 	// together; 0 if it names none.
 	Limit float64
+	// RetryAfter is for how long the server wants no further request from the instance
+	// that it answers; 0 if it doesn't say.
+	RetryAfter time.Duration
 }
 
 // Listing is an immutable snapshot of the directory.
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -60,6 +60,10 @@
 			ex.failedServers = nil
 			assigned, err = ex.fleet.Place(ex.placementRequest(ex.model, ex.sizeRank))
 		}
+		var none *dispatch.NoServerError
+		if errors.As(err, &none) && none.PausedFor > limit.Sub(ex.clock.Now()) {
+			return nil, &call.Refusal{Reason: call.ReasonNoServer, State: ex.state, Detail: err.Error(), RetryAfter: ex.retryAfter()}
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -121,7 +125,7 @@
 		return // the answer is another server's
 	}
 	if assigned.RecordNotice(m.Notice, m.Signed || m.NotRun, startedAt, ex.clock.Now()) {
-		ex.log.Info("ServerNotice", zap.String("Server", assigned.Server.ID), zap.Bool("Leaving", m.Notice.Leaving), zap.Float64("Limit", m.Notice.Limit))
+		ex.log.Info("ServerNotice", zap.String("Server", assigned.Server.ID), zap.Bool("Leaving", m.Notice.Leaving), zap.Float64("Limit", m.Notice.Limit), zap.Duration("RetryAfter", m.Notice.RetryAfter))
 	}
 }
 
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -93,12 +93,15 @@
 	Service string
 	// Listed is the number of servers that the service has. The other fields
 	// count the servers ruled out, by reason.
-	Listed, Draining, Closed, OtherVersion, Excluded, Cold, Full, Limited int
+	Listed, Draining, Closed, OtherVersion, Excluded, Cold, Full, Limited, Paused int
+	// PausedFor is the shortest time for which a server wants no request of this
+	// instance; 0 if there are others.
+	PausedFor time.Duration
 }
 
 func (e *NoServerError) Error() string {
-	return fmt.Sprintf("no server of %s: %d listed, %d draining, %d in closed data centres, %d of other versions, %d tried before, %d cold, %d full, %d at their limit",
-		e.Service, e.Listed, e.Draining, e.Closed, e.OtherVersion, e.Excluded, e.Cold, e.Full, e.Limited)
+	return fmt.Sprintf("no server of %s: %d listed, %d draining, %d in closed data centres, %d of other versions, %d tried before, %d cold, %d full, %d at their limit, %d that asked to wait",
+		e.Service, e.Listed, e.Draining, e.Closed, e.OtherVersion, e.Excluded, e.Cold, e.Full, e.Limited, e.Paused)
 }
 
 // Dispatcher chooses servers and tracks this instance's requests on them. It is
@@ -254,6 +257,9 @@
 		}
 	}
 	if best.server == nil {
+		if none.Paused < none.Listed {
+			none.PausedFor = 0
+		}
 		return candidate{}, none
 	}
 	best.meanBacklog = totalBacklog / candidates
@@ -266,6 +272,11 @@
 	switch {
 	case !s.IsUsable(now) || d.state(s).notice.notice.Leaving:
 		none.Draining++
+	case d.state(s).notice.isPaused(now):
+		left := d.state(s).notice.pausedUntil.Sub(now)
+		if none.Paused++; none.Paused == 1 || left < none.PausedFor {
+			none.PausedFor = left
+		}
 	case q.ClosedDataCentres[s.DataCentre]:
 		none.Closed++
 	case !q.Versions.Allows(s.Version):
@@ -374,15 +385,15 @@
 func (a *Assignment) StillEligible(l *backend.Listing, versions VersionConstraint, closed map[string]bool, now time.Time) bool {
 	s := l.ByID[a.Server.ID]
 	return s != nil && s.Address == a.Server.Address && s.StartedAt == a.Server.StartedAt && s.IsUsable(now) &&
-		!closed[s.DataCentre] && versions.Allows(s.Version) && !a.isUnwanted()
+		!closed[s.DataCentre] && versions.Allows(s.Version) && !a.isUnwanted(now)
 }
 
 // isUnwanted reports whether the server has said since the placement that it doesn't want
 // the attempt.
-func (a *Assignment) isUnwanted() bool {
+func (a *Assignment) isUnwanted(now time.Time) bool {
 	a.dispatcher.mu.Lock()
 	defer a.dispatcher.mu.Unlock()
-	return a.state.notice.notice.Leaving
+	return a.state.notice.notice.Leaving || a.state.notice.isPaused(now)
 }
 
 // RecordFirstEvent records that the first event of the answer arrived after the
--- a/internal/routing/dispatch/notice.go
+++ b/internal/routing/dispatch/notice.go
@@ -23,6 +23,8 @@
 	noticeReportTime = 3 * time.Second
 	// maxNoticeReports bounds the notices in one message.
 	maxNoticeReports = 200
+	// maxPause bounds for how long a server can keep this instance away.
+	maxPause = 10 * time.Minute
 )
 
 // serverNotice is the latest notice of a server that has reached this instance, in an
@@ -32,12 +34,18 @@
 	// heardAt is when an answer last gave the notice, or showed that it no longer
 	// holds; zero if no answer has given any.
 	heardAt time.Time
+	// pausedUntil is when the server takes requests of this instance again. It says so to
+	// each instance that it refuses, so that this isn't passed on.
+	pausedUntil time.Time
 }
 
 // record takes in the notice of an answer to a request sent at sentAt. conclusive is set
 // if the answer would have held any notice. It reports whether the notice changed.
 func (s *serverNotice) record(n backend.Notice, conclusive bool, sentAt, now time.Time) bool {
-	old := s.notice
+	old := *s
+	if until := now.Add(min(n.RetryAfter, maxPause)); n.RetryAfter > 0 && until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
 	if n.Leaving {
 		s.notice.Leaving, s.heardAt = true, now
 	}
@@ -48,9 +56,12 @@
 		// An answer to an earlier request may have been overtaken by the notice.
 		s.notice.Limit, s.heardAt = 0, now
 	}
-	return s.notice != old
+	return s.notice != old.notice || s.isPaused(now) && !old.isPaused(now)
 }
 
+// isPaused reports whether the server wants no request from this instance now.
+func (s *serverNotice) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
+
 // NoticeReport is a server's notice as one instance tells it to others.
 type NoticeReport struct {
 	// StartedAt identifies the server's run, as in backend.Server.
--- a/internal/routing/dispatch/notice_test.go
+++ b/internal/routing/dispatch/notice_test.go
@@ -90,8 +90,14 @@
 			}
 			n, err := strconv.ParseFloat(value, 64)
 			is.NoErr(err)
-			is.Equal(name, "limit")
-			notice.Limit = n
+			switch name {
+			case "limit":
+				notice.Limit = n
+			case "retry":
+				notice.RetryAfter = time.Duration(n * float64(time.Second))
+			default:
+				t.Fatalf("unknown field %q", field)
+			}
 		}
 		w.assignment(instance).RecordNotice(notice, f[2] == "answer", seconds(is, f[3]), now)
 	case "tell":
