Don't take a repeated refusal for the answer to another attempt

A faulty worker of other operators wrote an earlier refusal once more on a kept connection, and their clients were told 'not run' for requests that ran. Here an answer without an ID counted as the answer to the request at hand, also on a connection that had carried others, and a further attempt at the same server, with the same ID, could get the repeated refusal of the one before. Requests that may run once only always had new connections, so that REFUSED and TWICE could not occur; for idempotent ones the promise was false.

An answer without an ID now counts only on a connection's first request, and a further attempt at a server opens a new connection.

--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -59,6 +59,9 @@
 	return c
 }
 
+// isReused reports whether the connection has carried a request before this one.
+func (c *conn) isReused() bool { return !c.idleSince.IsZero() }
+
 // setIdleLimit records how long the server keeps the connection open while it is
 // idle.
 func (c *conn) setIdleLimit(limit time.Duration) {
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -238,7 +238,8 @@
 }
 
 // readForwardHead reads the head of the answer. It skips mismatched answers, such as
-// late answers to other requests, up to maxMismatchedAnswers of them. A head, or what is
+// late answers to other requests, up to maxMismatchedAnswers of them. An error without an
+// ID is the answer unless the connection has carried other requests. A head, or what is
 // skipped, without end is a malformed answer.
 func (x *exchange) readForwardHead(f ForwardRequest) (*http.Response, Head, error) {
 	req := &http.Request{Method: f.Method}
@@ -254,7 +255,7 @@
 		}
 		head := Head{Status: resp.StatusCode, Header: resp.Header, Metadata: f.Dialect.Read(resp.StatusCode, resp.Header)}
 		got := head.Metadata.RequestID
-		if got == f.RequestID || got == "" && resp.StatusCode >= http.StatusBadRequest {
+		if got == f.RequestID || got == "" && resp.StatusCode >= http.StatusBadRequest && !x.conn.isReused() {
 			return resp, head, nil
 		}
 		mismatch := &MismatchError{Want: f.RequestID, Got: got}
--- a/internal/relay/attempt/forward_test.go
+++ b/internal/relay/attempt/forward_test.go
@@ -325,3 +325,54 @@
 	}()
 	return l.Addr().String(), done
 }
+
+// An answer without an ID belongs to no request on a connection that has carried others:
+// a faulty server may write an earlier refusal once more. Callers were told that a request
+// did not run while the server ran it.
+func TestRepeatedRefusalOnKeptConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nNotRun: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name, repeated, answer, kind, state string
+	}{
+		{"without an ID", refusal, "HTTP/1.1 200 OK\r\nId: r2\r\nSealed: y\r\nContent-Length: 2\r\n\r\nok", "whole", "Ran"},
+		{"with the earlier ID", strings.Replace(refusal, "NotRun", "Id: r1\r\nNotRun", 1), "HTTP/1.1 200 OK\r\nId: r2\r\nSealed: y\r\nContent-Length: 2\r\n\r\nok", "whole", "Ran"},
+		{"and no answer", refusal, "", "Reset", "MayHaveRun"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for _, answer := range []string{strings.Replace(refusal, "NotRun", "Id: r1\r\nNotRun", 1), c.repeated + c.answer} {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+			client := New(WithLimits(Limits{FirstByte: 5 * time.Second, Progress: 5 * time.Second}))
+			defer client.Close()
+			forward := func(id string) error {
+				_, err := client.Forward(t.Context(), Target{Server: "s", Address: l.Addr().String()},
+					ForwardRequest{RequestID: id, Method: "GET", URI: "/", Host: "h", Dialect: scriptedDialect{}, AllowReuse: true}, nil)
+				return err
+			}
+			var e *Error
+			is.True(errors.As(forward("r1"), &e))
+			is.Equal(e.Kind, Refused503)
+			kind, state := "whole", "Ran"
+			if errors.As(forward("r2"), &e) {
+				kind, state = string(e.Kind), e.State.String()
+			}
+			is.Equal(kind, c.kind)
+			is.Equal(state, c.state)
+		})
+	}
+}
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -252,6 +252,8 @@
 	// failureAnswer is an error answer of a server, which is delivered if no later
 	// attempt succeeds.
 	failureAnswer *attempt.ForwardAnswer
+	// triedServers lists the servers of all attempts.
+	triedServers []string
 	// declinedServers lists the servers whose answers were declined for a larger model's.
 	declinedServers []*backend.Server
 	// crashes is the number of servers that have crashed under the call.
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -106,7 +107,7 @@
 	answer, err := ex.client.Forward(ctx, attempt.Target{Server: assigned.Server.ID, Address: assigned.Server.Address, DataCentre: assigned.Server.DataCentre}, attempt.ForwardRequest{
 		RequestID: ex.call.ID, Method: ex.call.Method, URI: ex.call.URI, Host: ex.call.Host, Body: ex.call.Body,
 		Header: ex.headers.Header(ex.call.Header, metadata), Stream: r.Kind == route.Streaming, ResumeFrom: ex.lastEvent,
-		AllowReuse: ex.mayReuseConnection(), Limits: ex.limits(assigned, startedAt), Dialect: ex.dialect,
+		AllowReuse: ex.mayReuseConnection(assigned.Server.ID), Limits: ex.limits(assigned, startedAt), Dialect: ex.dialect,
 		BeforeWrite:    func() error { return ex.recheck(assigned) },
 		HeadArrived:    func(h attempt.Head) { ex.recordNotice(assigned, h.Metadata, startedAt) },
 		ConfirmTimeout: func(s attempt.Stall) bool { return stall.confirmTimeout(ctx, s) },
@@ -132,8 +133,11 @@
 // mayReuseConnection reports whether the attempt may use a pooled connection. The
 // server may close such a connection just as the call is sent, which leaves in
 // doubt whether the call ran and uses up the attempt. So calls that are not
-// idempotent, and last attempts, open a new connection.
-func (ex *forwardExecution) mayReuseConnection() bool { return !ex.isLastAttempt() }
+// idempotent, and last attempts, open a new connection. So does a further attempt at the
+// same server, which may repeat its answer to the one before, with the same ID.
+func (ex *forwardExecution) mayReuseConnection(server string) bool {
+	return !ex.isLastAttempt() && !slices.Contains(ex.triedServers, server)
+}
 
 // limits returns the time limits of one attempt. Once it is connected, a last
 // attempt is bounded only by the deadline: with no other attempt to follow, a silent
@@ -247,6 +251,7 @@
 	} else if answer.FirstEvent > 0 {
 		assigned.RecordFirstEvent(answer.FirstEvent)
 	}
+	ex.triedServers = append(ex.triedServers, assigned.Server.ID)
 	ex.recordResult(assigned.Server.ID, err)
 	assigned.Done(result, now)
 	ex.fleet.ObserveAttempt(AttemptOutcome{PromptParts: ex.call.PromptParts, Begun: begun, Crashed: ex.findCrashes(ctx, assigned.Server, begun, e)})
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -523,3 +523,17 @@
 		})
 	}
 }
+
+// A further attempt at the same server opens a new connection: the server may repeat its
+// answer to the attempt before on the old one.
+func TestSameServerGetsNewConnection(t *testing.T) {
+	is := is.New(t)
+	fx := newForwardFixture(func(*route.Route) {})
+	d := backend.NewDirectory()
+	d.Announce(backend.Server{ID: "s1", Service: "assistant", Address: "s1", State: backend.Ready, Slots: 6, Revision: 1}, fx.clock.Now())
+	fx.fleet.listing = d.Listing()
+	fx.client.steps = append(fx.client.steps, fails(attempt.Refused503, call.NotRun), answers(200))
+	is.True(fx.run(t) == nil)
+	is.True(fx.client.sent[0].AllowReuse)
+	is.True(!fx.client.sent[1].AllowReuse)
+}
