Test that an error doesn't reach a stream that has begun

Other operators' clients found a worker's error in the middle of their streams, or streams that ended as if they were complete.

--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -537,3 +537,37 @@
 	is.True(fx.client.sent[0].AllowReuse)
 	is.True(!fx.client.sent[1].AllowReuse)
 }
+
+// What a server answers after a stream has begun elsewhere and broken off doesn't reach
+// the caller, and the stream doesn't end as if it were complete.
+func TestErrorAfterBrokenStream(t *testing.T) {
+	broken := &attempt.Error{Kind: attempt.Reset, State: call.Ran}
+	for name, next := range map[string]func(attempt.ForwardRequest, attempt.EventSink) (attempt.ForwardAnswer, error){
+		"an error of the server": answers(500),
+		"an unknown path":        answersWithStatusError(404),
+		"a redirect":             answersWithStatusError(302),
+		"a refusal":              fails(attempt.Refused503, call.NotRun),
+		"another server":         fails(attempt.Misdirected, call.NotRun),
+		"no signature":           fails(attempt.Unsigned, call.MayHaveRun),
+		"a repeated event":       fails(attempt.SequenceRepeat, call.Ran),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newForwardFixture(streaming)
+			fx.client.steps = append(fx.client.steps, sends(2, 95, broken), next)
+			refusal := fx.run(t)
+			is.Equal(refusal.Reason, call.ReasonIncomplete)
+			is.Equal(fx.out.events, []string{"1", "2"})
+			is.Equal(fx.out.heads, 1)
+			is.True(fx.out.answer == nil)
+		})
+	}
+}
+
+// answersWithStatusError answers with a status below 500 that is an error.
+func answersWithStatusError(status int) func(attempt.ForwardRequest, attempt.EventSink) (attempt.ForwardAnswer, error) {
+	return func(f attempt.ForwardRequest, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+		answer, _ := answers(status)(f, sink)
+		return answer, &attempt.Error{Kind: attempt.Status, State: call.Ran, Status: status}
+	}
+}
