Be ready only once the servers are known

Cause: a confirmation can bring the first table before the watch brings the servers, and readiness asked only for a table and a list, which may be empty. It now asks for all changes up to the first table's revision.

--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// IsComplete reports whether the View has had a routing table and the servers that there
+// were with it. A confirmation may bring the table before the watch brings the servers.
+func (f *Follower) IsComplete() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.complete = f.complete || f.firstTable > 0 && f.revision >= f.firstTable
+	return f.complete
+}
+
 // removeMissing removes servers and fleet entries that a complete batch doesn't
 // contain.
 func (f *Follower) removeMissing(changes []Change, revision int64, now time.Time) {
@@ -113,6 +122,9 @@
 		return
 	}
 	f.tableVersion = t.Version
+	if f.firstTable == 0 {
+		f.firstTable = revision
+	}
 	f.View.Table.Publish(t)
 	f.log.Info("TableInForce", zap.Int64("Version", t.Version), zap.Int64("Revision", revision), zap.Int("Routes", len(t.Routes)))
 }
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -104,6 +104,10 @@
 	// a change of the table: those of a feed, and a loaded state.
 	tableReadAt int64
 	tableGap    int64
+	// firstTable is the revision of the first routing table, complete whether IsComplete
+	// has found all changes up to it applied.
+	firstTable int64
+	complete   bool
 	// feedTable is the revision of the routing table up to which a feed has sent
 	// all other changes.
 	feedTable int64
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -293,7 +293,7 @@
 
 // IsReady reports whether the instance can accept new callers.
 func (g *Gateway) IsReady() bool {
-	return !g.stopping.Load() && g.Table() != nil && g.follower.View.Servers.Get() != nil && g.isConfirmedWithin(readyConfirmedShare)
+	return !g.stopping.Load() && g.follower.IsComplete() && g.isConfirmedWithin(readyConfirmedShare)
 }
 
 // isConfirmedWithin reports whether the routing table was confirmed within the
