--- a/internal/measure/capacity/capacity_test.go
+++ b/internal/measure/capacity/capacity_test.go
@@ -13,9 +13,10 @@
 // calls the store within the shares that its clients keep. How fast it is is
 // left to the benchmark.
 func TestMeasure(t *testing.T) {
+	const window = 3 * time.Second // three confirmations of each instance
 	is := is.New(t)
 	result, err := Measure(context.Background(), Settings{
-		Instances: 3, DataCentres: 3, ServersPerInstance: 2, Window: 100 * time.Millisecond, Changes: 2, DocumentBytes: 2000,
+		Instances: 3, DataCentres: 3, ServersPerInstance: 2, Window: window, Changes: 2, DocumentBytes: 2000,
 	})
 	is.NoErr(err)
 	is.Equal(result.JoinedMembers, 3)
