Take a limit of 0 for a limit

A server that names a limit of 0 requests a second would have counted as one without a limit. A notice now says apart whether there is a limit; one instance sends such a server one request in 4 s, whose answer shows when the limit ends. TestNoticeHeaders decodes odd values of the three headers; TestLimitSum has a limit of 0. The linter's remark on the errors of a feed's position is settled by an error type.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -58,9 +58,10 @@
 type Notice struct {
 	// Leaving is set if the server is about to stop. It doesn't take that back.
 	Leaving bool
-	// Limit is the number of requests a second that the server takes from all instances
-	// together; 0 if it names none.
-	Limit float64
+	// Limited is set if the server names a limit. Limit is the number of requests a
+	// second that it takes from all instances together.
+	Limited bool
+	Limit   float64
 	// RetryAfter is for how long the server wants no further request from the instance
 	// that it answers; 0 if it doesn't say.
 	RetryAfter time.Duration
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -223,16 +223,21 @@
 // an earlier version doesn't send its table's revision.
 func parsePosition(r *http.Request) (p follower.Position, err error) {
 	if p.Revision, err = strconv.ParseInt(r.FormValue("After"), 10, 64); err != nil {
-		return p, errors.New("After must be a revision")
+		return p, &positionError{"After"}
 	}
 	if table := r.FormValue("Table"); table != "" {
 		if p.Table, err = strconv.ParseInt(table, 10, 64); err != nil {
-			return p, errors.New("Table must be a revision")
+			return p, &positionError{"Table"}
 		}
 	}
 	return p, nil
 }
 
+// positionError reports a field of a follower's position that isn't a revision.
+type positionError struct{ Field string }
+
+func (e *positionError) Error() string { return e.Field + " must be a revision" }
+
 // handler serves this instance's own feed.
 func (f *feeds) handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -126,7 +126,7 @@
 		return // the answer is another server's
 	}
 	if assigned.RecordNotice(m.Notice, m.Signed || m.NotRun, startedAt, ex.clock.Now()) {
-		ex.log.Info("ServerNotice", zap.String("Server", assigned.Server.ID), zap.Bool("Leaving", m.Notice.Leaving), zap.Float64("Limit", m.Notice.Limit), zap.Duration("RetryAfter", m.Notice.RetryAfter))
+		ex.log.Info("ServerNotice", zap.String("Server", assigned.Server.ID), zap.Bool("Leaving", m.Notice.Leaving), zap.Bool("Limited", m.Notice.Limited), zap.Float64("Limit", m.Notice.Limit), zap.Duration("RetryAfter", m.Notice.RetryAfter))
 	}
 }
 
--- a/internal/routing/dispatch/notice.go
+++ b/internal/routing/dispatch/notice.go
@@ -50,11 +50,11 @@
 		s.notice.Leaving, s.heardAt = true, now
 	}
 	switch {
-	case n.Limit > 0:
-		s.notice.Limit, s.heardAt = n.Limit, now
-	case s.notice.Limit > 0 && conclusive && sentAt.After(s.heardAt):
+	case n.Limited:
+		s.notice.Limited, s.notice.Limit, s.heardAt = true, n.Limit, now
+	case s.notice.Limited && conclusive && sentAt.After(s.heardAt):
 		// An answer to an earlier request may have been overtaken by the notice.
-		s.notice.Limit, s.heardAt = 0, now
+		s.notice.Limited, s.notice.Limit, s.heardAt = false, 0, now
 	}
 	return s.notice != old.notice || s.isPaused(now) && !old.isPaused(now)
 }
@@ -69,6 +69,7 @@
 	// Age is the time since an answer last gave the notice.
 	Age     time.Duration
 	Leaving bool    `json:",omitzero"`
+	Limited bool    `json:",omitzero"`
 	Limit   float64 `json:",omitzero"`
 }
 
@@ -81,7 +82,8 @@
 	reports := map[string]NoticeReport{}
 	for id, st := range d.states {
 		if age := now.Sub(st.notice.heardAt); age < noticeReportTime {
-			reports[id] = NoticeReport{StartedAt: st.born, Age: age, Leaving: st.notice.notice.Leaving, Limit: st.notice.notice.Limit}
+			n := st.notice.notice
+			reports[id] = NoticeReport{StartedAt: st.born, Age: age, Leaving: n.Leaving, Limited: n.Limited, Limit: n.Limit}
 		}
 	}
 	if len(reports) > maxNoticeReports {
@@ -107,8 +109,9 @@
 			d.states[id] = st
 		}
 		if heardAt := now.Add(-r.Age); st.born == r.StartedAt && heardAt.After(st.notice.heardAt) {
-			st.notice.notice.Limit, st.notice.heardAt = r.Limit, heardAt
-			st.notice.notice.Leaving = st.notice.notice.Leaving || r.Leaving
+			n := &st.notice.notice
+			n.Leaving, n.Limited, n.Limit = n.Leaving || r.Leaving, r.Limited, r.Limit
+			st.notice.heardAt = heardAt
 		}
 	}
 }
@@ -127,10 +130,10 @@
 // answer shows when the limit ends.
 func (d *Dispatcher) withinLimit(s *backend.Server, q *Query, now time.Time) bool {
 	st := d.state(s)
-	limit := st.notice.notice.Limit
-	if limit <= 0 {
+	notice := st.notice.notice
+	if !notice.Limited {
 		return true
 	}
-	allowed := max(1, int(min(limit*limitPeriod.Seconds(), math.MaxInt32)))
+	allowed := max(1, int(min(notice.Limit*limitPeriod.Seconds(), math.MaxInt32)))
 	return st.sends.recent(now, limitWindow) < Quota(s.ID, d.settings.Instance, q.Members, allowed)
 }
--- a/internal/routing/dispatch/notice_test.go
+++ b/internal/routing/dispatch/notice_test.go
@@ -92,7 +92,7 @@
 			is.NoErr(err)
 			switch name {
 			case "limit":
-				notice.Limit = n
+				notice.Limited, notice.Limit = true, n
 			case "retry":
 				notice.RetryAfter = time.Duration(n * float64(time.Second))
 			default:
@@ -118,7 +118,7 @@
 func TestLimitSum(t *testing.T) {
 	const duration, step = 20 * time.Second, 20 * time.Millisecond
 	for _, n := range []int{1, 8, 73} {
-		for _, limit := range []float64{0.2, 1.1, 1.4, 25} {
+		for _, limit := range []float64{0, 0.2, 1.1, 1.4, 25} {
 			t.Run(fmt.Sprintf("%d instances, %v a second", n, limit), func(t *testing.T) {
 				is := is.New(t)
 				l := listing(1, nil)
@@ -127,7 +127,7 @@
 				join := func(name string) {
 					members = append(members, name)
 					d := New(testSettings(name))
-					d.MergeNotices(map[string]NoticeReport{"s00": {Limit: limit}}, epoch)
+					d.MergeNotices(map[string]NoticeReport{"s00": {Limited: true, Limit: limit}}, epoch)
 					dispatchers[name] = d
 				}
 				for i := range n {
