Pass on only the notices that have changed

While many servers give notices, each instance would have told all of them in each message, up to 14 KB every 0.25 s. A notice is now passed on for 3 s after it has changed, the 60 newest in a message, every 0.5 s. The latest change holds when notices are merged. Errors in making a difference are logged within the budget of the log, and Timeout keeps a function instead of a context.

--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -193,11 +193,7 @@
 		}
 	}
 	h.mu.Unlock()
-	diff, err := h.diffs.between(base, newest)
-	if errors.Is(err, errDiffTooLarge) {
-		return nil, nil
-	}
-	return diff, err
+	return h.diffs.between(base, newest)
 }
 
 // since returns the changes after a revision, or the complete state if changes
@@ -273,7 +269,7 @@
 		}
 		diff, err := f.history.tableDiff(after)
 		if err != nil {
-			f.log.Warn("TableNotCompressed", zap.Error(err)) // followers read it from the store
+			f.log.Info("TableNotCompressed", zap.Error(err)) // followers read it from the store
 		}
 		b.TableDiff = diff
 		if len(b.Items) > 0 || b.Whole || diff != nil {
--- a/internal/fleet/follower/tablediff.go
+++ b/internal/fleet/follower/tablediff.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"errors"
 	"fmt"
 	"math/bits"
 	"sync"
@@ -80,8 +79,6 @@
 	return fmt.Sprintf("difference from the table of revision %d, not of %d", e.Want, e.Have)
 }
 
-var errDiffTooLarge = errors.New("difference is too large for a feed")
-
 // tableDiffs makes the differences that a feed sends. It keeps the latest one, which most
 // followers ask for at the same time.
 type tableDiffs struct {
@@ -89,8 +86,8 @@
 	latest TableDiff
 }
 
-// between returns the difference from base to item. The error is errDiffTooLarge if it
-// has more than maxFeedTableBytes.
+// between returns the difference from base to item, or nil if it has more than
+// maxFeedTableBytes.
 func (t *tableDiffs) between(base, item Item) (*TableDiff, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -102,7 +99,7 @@
 		t.latest = diff
 	}
 	if len(t.latest.Data) > maxFeedTableBytes {
-		return nil, errDiffTooLarge
+		return nil, nil
 	}
 	diff := t.latest
 	return &diff, nil
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -77,6 +77,8 @@
 	// backlogInterval is the time between reports of an instance's backlog. It
 	// is short compared to the second or two that a long prompt takes.
 	backlogInterval = 250 * time.Millisecond
+	// noticeTicks is the number of reports of the backlog for each one of notices.
+	noticeTicks = 2
 	// groupPrefix marks the name of a reader's group, whose backlog is a sum,
 	// apart from the names of single instances.
 	groupPrefix = "group/"
@@ -184,7 +186,9 @@
 			return
 		case <-g.Clock.After(jitter(backlogInterval)):
 			p.shareBacklog(sequence)
-			p.shareNotices()
+			if sequence%noticeTicks == 0 {
+				p.shareNotices()
+			}
 		}
 	}
 }
--- a/internal/platform/transfer/transfer.go
+++ b/internal/platform/transfer/transfer.go
@@ -22,15 +22,19 @@
 
 // ReportProgress tells the one that made the context with WithProgress, if any, that bytes
 // have arrived.
-func ReportProgress(ctx context.Context) {
+func ReportProgress(ctx context.Context) { progressReport(ctx)() }
+
+// progressReport returns the function to call when bytes arrive.
+func progressReport(ctx context.Context) func() {
 	if report, ok := ctx.Value(progressKey{}).(func()); ok {
-		report()
+		return report
 	}
+	return func() {}
 }
 
 // Timeout cancels a request's context if nothing of the response arrives for a time.
 type Timeout struct {
-	ctx    context.Context
+	report func()
 	timer  *time.Timer
 	stall  time.Duration
 	cancel context.CancelCauseFunc
@@ -41,7 +45,7 @@
 // The caller must call Stop once the response has been read.
 func WithTimeout(ctx context.Context, first, stall time.Duration) (context.Context, *Timeout) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	return ctx, &Timeout{ctx: ctx, timer: time.AfterFunc(first, func() { cancel(ErrStalled) }), stall: stall, cancel: cancel}
+	return ctx, &Timeout{report: progressReport(ctx), timer: time.AfterFunc(first, func() { cancel(ErrStalled) }), stall: stall, cancel: cancel}
 }
 
 // Stop releases the timeout and cancels its context.
@@ -64,7 +68,7 @@
 	n, err := r.Reader.Read(p)
 	if n > 0 {
 		r.timeout.timer.Reset(r.timeout.stall)
-		ReportProgress(r.timeout.ctx)
+		r.timeout.report()
 	}
 	return n, err
 }
--- a/internal/routing/dispatch/notice.go
+++ b/internal/routing/dispatch/notice.go
@@ -18,11 +18,11 @@
 	// limitPeriod is the time for which the requests that a limit allows are divided
 	// among the instances. It is long enough for a limit below one request a second.
 	limitPeriod = 4 * time.Second
-	// noticeReportTime is how long a notice is passed on to other instances, in
-	// messages that may be lost.
+	// noticeReportTime is how long a notice that has changed is passed on to other
+	// instances, in messages that may be lost.
 	noticeReportTime = 3 * time.Second
-	// maxNoticeReports bounds the notices in one message.
-	maxNoticeReports = 200
+	// maxNoticeReports bounds the notices in one message, to about 5 KB.
+	maxNoticeReports = 60
 	// maxPause bounds for how long a server can keep this instance away.
 	maxPause = 10 * time.Minute
 )
@@ -31,9 +31,10 @@
 // answer or from another instance. Servers repeat their notices in all answers.
 type serverNotice struct {
 	notice backend.Notice
-	// heardAt is when an answer last gave the notice, or showed that it no longer
-	// holds; zero if no answer has given any.
-	heardAt time.Time
+	// heardAt is when an answer last gave the notice, changedAt when it last changed;
+	// zero if no answer has given any.
+	heardAt   time.Time
+	changedAt time.Time
 	// pausedUntil is when the server takes requests of this instance again. It says so to
 	// each instance that it refuses, so that this isn't passed on.
 	pausedUntil time.Time
@@ -56,7 +57,11 @@
 		// An answer to an earlier request may have been overtaken by the notice.
 		s.notice.Limited, s.notice.Limit, s.heardAt = false, 0, now
 	}
-	return s.notice != old.notice || s.isPaused(now) && !old.isPaused(now)
+	if s.notice != old.notice {
+		s.changedAt = now
+		return true
+	}
+	return s.isPaused(now) && !old.isPaused(now)
 }
 
 // isPaused reports whether the server wants no request from this instance now.
@@ -66,22 +71,22 @@
 type NoticeReport struct {
 	// StartedAt identifies the server's run, as in backend.Server.
 	StartedAt int64
-	// Age is the time since an answer last gave the notice.
+	// Age is the time since the notice last changed.
 	Age     time.Duration
 	Leaving bool    `json:",omitzero"`
 	Limited bool    `json:",omitzero"`
 	Limit   float64 `json:",omitzero"`
 }
 
-// RecentNotices returns the notices that servers have given or withdrawn within
-// noticeReportTime, by the server's ID. If there are more than maxNoticeReports, it
+// RecentNotices returns the notices that have changed within noticeReportTime, by the
+// server's ID. If there are more than maxNoticeReports, it
 // returns the newest ones.
 func (d *Dispatcher) RecentNotices(now time.Time) map[string]NoticeReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	reports := map[string]NoticeReport{}
 	for id, st := range d.states {
-		if age := now.Sub(st.notice.heardAt); age < noticeReportTime {
+		if age := now.Sub(st.notice.changedAt); age < noticeReportTime {
 			n := st.notice.notice
 			reports[id] = NoticeReport{StartedAt: st.born, Age: age, Leaving: n.Leaving, Limited: n.Limited, Limit: n.Limit}
 		}
@@ -97,8 +102,8 @@
 	return reports
 }
 
-// MergeNotices takes in the notices that another instance knows. Older ones than this
-// instance's are ignored, and those of another run of a server.
+// MergeNotices takes in the notices that another instance knows. The latest change of a
+// notice holds. Notices of another run of a server are ignored.
 func (d *Dispatcher) MergeNotices(reports map[string]NoticeReport, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -108,10 +113,13 @@
 			st = newServerState(r.StartedAt)
 			d.states[id] = st
 		}
-		if heardAt := now.Add(-r.Age); st.born == r.StartedAt && heardAt.After(st.notice.heardAt) {
+		if changedAt := now.Add(-r.Age); st.born == r.StartedAt && changedAt.After(st.notice.changedAt) {
 			n := &st.notice.notice
 			n.Leaving, n.Limited, n.Limit = n.Leaving || r.Leaving, r.Limited, r.Limit
-			st.notice.heardAt = heardAt
+			st.notice.changedAt = changedAt
+			if changedAt.After(st.notice.heardAt) {
+				st.notice.heardAt = changedAt
+			}
 		}
 	}
 }
