Remember what a server said while its entry lapses

An entry that expires while the store is out of reach comes back. The server's state was dropped with it, and with the state that the server is leaving, has a limit or wants no request for a time, so that an instance that was told would have sent it requests again. Servers that have given a notice are now remembered for 10 minutes after that. Found by reading; three new cases of TestNotices failed before (20 requests instead of 0, 0 and 7) and pass.

--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -145,6 +145,8 @@
 	notice      serverNotice
 	failures    failureRate
 	slowness    slowness
+	// unlisted is set while the server isn't listed.
+	unlisted bool
 }
 
 func newServerState(born int64) *serverState {
@@ -471,12 +473,14 @@
 }
 
 // PruneServers drops the state of servers that are no longer listed and have none
-// of this instance's requests in flight.
+// of this instance's requests in flight. A server that has given a notice keeps its state
+// for noticeMemory: its entry may come back.
 func (d *Dispatcher) PruneServers(l *backend.Listing) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, st := range d.states {
-		if l.ByID[id] == nil && st.inFlight == 0 {
+		st.unlisted = l.ByID[id] == nil
+		if st.unlisted && st.inFlight == 0 && st.notice == (serverNotice{}) {
 			delete(d.states, id)
 		}
 	}
--- a/internal/routing/dispatch/notice.go
+++ b/internal/routing/dispatch/notice.go
@@ -21,6 +21,9 @@
 	// noticeReportTime is how long a notice that has changed is passed on to other
 	// instances, in messages that may be lost.
 	noticeReportTime = 3 * time.Second
+	// noticeMemory is how long a server that isn't listed any more is remembered for its
+	// notice. Its entry may lapse while the store is out of reach.
+	noticeMemory = 10 * time.Minute
 	// maxNoticeReports bounds the notices in one message, to about 5 KB.
 	maxNoticeReports = 60
 	// maxPause bounds for how long a server can keep this instance away.
@@ -64,6 +67,12 @@
 	return s.isPaused(now) && !old.isPaused(now)
 }
 
+// isForgotten reports whether the notice is too old to matter for a server that isn't
+// listed.
+func (s *serverNotice) isForgotten(now time.Time) bool {
+	return now.Sub(s.heardAt) >= noticeMemory && now.Sub(s.pausedUntil) >= 0
+}
+
 // isPaused reports whether the server wants no request from this instance now.
 func (s *serverNotice) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
 
@@ -79,13 +88,17 @@
 }
 
 // RecentNotices returns the notices that have changed within noticeReportTime, by the
-// server's ID. If there are more than maxNoticeReports, it
-// returns the newest ones.
+// server's ID. If there are more than maxNoticeReports, it returns the newest ones. It
+// drops what is known of servers that have been gone for long.
 func (d *Dispatcher) RecentNotices(now time.Time) map[string]NoticeReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	reports := map[string]NoticeReport{}
 	for id, st := range d.states {
+		if st.unlisted && st.inFlight == 0 && st.notice.isForgotten(now) {
+			delete(d.states, id)
+			continue
+		}
 		if age := now.Sub(st.notice.changedAt); age < noticeReportTime {
 			n := st.notice.notice
 			reports[id] = NoticeReport{StartedAt: st.born, Age: age, Leaving: n.Leaving, Limited: n.Limited, Limit: n.Limit}
--- a/internal/routing/dispatch/notice_test.go
+++ b/internal/routing/dispatch/notice_test.go
@@ -104,6 +104,8 @@
 		w.instances[f[3]].MergeNotices(w.instances[instance].RecentNotices(now), now)
 	case "places":
 		is.Equal(strconv.Itoa(w.place(instance, 20, now)), f[3])
+	case "lapses":
+		w.instances[instance].PruneServers(&backend.Listing{})
 	case "restarts":
 		run, err := strconv.ParseInt(f[3], 10, 64)
 		is.NoErr(err)
