--- a/internal/fleet/backend/backend_test.go
+++ b/internal/fleet/backend/backend_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/standin/script"
 )
 
 // testScript executes one script of testdata/directory.txt.
@@ -21,22 +22,13 @@
 }
 
 func TestDirectory(t *testing.T) {
-	raw, err := os.ReadFile("testdata/directory.txt")
-	is.New(t).NoErr(err)
-	for block := range strings.SplitSeq(string(raw), "\n\n") {
-		lines := strings.Split(strings.TrimSpace(block), "\n")
-		name, ok := strings.CutPrefix(lines[0], "name ")
-		if !ok {
-			continue
+	script.Run(t, "testdata/directory.txt", func(t *testing.T, lines []string) {
+		start := time.Unix(1000, 0)
+		s := &testScript{t: t, directory: NewDirectory(), start: start, now: start}
+		for _, line := range lines {
+			s.run(strings.Fields(line))
 		}
-		t.Run(name, func(t *testing.T) {
-			start := time.Unix(1000, 0)
-			s := &testScript{t: t, directory: NewDirectory(), start: start, now: start}
-			for _, line := range lines[1:] {
-				s.run(strings.Fields(line))
-			}
-		})
-	}
+	})
 }
 
 func (s *testScript) run(words []string) {
--- a/internal/relay/attempt/forward_test.go
+++ b/internal/relay/attempt/forward_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,6 +14,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/standin/script"
 )
 
 // scriptedDialect decodes the headers of scriptedServer.
@@ -93,14 +94,7 @@
 }
 
 func TestForwardAnswers(t *testing.T) {
-	raw, err := os.ReadFile("testdata/forward.txt")
-	is.New(t).NoErr(err)
-	for block := range strings.SplitSeq(string(raw), "\n\n") {
-		lines := strings.Split(strings.TrimSpace(block), "\n")
-		if name, ok := strings.CutPrefix(lines[0], "name "); ok {
-			t.Run(name, func(t *testing.T) { runForward(t, lines[1:]) })
-		}
-	}
+	script.Run(t, "testdata/forward.txt", runForward)
 }
 
 func runForward(t *testing.T, lines []string) {
--- a/internal/routing/dispatch/notice_test.go
+++ b/internal/routing/dispatch/notice_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -11,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/standin/script"
 )
 
 // noticeWorld is three instances before one server.
@@ -55,26 +55,16 @@
 
 // TestNotices runs the cases of testdata/notices.txt, whose first lines describe the steps.
 func TestNotices(t *testing.T) {
-	raw, err := os.ReadFile("testdata/notices.txt")
-	is.New(t).NoErr(err)
-	for block := range strings.SplitSeq(string(raw), "\n\n") {
-		lines := strings.Split(strings.TrimSpace(block), "\n")
-		name, ok := strings.CutPrefix(lines[0], "name ")
-		if !ok {
-			continue
+	script.Run(t, "testdata/notices.txt", func(t *testing.T, lines []string) {
+		w := &noticeWorld{is: is.New(t), run: 1, instances: map[string]*Dispatcher{}}
+		for _, instance := range []string{"a", "b", "c"} {
+			w.instances[instance] = New(testSettings(instance))
 		}
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			w := &noticeWorld{is: is, run: 1, instances: map[string]*Dispatcher{}}
-			for _, instance := range []string{"a", "b", "c"} {
-				w.instances[instance] = New(testSettings(instance))
-			}
-			for _, line := range lines[1:] {
-				t.Log(line)
-				w.step(t, strings.Fields(line))
-			}
-		})
-	}
+		for _, line := range lines {
+			t.Log(line)
+			w.step(t, strings.Fields(line))
+		}
+	})
 }
 
 func (w *noticeWorld) step(t *testing.T, f []string) {
--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -1,65 +1,57 @@
 package quarantine
 
 import (
-	"os"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/standin/script"
 )
 
 // TestFind runs the cases of testdata/crashes.txt, whose first lines describe the
 // steps. It guards against one part of a prompt crashing server after server, and
 // against blaming the parts that sound prompts share.
 func TestFind(t *testing.T) {
-	raw, err := os.ReadFile("testdata/crashes.txt")
-	is.New(t).NoErr(err)
-	for block := range strings.SplitSeq(string(raw), "\n\n") {
-		lines := strings.Split(strings.TrimSpace(block), "\n")
-		name, ok := strings.CutPrefix(lines[0], "name ")
-		if !ok {
-			continue
-		}
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			start := time.Unix(1000, 0)
-			instances, decider, quarantined := map[string]*Tracker{}, New(), map[string]bool{}
-			for _, line := range lines[1:] {
-				f := strings.Fields(line)
-				seconds, err := strconv.ParseFloat(f[0], 64)
-				is.NoErr(err)
-				now := start.Add(time.Duration(seconds * float64(time.Second)))
-				instance := func() *Tracker {
-					if instances[f[2]] == nil {
-						instances[f[2]] = New()
-					}
-					return instances[f[2]]
+	script.Run(t, "testdata/crashes.txt", func(t *testing.T, lines []string) {
+		is := is.New(t)
+		start := time.Unix(1000, 0)
+		instances, decider, quarantined := map[string]*Tracker{}, New(), map[string]bool{}
+		for _, line := range lines {
+			f := strings.Fields(line)
+			seconds, err := strconv.ParseFloat(f[0], 64)
+			is.NoErr(err)
+			now := start.Add(time.Duration(seconds * float64(time.Second)))
+			instance := func() *Tracker {
+				if instances[f[2]] == nil {
+					instances[f[2]] = New()
 				}
-				switch f[1] {
-				case "crash":
-					instance().RecordCrash(ServerRun{Server: f[3]}, Prompt{Request: f[4], Parts: f[5:]}, now)
-				case "answer":
-					instance().RecordAnswer(f[3:], now)
-				case "report":
-					report, recent := instance().Report(now)
-					is.True(recent)
-					decider.Merge(report, now)
-				case "quarantined":
-					quarantined[f[2]] = true
-				case "find":
-					var found []string
-					for _, x := range decider.Find(func(part string) bool { return quarantined[part] }, now) {
-						found = append(found, x.Part)
-					}
-					is.Equal(strings.Join(found, " "), strings.Join(f[2:], " "))
-				default:
-					t.Fatalf("unknown step %q", line)
+				return instances[f[2]]
+			}
+			switch f[1] {
+			case "crash":
+				instance().RecordCrash(ServerRun{Server: f[3]}, Prompt{Request: f[4], Parts: f[5:]}, now)
+			case "answer":
+				instance().RecordAnswer(f[3:], now)
+			case "report":
+				report, recent := instance().Report(now)
+				is.True(recent)
+				decider.Merge(report, now)
+			case "quarantined":
+				quarantined[f[2]] = true
+			case "find":
+				var found []string
+				for _, x := range decider.Find(func(part string) bool { return quarantined[part] }, now) {
+					found = append(found, x.Part)
 				}
+				is.Equal(strings.Join(found, " "), strings.Join(f[2:], " "))
+			default:
+				t.Fatalf("unknown step %q", line)
 			}
-		})
-	}
+		}
+	})
 }
 
 // Memory doesn't grow with the parts and crashes that are seen.
