Add a fault soak: instances as processes before the stand-in of the platform

kingcupyard soak runs instances as separate processes on loopback addresses of their own, each with its own way to the stand-in's store, before backend servers that fail, cut, hang, pause, limit, leave and drain, while callers keep their connections and an operator adds and removes routes, hundreds at once, and revokes keys. 22 kinds of faults, drawn by a seed, overlap. Eleven checkers judge what callers, servers and the operator have seen; TestJudge has a recorded trace that each must reject and like ones that it must accept.

--- a/cmd/kingcupyard/main.go
+++ b/cmd/kingcupyard/main.go
@@ -36,6 +36,7 @@
 	c.Register(&demoCommand{}, "trying out")
 	c.Register(&siteCommand{}, "trying out")
 	c.Register(&loadCommand{}, "trying out")
+	c.Register(&soakCommand{}, "trying out")
 	c.Register(&standinCommand{}, "trying out")
 	c.Register(&statusCommand{}, operating)
 	c.Register(&explainCommand{}, operating)
--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -39,6 +39,8 @@
 	Body   string
 	Ran    bool
 	At     time.Time
+	// Notice is what the server said about itself; its RetryAfter only with a refusal.
+	Notice Notice
 }
 
 // Notice is what a backend server says about itself in all its answers.
@@ -58,8 +60,9 @@
 type Server struct {
 	ID      string
 	Address string
-	// EventPause is the time between two events.
+	// EventPause is the time between two events, Work the time before an answer.
 	EventPause time.Duration
+	Work       time.Duration
 
 	http   *http.Server
 	mu     sync.Mutex
@@ -98,15 +101,15 @@
 	s.notice = n
 }
 
-// setNotice adds the notice to the head of an answer.
-func setNotice(h http.Header, n Notice, refused bool) {
+// set adds the notice to the head of an answer.
+func (n Notice) set(h http.Header) {
 	if n.Limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(n.Limit, 'f', -1, 64))
 	}
 	if n.Leaving {
 		h.Set("Server-Leaving", "1")
 	}
-	if refused && n.RetryAfter > 0 {
+	if n.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(n.RetryAfter.Seconds(), 'f', -1, 64))
 	}
 }
@@ -142,17 +145,20 @@
 	how, notice := s.how, s.notice
 	expected := r.Header.Get("X-Expect-Instance")
 	misdirected := expected != "" && expected != s.ID
+	if misdirected {
+		notice = Notice{}
+	} else if how != Sheds {
+		notice.RetryAfter = 0
+	}
 	s.runs = append(s.runs, Run{
 		Server: s.ID, ID: r.Header.Get("X-Request-Id"), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body),
-		Ran: how != Sheds && !misdirected, At: time.Now(),
+		Ran: how != Sheds && !misdirected, At: time.Now(), Notice: notice,
 	})
 	s.mu.Unlock()
 	h := w.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Instance-Id", s.ID)
-	if !misdirected {
-		setNotice(h, notice, how == Sheds)
-	}
+	notice.set(h)
 	switch {
 	case misdirected:
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -168,6 +174,7 @@
 		s.leave(r)
 		return
 	}
+	time.Sleep(s.Work)
 	h.Set("X-Server-Seal", "seal-of-"+s.ID)
 	if how == Fails {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -27,8 +27,8 @@
 }
 
 // settingsText is the platform's settings file of one instance.
-var settingsText = template.Must(template.New("settings").Parse(`NodeName = "edge-1"
-Ip = "127.0.0.1"
+var settingsText = template.Must(template.New("settings").Parse(`NodeName = "{{.Name}}"
+Ip = "{{.Ip}}"
 Zone = "gulberg"
 Region = "lahore"
 PortRange = [{{.PeerPort}}, {{.PeerPort}}]
@@ -117,7 +117,37 @@
 		return fmt.Errorf("write the settings file: %w", err)
 	}
 	defer file.Close()
-	return settingsText.Execute(file, map[string]any{"PeerPort": ports[2], "Callers": s.CallersAddress, "Ready": s.ReadyAddress, "Store": store})
+	return settingsText.Execute(file, map[string]any{
+		"Name": "edge-1", "Ip": "127.0.0.1", "PeerPort": ports[2], "Callers": s.CallersAddress, "Ready": s.ReadyAddress, "Store": store,
+	})
+}
+
+// Instance is an instance as the platform starts it.
+type Instance struct {
+	Name, IP, CallersAddress, ReadyAddress, SettingsFile string
+}
+
+// Ports of the instances that WriteInstance describes, each on a loopback address of its
+// own.
+const (
+	callersPort = 8100
+	readyPort   = 8101
+	peerPort    = 8102
+)
+
+// WriteInstance writes the settings file of an instance on a loopback address, whose calls
+// to the store go to another one.
+func WriteInstance(dir, name, ip, store string) (Instance, error) {
+	i := Instance{
+		Name: name, IP: ip, CallersAddress: fmt.Sprintf("%s:%d", ip, callersPort), ReadyAddress: fmt.Sprintf("%s:%d", ip, readyPort),
+		SettingsFile: filepath.Join(dir, name+".toml"),
+	}
+	file, err := os.Create(i.SettingsFile)
+	if err != nil {
+		return i, fmt.Errorf("write the settings file of %s: %w", name, err)
+	}
+	defer file.Close()
+	return i, settingsText.Execute(file, map[string]any{"Name": name, "Ip": ip, "PeerPort": peerPort, "Callers": i.CallersAddress, "Ready": i.ReadyAddress, "Store": store})
 }
 
 func (s *Site) table() map[string]any {
