--- a/internal/measure/soak/faults.go
+++ b/internal/measure/soak/faults.go
@@ -51,6 +51,7 @@
 	{"RouteRemoved", (*world).removeRoute},
 	{"ManyRoutes", (*world).addManyRoutes},
 	{"KeyRevoked", (*world).revokeKey},
+	{"KeyRevokedUnseen", (*world).revokeKeyUnseen},
 }
 
 const (
@@ -63,6 +64,9 @@
 	storeDelay = 300 * time.Millisecond
 	// manyRoutes is the number of routes that make a table a large one.
 	manyRoutes = 400
+	// unseenTime is how long instances are kept from the store after a key was revoked:
+	// some time longer than they may accept it.
+	unseenTime = 8 * time.Second
 	// firstFault is when the first fault may begin.
 	firstFault = time.Second
 )
@@ -291,3 +295,25 @@
 	w.operator.RevokeKey(key)
 	w.record(Fact{Kind: KeyRevoked, Name: key, At: w.now()})
 }
+
+// revokeKeyUnseen revokes a key while no instance can reach the store.
+func (w *world) revokeKeyUnseen(f fault) {
+	if !w.storeFaults.TryLock() {
+		return // another fault of the store is in progress
+	}
+	defer w.storeFaults.Unlock()
+	key := fmt.Sprintf("unseen-%d", f.target)
+	w.operator.AddKey(key)
+	w.mu.Lock()
+	w.keys = append(w.keys, key)
+	w.mu.Unlock()
+	time.Sleep(DefaultBounds.Apply)
+	d := Disturbance{Kind: f.kind, From: w.now()}
+	w.store.SetFault(site.Silent)
+	w.operator.RevokeKey(key)
+	w.record(Fact{Kind: KeyRevoked, Name: key, At: w.now()})
+	time.Sleep(unseenTime)
+	w.store.SetFault(site.Sound)
+	d.To = w.now()
+	w.disturbed(d)
+}
--- a/internal/measure/soak/world.go
+++ b/internal/measure/soak/world.go
@@ -19,6 +19,8 @@
 	baseKey = "soak-key"
 	// servers is the number of backend servers of each service.
 	servers = 4
+	// networks is the number of loopback networks from which a process takes one.
+	networks = 250
 	// workTime is how long a backend server works before it answers.
 	workTime = 15 * time.Millisecond
 	// callersPerInstance is the number of callers that keep connections to an instance.
@@ -90,8 +92,8 @@
 		if err != nil {
 			return w, err
 		}
-		// Each run has a network of its own, so that runs can be side by side.
-		ip := net.IPv4(127, 1+byte(settings.Seed>>8), byte(settings.Seed), byte(1+i)).String()
+		// Each run of each process has a network of its own, so that they can be side by side.
+		ip := net.IPv4(127, byte(1+os.Getpid()%networks), byte(settings.Seed), byte(1+i)).String()
 		instance, err := site.WriteInstance(dir, fmt.Sprintf("edge-%d", i+1), ip, access.Address)
 		if err != nil {
 			return w, err
