Ask the store again soon if the feeds are stale as well

Cause: an instance that has lost the store asks it nothing for 3 s and reads feeds instead, also if the readers have lost it too, and it rejects each of their answers as too old.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -405,7 +405,8 @@
 }
 
 // switchToStore makes the follower read the store itself for FeedBackoff. While
-// the store is in backoff too, the follower keeps reading feeds instead. age is
+// the store is in backoff too, the follower keeps reading feeds instead, for maxRetryDelay
+// at most. age is
 // that of the feed's confirmation, 0 if the feed returned none. The caller holds
 // mu.
 func (f *Follower) switchToStore(reason string, age time.Duration, err error) {
@@ -413,6 +414,9 @@
 	now := f.clock.Now()
 	if !now.Before(f.storeBackoffUntil) {
 		f.feedBackoffUntil = now.Add(f.settings.FeedBackoff)
+	} else if retryAt := now.Add(maxRetryDelay); retryAt.Before(f.storeBackoffUntil) {
+		// The feed's reader may have lost the store too, and the store may be back.
+		f.storeBackoffUntil = retryAt
 	}
 	f.log.Info("FeedLeft", zap.String("Why", reason), zap.Duration("Age", age), zap.Int64("Revision", f.revision), zap.Error(err))
 }
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -624,6 +624,26 @@
 	is.True(len(raw) < 1000)
 }
 
+// An instance that has lost the store asks it again soon if its feeds are stale as well: all
+// readers may have lost it. After an outage of the store instances learnt nothing for 3 s,
+// and sent requests to a server that was leaving (soak, seed 5).
+func TestStoreIsAskedAgainIfFeedsAreStale(t *testing.T) {
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	for _, x := range []*testFollower{source, f} {
+		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 1, Whole: true}, true)
+		x.applyConfirmation(tableItem(1, 1), 1, 0)
+		x.advance(f.settings.MaxFeedAge + 100*time.Millisecond)
+	}
+	f.recordFailure(errors.New("silent"))
+	is.True(f.IsCutOff())
+	for range 4 {
+		is.True(!f.readFeed(t.Context(), followerFeed{source}))
+		f.advance(maxRetryDelay / 4)
+	}
+	is.True(!f.IsCutOff())
+}
+
 // A follower stays with a feed whose reader has a young confirmation of a newer table:
 // the table is on its way, or is read from the store. 56 of 90 instances went to the store
 // while it was (many-routes, pottyround-lhr-grown).
