--- a/internal/measure/soak/faults.go
+++ b/internal/measure/soak/faults.go
@@ -114,7 +114,7 @@
 	from := w.now()
 	n.kill()
 	time.Sleep(f.duration / 2)
-	w.restart(n, Disturbance{Kind: f.kind, Instance: n.instance.Name, From: from})
+	w.restart(n, Disturbance{Kind: f.kind, Instance: n.instance.Name, From: from, Process: true})
 }
 
 func (w *world) stopNode(f fault) {
@@ -125,7 +125,7 @@
 	defer n.faults.Unlock()
 	from := w.now()
 	n.stop()
-	w.restart(n, Disturbance{Kind: f.kind, Instance: n.instance.Name, From: from, Planned: true})
+	w.restart(n, Disturbance{Kind: f.kind, Instance: n.instance.Name, From: from, Process: true, Planned: true})
 }
 
 // restart starts the process again and records the disturbance, which ends when the
@@ -152,7 +152,7 @@
 		return // another fault of this kind is in progress
 	}
 	defer n.faults.Unlock()
-	d := Disturbance{Kind: f.kind, Instance: n.instance.Name, From: w.now()}
+	d := Disturbance{Kind: f.kind, Instance: n.instance.Name, From: w.now(), Process: true}
 	n.signal(syscall.SIGSTOP, false)
 	time.Sleep(f.duration)
 	n.signal(syscall.SIGCONT, false)
--- a/internal/measure/soak/judge.go
+++ b/internal/measure/soak/judge.go
@@ -79,6 +79,14 @@
 	})
 }
 
+// isInterrupted reports whether the process of the instance ended or was paused between
+// two moments.
+func (j *judge) isInterrupted(instance string, from, to time.Duration) bool {
+	return slices.ContainsFunc(j.Disturbed, func(d Disturbance) bool {
+		return d.Instance == instance && d.Process && d.From <= to && d.To >= from
+	})
+}
+
 func (j *judge) runs(id string) int {
 	n := 0
 	for _, a := range j.Arrivals {
@@ -147,7 +155,7 @@
 		}
 		for _, a := range j.Arrivals {
 			q := j.requests[a.ID]
-			if a.Server == told.Leaving && q != nil && q.Instance == told.Instance && q.Sent > told.Ended+j.bounds.Drain && !j.isDisturbed(q.Instance, told.Ended, a.At) {
+			if a.Server == told.Leaving && q != nil && q.Instance == told.Instance && q.Sent > told.Ended+j.bounds.Drain && !j.isInterrupted(q.Instance, told.Ended, a.At) {
 				r.check(false, "%s reached %s from %s, %v after it was told that it leaves", a.ID, a.Server, q.Instance, a.At-told.Ended)
 			}
 		}
--- a/internal/measure/soak/judge_test.go
+++ b/internal/measure/soak/judge_test.go
@@ -56,6 +56,7 @@
 		args[name] = value
 	}
 	_, planned := args["planned"]
+	_, process := args["process"]
 	_, ran := args["ran"]
 	_, broken := args["broken"]
 	switch f[0] {
@@ -78,7 +79,7 @@
 	case "fact":
 		trace.Facts = append(trace.Facts, Fact{Kind: FactKind(args["kind"]), Name: args["name"], At: seconds(args["time"])})
 	case "disturbed":
-		trace.Disturbed = append(trace.Disturbed, Disturbance{Instance: args["at"], From: seconds(args["from"]), To: seconds(args["to"]), Planned: planned})
+		trace.Disturbed = append(trace.Disturbed, Disturbance{Instance: args["at"], From: seconds(args["from"]), To: seconds(args["to"]), Process: process || planned, Planned: planned})
 	default:
 		t.Fatalf("unknown line %q", f[0])
 	}
--- a/internal/measure/soak/trace.go
+++ b/internal/measure/soak/trace.go
@@ -76,11 +76,12 @@
 	At   time.Duration
 }
 
-// Disturbance is a fault on an instance, or on the store if Instance is empty. Planned is
-// set for a stop that lets the instance finish.
+// Disturbance is a fault on an instance, or on the store if Instance is empty. Process is
+// set if the process ended or was paused, Planned for a stop that lets it finish.
 type Disturbance struct {
 	Kind     string
 	Instance string
 	From, To time.Duration
+	Process  bool
 	Planned  bool
 }
