Soak: judge what was under way at a planned stop; share the stand-in's parts

A planted fault, that requests are cut at SIGTERM, was not found: the checker took only requests that were sent after the signal. The site of the demonstration uses the operator and the announcements of the soak, and the store and an instance's way to it share their faults.

--- a/internal/measure/soak/judge.go
+++ b/internal/measure/soak/judge.go
@@ -272,20 +272,28 @@
 }
 
 // plannedStopLosesNothing checks that requests that have run aren't cut off by the planned
-// stop of their instance.
+// stop of their instance, if nothing else happens to it.
 func (j *judge) plannedStopLosesNothing(r *Result) {
 	for _, d := range j.Disturbed {
 		if !d.Planned {
 			continue
 		}
 		for _, q := range j.Requests {
-			if q.Instance == d.Instance && q.Sent >= d.From && q.Sent < d.To && q.Kind == Book {
+			if q.Instance == d.Instance && q.Ended >= d.From && q.Sent < d.To && q.Kind == Book && !j.isDisturbedBeside(d, q.Sent) {
 				r.check(q.Status != 0 || j.runs(q.ID) == 0, "%s ran and was cut off by the stop of %s", q.ID, q.Instance)
 			}
 		}
 	}
 }
 
+// isDisturbedBeside reports whether the instance of a planned stop was disturbed by
+// anything else in the Contact time before a moment or until the stop's end.
+func (j *judge) isDisturbedBeside(stop Disturbance, from time.Duration) bool {
+	return slices.ContainsFunc(j.Disturbed, func(d Disturbance) bool {
+		return d.Instance == stop.Instance && d.From != stop.From && d.From <= stop.To && d.To+j.bounds.Contact > from
+	})
+}
+
 func (j *judge) processStays(r *Result) {
 	for _, f := range j.Facts {
 		if f.Kind == Ended {
--- a/internal/standin/site/access.go
+++ b/internal/standin/site/access.go
@@ -46,18 +46,9 @@
 	a.mu.Lock()
 	fault, delay := a.fault, a.delay
 	a.mu.Unlock()
-	switch fault {
-	case Busy:
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if fault != Sound {
+		a.store.serveWith(fault, w, r)
 		return
-	case Silent:
-		<-r.Context().Done()
-		return
-	case Lost:
-		a.store.serve(discard{http.Header{}}, r)
-		<-r.Context().Done()
-		return
-	case Sound:
 	}
 	select {
 	case <-time.After(delay):
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -93,12 +93,10 @@
 				return nil, err
 			}
 			s.Servers = append(s.Servers, server)
-			s.Store.Set("servers/"+server.ID, map[string]any{
-				"Service": service, "Address": server.Address, "Zone": "gulberg", "Version": "v1", "Slots": 6, "State": "ready", "Seq": 1, "born": 1,
-			})
+			server.Announce(s.Store, service, "ready")
 		}
 	}
-	s.Store.Set("op/config", s.table())
+	NewOperator(s.Store, s.Host, s.Key)
 	return s, s.writeSettings(l.Addr().String())
 }
 
@@ -150,23 +148,6 @@
 	return i, settingsText.Execute(file, map[string]any{"Name": name, "Ip": ip, "PeerPort": peerPort, "Callers": i.CallersAddress, "Ready": i.ReadyAddress, "Store": store})
 }
 
-func (s *Site) table() map[string]any {
-	route := func(name, kind, service string) map[string]any {
-		return map[string]any{
-			"Name": name, "Host": s.Host, "Prefix": "/" + name + "/", "Type": kind, "TimeoutMs": 5000, "GoalMs": 1000, "Service": service,
-			"MaxAttempts": 3, "Priority": 1,
-		}
-	}
-	chat := route("chat", "streaming", "llm")
-	chat["Resumable"], chat["Sticky"], chat["Sizes"], chat["GapTargetMs"] = true, true, []string{"small", "large"}, 1000
-	return map[string]any{
-		"Version": 1, "Routes": []any{route("book", "unsafe", "app"), route("look", "safe", "app"), chat},
-		"Services": []any{map[string]any{"Name": "app", "MaxConns": 100}, map[string]any{"Name": "llm", "MaxConns": 100}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants":  []any{map[string]any{"Name": "customer-1", "ApiKeys": []string{s.Key}}},
-	}
-}
-
 // Close ends the store and the servers.
 func (s *Site) Close() {
 	s.storeServer.Close()
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -153,20 +153,22 @@
 	fault := s.fault
 	s.calls[r.URL.Path]++
 	s.mu.Unlock()
+	s.serveWith(fault, w, r)
+}
+
+// serveWith serves a call with a fault.
+func (s *Store) serveWith(fault Fault, w http.ResponseWriter, r *http.Request) {
 	switch fault {
 	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	case Silent:
 		<-r.Context().Done()
-		return
 	case Lost:
 		s.serve(discard{http.Header{}}, r)
 		<-r.Context().Done()
-		return
 	case Sound:
+		s.serve(w, r)
 	}
-	s.serve(w, r)
 }
 
 // discard takes an answer that is lost.
