Ask after a while whether a limit has ended

That a limit has ended is passed on for 3 s. An instance without a share of it that missed this, as it was paused or cut off, kept away from the server for the rest of the server's run. It now sends one request after 30 s without news and without requests of its own, plus 8 s for each instance before it in rank, so that few do so at a time.

--- a/internal/routing/dispatch/cold.go
+++ b/internal/routing/dispatch/cold.go
@@ -22,18 +22,24 @@
 	if !slices.Contains(members, self) {
 		return 0
 	}
+	quota := limit / n
+	if rank(server, self, members) < limit%n {
+		quota++
+	}
+	return quota
+}
+
+// rank returns the position of self among the members, from 0, in an order that differs by
+// server.
+func rank(server, self string, members []string) int {
 	weight := func(member string) uint64 { return xxhash.Sum64String(server + "\x00" + member) }
-	own, rank := weight(self), 0
+	own, before := weight(self), 0
 	for _, m := range members {
 		if cmp.Or(cmp.Compare(weight(m), own), cmp.Compare(m, self)) < 0 {
-			rank++
+			before++
 		}
 	}
-	quota := limit / n
-	if rank < limit%n {
-		quota++
-	}
-	return quota
+	return before
 }
 
 // coldWindow is the time over which requests to a cold server are counted: one
@@ -44,11 +50,12 @@
 // sendLog holds the times of this instance's latest requests to a server.
 type sendLog struct {
 	times []time.Time
+	last  time.Time
 }
 
 func (s *sendLog) add(now time.Time) {
 	s.trim(now)
-	s.times = append(s.times, now)
+	s.times, s.last = append(s.times, now), now
 }
 
 // trim drops the times before the longest window, which is limitWindow.
--- a/internal/routing/dispatch/notice.go
+++ b/internal/routing/dispatch/notice.go
@@ -18,6 +18,12 @@
 	// limitPeriod is the time for which the requests that a limit allows are divided
 	// among the instances. It is long enough for a limit below one request a second.
 	limitPeriod = 4 * time.Second
+	// limitProbeDelay is how long an instance without a share of a limit hears nothing of
+	// it before it sends one request, whose answer shows whether the limit holds.
+	// limitProbeGap is added for each instance before it in rank, so that they don't
+	// do so together.
+	limitProbeDelay = 30 * time.Second
+	limitProbeGap   = 8 * time.Second
 	// noticeReportTime is how long a notice that has changed is passed on to other
 	// instances, in messages that may be lost.
 	noticeReportTime = 3 * time.Second
@@ -148,7 +154,8 @@
 
 // withinLimit reports whether this instance's share of the limit that a server has named
 // allows another request now. At least one instance may send one in limitPeriod, whose
-// answer shows when the limit ends.
+// answer shows when the limit ends. An instance that may have missed that sends one after
+// a longer time.
 func (d *Dispatcher) withinLimit(s *backend.Server, q *Query, now time.Time) bool {
 	st := d.state(s)
 	notice := st.notice.notice
@@ -156,5 +163,9 @@
 		return true
 	}
 	allowed := max(1, int(min(notice.Limit*limitPeriod.Seconds(), math.MaxInt32)))
-	return st.sends.recent(now, limitWindow) < Quota(s.ID, d.settings.Instance, q.Members, allowed)
+	if quota := Quota(s.ID, d.settings.Instance, q.Members, allowed); quota > 0 {
+		return st.sends.recent(now, limitWindow) < quota
+	}
+	probeAfter := limitProbeDelay + time.Duration(rank(s.ID, d.settings.Instance, q.Members))*limitProbeGap
+	return now.Sub(st.notice.heardAt) >= probeAfter && now.Sub(st.sends.last) >= probeAfter
 }
