--- a/internal/fleet/gateway/feeds_test.go
+++ b/internal/fleet/gateway/feeds_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/standin/site"
 )
 
 // The answer of a feed may take longer than its timeout while it arrives. On pottyround-
@@ -42,3 +43,27 @@
 	is.NoErr(err)
 	is.Equal(batch.Revision, int64(9))
 }
+
+// An open connection to a reader that goes silent for good costs one call to its feed, not
+// longer than a silent feed is waited for, and then a new connection is used.
+func TestSilentFeedConnection(t *testing.T) {
+	is := is.New(t)
+	answer, err := json.Marshal(follower.Batch{Revision: 9})
+	is.NoErr(err)
+	reader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write(answer) }))
+	t.Cleanup(reader.Close)
+	proxy, err := site.NewProxy(strings.TrimPrefix(reader.URL, "http://"))
+	is.NoErr(err)
+	t.Cleanup(proxy.Close)
+	feed := &remoteFeed{newTestGateway(clockwork.NewRealClock()).feeds, proxy.Address}
+	next := func() error {
+		_, err := feed.Next(t.Context(), follower.Position{Revision: 1}, follower.DefaultSettings.FeedWait)
+		return err
+	}
+	is.NoErr(next())
+	is.Equal(proxy.Silence(), 1)
+	startedAt := time.Now()
+	is.True(next() != nil)
+	is.True(time.Since(startedAt) < follower.DefaultSettings.MaxFeedAge) // in time to leave the reader
+	is.NoErr(next())
+}
