Answer the calls that a planned stop gives up

Cause: at the end of the grace period, what was still in flight was cut off with its connection. A booking's caller then doesn't know whether it ran, nor that the instance has given it up.

Change: 0.2 s before the exit the contexts of all calls end. Each call gets the answer that its run state demands: 503 if it has not run, 502 if it may have. Only streams that have begun are cut off. Late in the grace period, as before, only calls that end in time are taken; their deadline now has to lie before that moment.

--- a/internal/fleet/gateway/callers.go
+++ b/internal/fleet/gateway/callers.go
@@ -42,6 +42,7 @@
 	timeouts := newCallerTimeouts(g)
 	return &http.Server{
 		Handler: timeouts.stopHeaderTimer(g.NewHandler(g, g.forwarder)), ConnState: timeouts.trackState, ConnContext: timeouts.connContext,
+		BaseContext:    func(net.Listener) context.Context { return g.callContext },
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: maxConnectionTimeout, IdleTimeout: maxConnectionTimeout,
 		ErrorLog: zap.NewStdLog(g.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -75,7 +75,7 @@
 	IsStopping() bool
 	// MayFinish reports whether a call with the given deadline may still be
 	// accepted. A stopping instance accepts any call until the load balancer
-	// has noticed, then only calls whose deadline is before its exit.
+	// has noticed, then only calls whose deadline is before it gives up calls.
 	MayFinish(deadline time.Time) bool
 }
 
@@ -122,11 +122,14 @@
 	latestSettings atomic.Pointer[Settings]
 
 	stopping atomic.Bool
-	// exitAt is when a stopping instance exits. From refuseFrom on it refuses
-	// calls whose deadline is later than that.
-	exitAt     atomic.Pointer[time.Time]
+	// giveUpAt is when a stopping instance gives up the calls that are still in flight.
+	// From refuseFrom on it refuses calls whose deadline is later than that.
+	giveUpAt   atomic.Pointer[time.Time]
 	refuseFrom atomic.Pointer[time.Time]
 	inFlight   atomic.Int64
+	// callContext is the parent of the contexts of all calls, which giveUpCalls ends.
+	callContext context.Context
+	giveUpCalls context.CancelCauseFunc
 
 	mu           sync.Mutex
 	retryBudgets map[string]*allowance.RetryBudget
@@ -172,6 +175,7 @@
 	s := deps.Settings
 	g := &Gateway{Dependencies: deps, retryBudgets: map[string]*allowance.RetryBudget{}, viewChanged: make(chan struct{})}
 	g.latestSettings.Store(&s)
+	g.callContext, g.giveUpCalls = context.WithCancelCause(context.Background())
 	g.feeds = &feeds{gateway: g, client: newFeedClient()}
 	g.follower = follower.New(deps.Store, deps.Decode, follower.WithClock(deps.Clock), follower.WithLogger(deps.Log),
 		follower.WithUpstream(g.feeds.upstream), follower.WithSettings(followerSettings(s)))
--- a/internal/fleet/gateway/stop.go
+++ b/internal/fleet/gateway/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 )
 
 const (
@@ -14,6 +16,9 @@
 	loadBalancerLag = 2800 * time.Millisecond
 	// exitMargin is reserved before SIGKILL for the last steps of the shutdown.
 	exitMargin = 300 * time.Millisecond
+	// answerMargin is reserved before that for the answers to the calls that are still in
+	// flight: these are told that they were given up, instead of being cut off.
+	answerMargin = 200 * time.Millisecond
 	// stopPollInterval is the time between a stopping instance's checks for
 	// requests in flight.
 	stopPollInterval = 20 * time.Millisecond
@@ -21,34 +26,39 @@
 
 // stop makes the instance unready, keeps serving until the load balancer has
 // noticed, and then waits for the requests in flight until the grace period is
-// nearly over.
+// nearly over. Those that are left then get an answer that says whether they may have
+// run; only streams that have begun are cut off.
 func (g *Gateway) stop(server *http.Server) {
-	startedAt, end := g.beginStop()
+	startedAt, giveUpAt := g.beginStop()
 	g.Log.Info("Stopping", zap.Int64("InFlight", g.inFlight.Load()))
 	server.SetKeepAlivesEnabled(false)
-	for g.Clock.Now().Before(end) {
+	for g.Clock.Now().Before(giveUpAt) {
 		if g.inFlight.Load() == 0 && g.Clock.Since(startedAt) >= loadBalancerLag {
 			break
 		}
 		g.Clock.Sleep(stopPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.Clock.Now()))
+	if inFlight := g.inFlight.Load(); inFlight > 0 {
+		g.Log.Warn("RequestsGivenUp", zap.Int64("InFlight", inFlight))
+	}
+	g.giveUpCalls(pipeline.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpAt.Add(answerMargin).Sub(g.Clock.Now()))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		g.Log.Warn("RequestsCutOff", zap.Int64("InFlight", g.inFlight.Load()), zap.Error(err))
 	}
 }
 
-// beginStop makes the instance unready. It returns when that was and when the
-// instance exits.
-func (g *Gateway) beginStop() (startedAt, end time.Time) {
+// beginStop makes the instance unready. It returns when that was and when the calls that
+// are still in flight are given up.
+func (g *Gateway) beginStop() (startedAt, giveUpAt time.Time) {
 	startedAt = g.Clock.Now()
-	end = startedAt.Add(g.currentSettings().GracePeriod - exitMargin)
+	giveUpAt = startedAt.Add(g.currentSettings().GracePeriod - exitMargin - answerMargin)
 	refuseFrom := startedAt.Add(loadBalancerLag)
-	g.exitAt.Store(&end)
+	g.giveUpAt.Store(&giveUpAt)
 	g.refuseFrom.Store(&refuseFrom)
 	g.stopping.Store(true)
-	return startedAt, end
+	return startedAt, giveUpAt
 }
 
 // MayFinish implements Admission.
@@ -56,5 +66,5 @@
 	if !g.stopping.Load() {
 		return true
 	}
-	return g.Clock.Now().Before(*g.refuseFrom.Load()) || deadline.Before(*g.exitAt.Load())
+	return g.Clock.Now().Before(*g.refuseFrom.Load()) || deadline.Before(*g.giveUpAt.Load())
 }
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -264,6 +264,10 @@
 // return the answer to the caller.
 const responseMargin = 15 * time.Millisecond
 
+// ErrStopping is the cause with which the context of a call ends if the instance stops
+// before the call does.
+var ErrStopping = errors.New("the instance stops")
+
 // Run runs a call and writes its answer to out. An error means that the answer was
 // not delivered completely; errors.As finds a *call.Refusal in it.
 func (f *Forwarder) Run(ctx context.Context, c *ForwardRequest, out ForwardResponseWriter) error {
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -327,12 +327,16 @@
 // finalError returns the error for the caller after the last attempt failed with
 // err. It is nil if an earlier error answer of a server could be delivered.
 func (ex *forwardExecution) finalError(ctx context.Context, err error) error {
-	if ex.failureAnswer != nil && !ex.headWritten && ctx.Err() == nil {
+	stopping := errors.Is(context.Cause(ctx), ErrStopping)
+	if ex.failureAnswer != nil && !ex.headWritten && (ctx.Err() == nil || stopping) {
 		return ex.deliver(*ex.failureAnswer)
 	}
 	refusal := ex.refusalFor(err, ex.headWritten, ex.retryAfter())
-	if !ex.clock.Now().Before(ex.call.Deadline) {
+	switch {
+	case !ex.clock.Now().Before(ex.call.Deadline):
 		refusal.Reason = call.ReasonDeadline
+	case stopping:
+		refusal.Reason = call.ReasonStopping
 	}
 	if refusal.State == call.NotRun && refusal.RetryAfter == 0 {
 		refusal.RetryAfter = ex.retryAfter()
