Place prompts whose model isn't named

Cause: the keys of a prompt's parts were left out for a query without a model, and the preferred server is found by one of them: a request with a prompt on a route without models ended with a panic.

Change: the keys are there for any prompt.

Result: TestPromptWithoutModel failed before.

--- a/internal/routing/dispatch/bench_test.go
+++ b/internal/routing/dispatch/bench_test.go
@@ -106,3 +106,14 @@
 	is.NoErr(err)
 	is.True(open.MeanBacklog != total/256) // without the servers that it may not use
 }
+
+// A prompt whose model isn't named can be placed, among few servers and among many.
+func TestPromptWithoutModel(t *testing.T) {
+	is := is.New(t)
+	for _, servers := range []int{3, 256} {
+		d, l, q := benchWorld(servers, 9)
+		q.Model = ""
+		_, err := d.Place(l, q, epoch)
+		is.NoErr(err)
+	}
+}
--- a/internal/routing/dispatch/cache.go
+++ b/internal/routing/dispatch/cache.go
@@ -37,9 +37,6 @@
 
 // newPromptKeys returns the keys of a query's prompt.
 func newPromptKeys(q *Query) (p promptKeys) {
-	if q.Model == "" {
-		return p
-	}
 	p.tokens = tokens(q.PromptParts)
 	p.keys = p.inline[:0]
 	if len(q.PromptParts) > inlineKeys {
