Repeat a failed confirmation soon; the driver in a file of its own

And after a confirmation of a table that a feed had left out and that couldn't be decoded, the next one followed at once, without end.

Change: only reads that were answered count, and no case needs none of the interval.

Result: TestFailedConfirmationIsRepeatedSoon failed on the parent.

--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -20,21 +20,20 @@
 			f.sleep(ctx, min(wait, minRetryDelay))
 			continue
 		}
+		start := f.clock.Now()
 		if err := f.confirm(ctx); err != nil {
 			f.sleep(ctx, f.recordFailure(err))
 			continue
 		}
 		f.recordAnswer()
+		f.recordTableSought(start)
 	}
 }
 
 // untilConfirmation returns the time to the next confirmation. Before the first load,
 // which brings the table, and after a watch, which would have brought a new one, none is
-// due. One is due at once while a feed has left out a newer table.
+// due.
 func (f *Follower) untilConfirmation() time.Duration {
-	if f.isTableOmitted() && !f.isReadingStore() {
-		return 0
-	}
 	interval := f.confirmInterval()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -62,7 +61,6 @@
 // of the time for which a confirmation is valid on a slow link.
 func (f *Follower) confirm(ctx context.Context) error {
 	requestedAt := f.bootClock.Elapsed()
-	f.recordTableSought(f.clock.Now())
 	if f.isTableLarge() {
 		revision, err := f.store.Revision(ctx)
 		if err != nil || f.confirmUnchanged(revision, requestedAt) {
@@ -80,8 +78,8 @@
 	return err
 }
 
-// recordTableSought records when a read was requested that would have brought a new
-// table.
+// recordTableSought records when a read was requested that was answered and would have
+// brought a new table.
 func (f *Follower) recordTableSought(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -120,8 +120,8 @@
 	// table's entry was requested. It is valid if confirmed is set.
 	confirmedAt time.Duration
 	confirmed   bool
-	// tableSoughtAt is when the last read was requested that would have brought a new
-	// table.
+	// tableSoughtAt is when the last read was requested that was answered and would have
+	// brought a new table.
 	tableSoughtAt time.Time
 	// lastContactAt is when the store last answered this instance, or the
 	// instance whose feed it reads.
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -1086,3 +1086,41 @@
 	is.True(f.IsComplete())
 	is.True(oldest > 0 && oldest < 2*settings.ConfirmInterval)
 }
+
+// unconfirmingStore is a store whose table can't be read by itself.
+type unconfirmingStore struct{ countingStore }
+
+func (s *unconfirmingStore) Watch(ctx context.Context, _ int64, _ time.Duration) ([]Item, int64, error) {
+	<-ctx.Done() // nothing changes
+	return nil, 0, ctx.Err()
+}
+
+func (s *unconfirmingStore) Confirm(context.Context) (Item, int64, error) {
+	s.confirms.Add(1)
+	return Item{}, 0, errors.New("busy")
+}
+
+// A confirmation that failed is repeated soon, and not only when the next one is due.
+func TestFailedConfirmationIsRepeatedSoon(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	store := &unconfirmingStore{countingStore{clock: clock}}
+	settings := DefaultSettings
+	settings.ConfirmInterval = 1500 * time.Millisecond
+	f := New(store, decodeTestItem, WithClock(clock), WithBootClock(elapsedClock{clock, clock.Now()}), WithSettings(settings))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	const after = 850 * time.Millisecond // time for three repetitions, after 150, 300 and 300 ms
+	for range int((settings.ConfirmInterval + after) / (10 * time.Millisecond)) {
+		is.NoErr(clock.BlockUntilContext(t.Context(), 2))
+		clock.Advance(10 * time.Millisecond)
+		time.Sleep(time.Millisecond) // lets the follower's goroutines run
+	}
+	cancel()
+	<-done
+	is.True(store.confirms.Load() >= 3)
+}
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,16 +33,8 @@
 	pins map[string]pin
 	// paces holds the usual pace of each service's models, from the versions that
 	// aren't the target of a rollout.
-	paces map[paceKey]*pace
-	// driverMissingSince is when this instance first saw that a driver was
-	// needed and missing, or last tried to become the driver.
-	driverMissingSince time.Time
-	// driverLease keeps this instance the driver; 0 if there is none. It is renewed at
-	// driverRenewalAt. drive is the entry that this instance wrote last. They belong to
-	// run.
-	driverLease     int64
-	driverRenewalAt time.Time
-	drive           follower.Driver
+	paces   map[paceKey]*pace
+	driving driving
 }
 
 // localRollout is one rollout as this instance knows it.
@@ -79,13 +70,6 @@
 const (
 	// rolloutInterval is the time between checks of the rollouts.
 	rolloutInterval = 300 * time.Millisecond
-	// candidacyDelay is how much longer than the candidate before it an instance waits
-	// before it tries to become the driver.
-	candidacyDelay = 600 * time.Millisecond
-	// driverTTL is how long an instance that crashed stays the driver. It is renewed
-	// every driverRenewalInterval, so that two more renewals fit in after one is lost.
-	driverTTL             = 8 * time.Second
-	driverRenewalInterval = 2500 * time.Millisecond
 	// progressRecordsPerRollout is the number of progress records during a
 	// rollout. The last 0.18 of its time is reserved for the progress since the
 	// last record, which a new driver does not know.
@@ -332,11 +316,11 @@
 	fleet := r.gateway.fleet()
 	orders := r.syncOrders(fleet)
 	if len(orders) == 0 {
-		r.driverMissingSince = time.Time{}
+		r.driving.missingSince = time.Time{}
 		return
 	}
-	if r.driverLease != 0 && r.drive.Revision > max(fleet.Driver.Revision, r.gateway.follower.Revision()) {
-		fleet.Driver = r.drive // the view doesn't show it yet
+	if d := r.driving; d.lease != 0 && d.entry.Revision > max(fleet.Driver.Revision, r.gateway.follower.Revision()) {
+		fleet.Driver = d.entry // the view doesn't show it yet
 	}
 	switch fleet.Driver.Instance {
 	case "":
@@ -349,78 +333,13 @@
 			r.decide(ctx, order, fleet)
 		}
 	default:
-		r.driverMissingSince = time.Time{}
+		r.driving.missingSince = time.Time{}
 		for _, order := range orders {
 			r.sendEvidence(order, fleet.Instances[fleet.Driver.Instance].PeerAddress)
 		}
 	}
 }
 
-// tryBecomeDriver tries to become the driver when there is none. Candidates wait in an
-// order that mixes data centres, so that normally one of them makes the calls, and soon
-// also after the loss of a data centre whose instances still count as members.
-func (r *rollouts) tryBecomeDriver(ctx context.Context) {
-	g := r.gateway
-	now := g.Clock.Now()
-	if r.driverMissingSince.IsZero() {
-		r.driverMissingSince = now
-	}
-	delay := time.Duration(candidateRank(g.Settings.Instance, g.instanceNames())) * candidacyDelay
-	if now.Sub(r.driverMissingSince) < delay || !g.IsReady() {
-		return
-	}
-	r.driverMissingSince = now
-	r.takeDrive(ctx, 0)
-}
-
-// candidateRank returns the position of self among the candidates, from 0.
-func candidateRank(self string, names []string) int {
-	names = slices.SortedFunc(slices.Values(names), func(a, b string) int {
-		return compareByHash(follower.Instance{Name: a}, follower.Instance{Name: b})
-	})
-	return slices.Index(names, self)
-}
-
-// keepDriving renews the lease of the driver, this instance, when that is due. If it has
-// none, as after a restart, or it has ended, the entry is written again. keepDriving
-// reports whether the entry is as it was.
-func (r *rollouts) keepDriving(ctx context.Context, driver follower.Driver) bool {
-	g := r.gateway
-	now := g.Clock.Now()
-	if now.Before(r.driverRenewalAt) {
-		return true
-	}
-	r.driverRenewalAt = now.Add(jitter(driverRenewalInterval))
-	if r.driverLease != 0 {
-		alive, err := g.Store.RenewLease(ctx, r.driverLease)
-		if err != nil {
-			g.Log.Warn("DriverNotRenewed", zap.Error(err))
-		}
-		if err != nil || alive {
-			return true
-		}
-		r.driverLease = 0
-	}
-	r.takeDrive(ctx, driver.Revision)
-	return false
-}
-
-// takeDrive makes this instance the driver under a new lease if the driver's entry is at
-// the revision, 0 for none.
-func (r *rollouts) takeDrive(ctx context.Context, revision int64) {
-	g := r.gateway
-	lease, err := g.Store.GrantLease(ctx, max(driverTTL, g.currentSettings().MinLeaseTTL))
-	became := false
-	if err == nil {
-		revision, became, err = g.Store.BecomeDriver(ctx, lease, g.Settings.Instance, revision)
-	}
-	g.Log.Info("DriverSought", zap.Bool("Taken", became), zap.Error(err))
-	if became {
-		r.driverLease, r.driverRenewalAt = lease, g.Clock.Now().Add(jitter(driverRenewalInterval))
-		r.drive = follower.Driver{Instance: g.Settings.Instance, Revision: revision}
-	}
-}
-
 // decide decides on one rollout and records the decision.
 func (r *rollouts) decide(ctx context.Context, order follower.RolloutOrder, fleet follower.Fleet) {
 	g := r.gateway
--- a/internal/fleet/gateway/stop.go
+++ b/internal/fleet/gateway/stop.go
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lastCallTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, lease := range []int64{g.membership.lease, g.rollouts.driverLease} {
+	for _, lease := range []int64{g.membership.lease, g.rollouts.driving.lease} {
 		if lease != 0 {
 			group.Go(func() { g.endLease(ctx, lease) })
 		}
--- a/internal/relay/attempt/forward_test.go
+++ b/internal/relay/attempt/forward_test.go
@@ -321,6 +321,29 @@
 	return l.Addr().String(), done
 }
 
+// keptConnectionServer starts a server that takes one connection and answers the requests
+// on it in turn, as written. It returns its address.
+func keptConnectionServer(t *testing.T, answers ...string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for _, answer := range answers {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer)
+		}
+	}()
+	return l.Addr().String()
+}
+
 // An answer without an ID belongs to no request on a connection that has carried others:
 // a faulty server may write an earlier refusal once more. Callers were told that a request
 // did not run while the server ran it.
@@ -335,27 +358,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer l.Close()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for _, answer := range []string{strings.Replace(refusal, "NotRun", "Id: r1\r\nNotRun", 1), c.repeated + c.answer} {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
+			address := keptConnectionServer(t, strings.Replace(refusal, "NotRun", "Id: r1\r\nNotRun", 1), c.repeated+c.answer)
 			client := New(WithLimits(Limits{FirstByte: 5 * time.Second, Progress: 5 * time.Second}))
 			defer client.Close()
 			forward := func(id string) error {
-				_, err := client.Forward(t.Context(), Target{Server: "s", Address: l.Addr().String()},
+				_, err := client.Forward(t.Context(), Target{Server: "s", Address: address},
 					ForwardRequest{RequestID: id, Method: "GET", URI: "/", Host: "h", Dialect: scriptedDialect{}, AllowReuse: true}, nil)
 				return err
 			}
@@ -417,27 +424,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer l.Close()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for _, answer := range []string{strings.Replace(sound, "r2", "r1", 1), c.repeated + sound} {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
+			address := keptConnectionServer(t, strings.Replace(sound, "r2", "r1", 1), c.repeated+sound)
 			client := New(WithLimits(Limits{FirstByte: 5 * time.Second, Progress: 5 * time.Second}))
 			defer client.Close()
 			for _, id := range []string{"r1", "r2"} {
-				answer, err := client.Forward(t.Context(), Target{Server: "s", Address: l.Addr().String()},
+				answer, err := client.Forward(t.Context(), Target{Server: "s", Address: address},
 					ForwardRequest{RequestID: id, Method: "GET", URI: "/", Host: "h", Dialect: scriptedDialect{}, AllowReuse: true}, nil)
 				kind := "whole"
 				if e := (*Error)(nil); errors.As(err, &e) {
