Keep to the shares of cold servers when placements are concurrent

Cause: found in reading the change: a placement checks a server's share and counts itself in two steps, between which the lock of the server is free, so that concurrent placements could exceed an instance's share of a cold server, of a limit or of the connections.

Change: the check is repeated in the step that counts the attempt; if it fails, another server is chosen.

Result: TestConcurrentPlacementsKeepTheQuota failed on the parent.

--- a/internal/routing/dispatch/bench_test.go
+++ b/internal/routing/dispatch/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +119,28 @@
 		is.NoErr(err)
 	}
 }
+
+// Concurrent placements together keep to an instance's share of a cold server.
+func TestConcurrentPlacementsKeepTheQuota(t *testing.T) {
+	is := is.New(t)
+	for range 300 {
+		d, l := New(testSettings("a")), listing(1, func(_ int, s *backend.Server) { s.ColdLeft = time.Minute })
+		q := query()
+		q.Members = []string{"a", "b", "c"}
+		var placed atomic.Int64
+		var group sync.WaitGroup
+		start := make(chan struct{})
+		for range 32 {
+			group.Go(func() {
+				<-start
+				if _, err := d.Place(l, q, epoch); err == nil {
+					placed.Add(1)
+				}
+			})
+		}
+		close(start)
+		group.Wait()
+		limit := int(coldQuotaShare * (q.ColdRate*1.5 + 5)) // testSettings' ColdOverrun and ColdSlack
+		is.Equal(int(placed.Load()), Quota("s00", "a", q.Members, limit))
+	}
+}
--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -47,14 +47,15 @@
 	return c
 }
 
-// choose returns the eligible server with the lowest cost among those considered.
-func (d *Dispatcher) choose(l *backend.Listing, q *Query, prompt *promptKeys, now time.Time) (candidate, error) {
+// choose returns a choice whose best is the eligible server with the lowest cost among
+// those considered.
+func (d *Dispatcher) choose(l *backend.Listing, q *Query, prompt *promptKeys, now time.Time) (choice, error) {
 	if l == nil {
-		return candidate{}, &NoServerError{Service: q.Service}
+		return choice{}, &NoServerError{Service: q.Service}
 	}
 	p := d.rosterOf(l).pools[q.Service]
 	if p == nil {
-		return candidate{}, &NoServerError{Service: q.Service}
+		return choice{}, &NoServerError{Service: q.Service}
 	}
 	c := d.newChoice(p, q, prompt, now)
 	sampled := len(p.entries) > d.scanLimit
@@ -70,14 +71,14 @@
 		if c.none.Paused < c.none.Listed {
 			c.none.PausedFor = 0
 		}
-		return candidate{}, c.none
+		return c, c.none
 	}
 	c.best.meanBacklog = c.totalBacklog / time.Duration(c.candidates)
 	if sampled && q.Model != "" {
 		// Those that may have the prompt cached are busier than others.
 		c.best.meanBacklog = p.meanBacklog(q, c.others, now)
 	}
-	return c.best, nil
+	return c, nil
 }
 
 // considerAll considers all servers of the service, beginning with a random one: of
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -181,38 +181,58 @@
 	meanBacklog time.Duration
 }
 
+// maxPlacementTries bounds the choices of one placement. Another one is needed if
+// concurrent placements have used up what the chosen server takes.
+const maxPlacementTries = 8
+
 // Place chooses a server and counts the attempt as in flight there. The error is
 // a *NoServerError.
 func (d *Dispatcher) Place(l *backend.Listing, q *Query, now time.Time) (*Assignment, error) {
 	prompt := newPromptKeys(q)
-	best, err := d.choose(l, q, &prompt, now)
-	if err != nil {
-		return nil, err
-	}
-	st := best.entry.state
-	a := &Assignment{
-		Server: best.entry.server, PredictedWait: best.wait, CachedTokens: best.cachedTokens, dispatcher: d, state: st, query: q,
-		work: best.work, uncachedTokens: tokens(q.PromptParts) - best.cachedTokens,
+	for tries := 1; ; tries++ {
+		c, err := d.choose(l, q, &prompt, now)
+		if err != nil {
+			return nil, err
+		}
+		a := &Assignment{
+			Server: c.best.entry.server, PredictedWait: c.best.wait, CachedTokens: c.best.cachedTokens, dispatcher: d, state: c.best.entry.state, query: q,
+			work: c.best.work, uncachedTokens: tokens(q.PromptParts) - c.best.cachedTokens,
+		}
+		if c.begin(a) {
+			d.recordPlacement(&c)
+			return a, nil
+		}
+		if tries == maxPlacementTries {
+			return nil, c.none
+		}
 	}
-	a.begin(now)
-	if q.Model != "" {
-		d.cache.store(best.entry, &prompt, now)
-		mean := time.Duration(d.meanPrefillTime.Load())
-		d.meanPrefillTime.Store(int64(mean + (best.work-mean)/16))
-	}
-	return a, nil
 }
 
-// begin counts the attempt as in flight at its server.
-func (a *Assignment) begin(now time.Time) {
+// begin counts the attempt as in flight at its server. It reports false if the server is
+// no longer eligible: what it takes may have been used up since it was chosen.
+func (c *choice) begin(a *Assignment) bool {
 	st := a.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	a.serverIdle = st.ownBacklog == 0 && st.decayedOtherLoad(now) < 1
+	if !c.isEligible(a.Server, st) {
+		return false
+	}
+	a.serverIdle = st.ownBacklog == 0 && st.decayedOtherLoad(c.now) < 1
 	st.inFlight++
 	st.ownBacklog += a.work
-	st.awaitingFirstEvent[a] = now
-	st.sends.add(now)
+	st.awaitingFirstEvent[a] = c.now
+	st.sends.add(c.now)
+	return true
+}
+
+// recordPlacement records that the chosen server will have the prompt cached.
+func (d *Dispatcher) recordPlacement(c *choice) {
+	if c.query.Model == "" {
+		return
+	}
+	d.cache.store(c.best.entry, c.prompt, c.now)
+	mean := time.Duration(d.meanPrefillTime.Load())
+	d.meanPrefillTime.Store(int64(mean + (c.best.work-mean)/16))
 }
 
 // Prediction is the outlook for an attempt that has not been placed.
@@ -230,8 +250,8 @@
 // choose, without placing it. The error is a *NoServerError.
 func (d *Dispatcher) Predict(l *backend.Listing, q *Query, now time.Time) (Prediction, error) {
 	prompt := newPromptKeys(q)
-	best, err := d.choose(l, q, &prompt, now)
-	return Prediction{Wait: best.wait, PrefillTime: best.work, MeanBacklog: best.meanBacklog}, err
+	c, err := d.choose(l, q, &prompt, now)
+	return Prediction{Wait: c.best.wait, PrefillTime: c.best.work, MeanBacklog: c.best.meanBacklog}, err
 }
 
 // sharedTokens returns the number of tokens that a prompt's preferred server is
