review: the cold worker crashes and loses what it was at work on

Change: the script's route is unsafe, and a cold worker crashes above the bound of the rule, as the protocol says of a rate well above ColdPerS.

--- a/review/_stand/case_cold.go
+++ b/review/_stand/case_cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -15,9 +16,9 @@
 )
 
 // playCold lets the workers of a service come back cold. With the trouble all processes of
-// the system are killed shortly after.
+// the system are killed shortly after. A cold worker crashes above the rule's bound.
 func playCold(s *stage, trouble bool) (string, error) {
-	s.configure([]route{{name: "report", kind: "streaming", service: "llm", timeout: 10 * time.Second, goal: 2 * time.Second, resumable: true}}, []string{"llm"}, 1<<20, coldPerS)
+	s.configure([]route{{name: "book", kind: "unsafe", service: "app", timeout: 3 * time.Second, goal: 300 * time.Millisecond}}, []string{"app"}, 1<<20, coldPerS)
 	var instances []*instance
 	for n := 1; n <= 3; n++ {
 		i, err := s.startInstance(n)
@@ -29,28 +30,36 @@
 	if err := s.awaitReady(); err != nil {
 		return "", err
 	}
+	// The instances know each other by their entries in the store.
 	time.Sleep(2 * time.Second)
+	var workers []*worker
+	for n := range 2 {
+		w, err := s.startWorker(fmt.Sprintf("i-app-%d", n), "app")
+		if err != nil {
+			return "", err
+		}
+		w.work, w.coldBound = bookingWork, coldBound
+		workers = append(workers, w)
+	}
+	var mu sync.Mutex
+	lost := 0
 	var group sync.WaitGroup
-	end := time.Now().Add(6 * time.Second)
+	end := time.Now().Add(4 * time.Second)
 	for n := range 60 {
 		group.Go(func() {
 			c := s.newClient(fmt.Sprintf("c%d", n))
 			defer c.hangUp()
 			for time.Now().Before(end) {
-				a := c.send(instances[n%3], request{route: "report", body: []byte("a prompt"), deadline: 10 * time.Second, headers: map[string]string{"X-Model": "m", "X-Token-Counts": "400,60"}})
+				a := c.send(instances[n%3], request{route: "book", body: []byte("a booking"), deadline: 3 * time.Second})
+				if a.status == http.StatusBadGateway {
+					mu.Lock()
+					lost++
+					mu.Unlock()
+				}
 				time.Sleep(max(50*time.Millisecond, a.retryAfter))
 			}
 		})
 	}
-	var workers []*worker
-	for n := range 2 {
-		w, err := s.startWorker(fmt.Sprintf("i-llm-%d", n), "llm")
-		if err != nil {
-			return "", err
-		}
-		w.work, w.events, w.pause = 100*time.Millisecond, 3, 20*time.Millisecond
-		workers = append(workers, w)
-	}
 	time.Sleep(500 * time.Millisecond)
 	for _, w := range workers {
 		s.line("%s is back, cold", w.id)
@@ -73,8 +82,9 @@
 			worst, at = n, fmt.Sprintf("%s from %.3f s on", w.id, second.Sub(s.started).Seconds())
 		}
 	}
+	s.line("%d bookings ended with 502", lost)
 	if float64(worst) > coldBound {
-		return fmt.Sprintf("a cold worker got %d requests in one second, %s; %.1f are allowed", worst, at, coldBound), nil
+		return fmt.Sprintf("a cold worker got %d requests in one second, %s; %.1f are allowed; %d bookings ended with 502", worst, at, coldBound, lost), nil
 	}
 	return "", nil
 }
--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -30,6 +30,9 @@
 	work   time.Duration
 	events int
 	pause  time.Duration
+	// coldBound, if not 0, is the number of requests in a second above which the worker
+	// crashes while it is cold.
+	coldBound float64
 	// answer, if not nil, answers a request that has run in place of a sound answer. It
 	// returns false to leave the answer to the worker.
 	answer func(w http.ResponseWriter, r *http.Request) bool
@@ -80,6 +83,24 @@
 	w.stage.line("%s: request %s arrives, ran %v", w.id, id, ran)
 }
 
+// crashes reports whether the worker is cold and got more than coldBound requests within
+// the last second.
+func (w *worker) crashes() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.coldBound == 0 || !now.Before(w.coldUntil) {
+		return false
+	}
+	n := 0
+	for _, a := range w.arrivals {
+		if now.Sub(a.at) < time.Second {
+			n++
+		}
+	}
+	return float64(n) > w.coldBound
+}
+
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
@@ -95,6 +116,11 @@
 		return // the sender broke off
 	}
 	w.note(id, true)
+	if w.crashes() {
+		w.stage.line("%s crashes", w.id)
+		w.close()
+		return
+	}
 	h.Set("X-Server-Seal", "seal-of-"+w.id)
 	select {
 	case <-time.After(w.work):
