--- a/review/_cases/standin/case_cold.go
+++ b/review/_cases/standin/case_cold.go
@@ -65,7 +65,7 @@
 		s.line("%s is back, cold", w.id)
 		w.announce(4 * time.Second)
 	}
-	time.Sleep(250 * time.Millisecond)
+	time.Sleep(120 * time.Millisecond)
 	if trouble {
 		var kills sync.WaitGroup
 		for _, i := range instances {
