Answer 502 instead of a server's 503 that proves nothing

What callers saw: a server ran a booking and answered 503 without X-Not-Executed.

Cause: Forward took every error status without the server's statement for the server's own failure, and such failures are delivered with their status and signature. The run state was known to be Ran and wasn't compared with what the status promises.

Change: the codec says which statuses imply "not run". Without the server's statement, such an answer is an UnprovenRefusal, which is never delivered: idempotent requests are retried elsewhere, others end with 502, which promises nothing. It counts as the server's failure in the evidence on a version, as 503 did before.

--- a/internal/measure/soak/faults.go
+++ b/internal/measure/soak/faults.go
@@ -66,6 +66,11 @@
 	{"StoreConnectionsSilent", (*world).silenceStoreConnections},
 }
 
+// answerKinds holds answers of backend servers that must not reach callers as they are.
+var answerKinds = []faultKind{
+	{"ServerFailsUnavailable", func(w *world, f fault) { w.spoilServer(f, site.FailsUnavailable, site.Notice{}) }},
+}
+
 // faultGroups holds the kinds of faults, each group with its mean time between the
 // beginnings of two faults. Each group has a random source of its own, so that a new one
 // leaves the faults of the others as they were for each seed.
@@ -75,6 +80,7 @@
 }{
 	{faultKinds, 500 * time.Millisecond},
 	{reportedKinds, 2 * time.Second},
+	{answerKinds, 4 * time.Second},
 }
 
 const (
--- a/internal/relay/attempt/error.go
+++ b/internal/relay/attempt/error.go
@@ -33,9 +33,12 @@
 	AnswerTooLarge   Kind = "AnswerTooLarge"
 	Refused503       Kind = "Refused503" // the server states that it did not run the request
 	Status           Kind = "Status"     // any other error status
-	CallerGone       Kind = "CallerGone" // the sink returned an error
-	Cancelled        Kind = "Cancelled"
-	Deadline         Kind = "Deadline"
+	// UnprovenRefusal means that the status of an answer tells callers that the request
+	// has not run, though the server does not state this.
+	UnprovenRefusal Kind = "UnprovenRefusal"
+	CallerGone      Kind = "CallerGone" // the sink returned an error
+	Cancelled       Kind = "Cancelled"
+	Deadline        Kind = "Deadline"
 	// Misdirected means that the address now belongs to another server.
 	Misdirected Kind = "Misdirected"
 	// Unsigned means that an answer lacks the server's signature or has a
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -60,6 +60,9 @@
 	Signed bool
 	// NotRun reports whether the server states that it did not run the request.
 	NotRun bool
+	// ImpliesNotRun reports whether callers conclude from the status alone that the
+	// request has not run. It may have, unless NotRun is set.
+	ImpliesNotRun bool
 	// Misdirected reports whether the address belongs to another server.
 	Misdirected bool
 	// Load is nil if unknown.
@@ -294,15 +297,20 @@
 	return &Error{Kind: kind, Server: x.target.Server, State: call.NotRun, LastDelivered: x.lastDelivered, Status: answer.Status, Body: body}
 }
 
-// readServerError reads a server's error answer to its end.
+// readServerError reads a server's error answer to its end. An answer from which callers
+// would wrongly conclude that the request has not run is an UnprovenRefusal.
 func (x *exchange) readServerError(resp *http.Response, answer ForwardAnswer, sent <-chan struct{}) (ForwardAnswer, error) {
 	x.advance(call.Ran)
 	answer, err := x.readForwardBody(resp, answer, sent)
 	if err != nil {
 		return ForwardAnswer{}, err
 	}
-	failures.Add(string(Status), 1)
-	return answer, &Error{Kind: Status, Server: x.target.Server, State: call.Ran, LastDelivered: x.lastDelivered, Status: answer.Status}
+	kind := Status
+	if answer.Metadata.ImpliesNotRun {
+		kind = UnprovenRefusal
+	}
+	failures.Add(string(kind), 1)
+	return answer, &Error{Kind: kind, Server: x.target.Server, State: call.Ran, LastDelivered: x.lastDelivered, Status: answer.Status}
 }
 
 // readForwardBody reads an answer that is not delivered event by event to its end.
--- a/internal/relay/attempt/forward_test.go
+++ b/internal/relay/attempt/forward_test.go
@@ -25,8 +25,9 @@
 func (scriptedDialect) Read(status int, h http.Header) Metadata {
 	return Metadata{
 		RequestID: h.Get("Id"), Signed: h.Get("Sealed") != "", Confidence: -1,
-		NotRun:      h.Get("NotRun") != "" || status == http.StatusMisdirectedRequest,
-		Misdirected: status == http.StatusMisdirectedRequest,
+		NotRun:        h.Get("NotRun") != "" || status == http.StatusMisdirectedRequest,
+		ImpliesNotRun: h.Get("ImpliesNotRun") != "",
+		Misdirected:   status == http.StatusMisdirectedRequest,
 	}
 }
 
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -113,7 +113,7 @@
 		ConfirmTimeout: func(s attempt.Stall) bool { return stall.confirmTimeout(ctx, s) },
 	}, sink)
 	var e *attempt.Error
-	failed := errors.As(err, &e) && e.Kind == attempt.Status && assignmentResult(e) == dispatch.ServerFailed
+	failed := errors.As(err, &e) && (e.Kind == attempt.Status || e.Kind == attempt.UnprovenRefusal) && assignmentResult(e) == dispatch.ServerFailed
 	observer.ended(answer.FirstEvent > 0, failed)
 	ex.recordOutcome(ctx, assigned, answer, sink.firstSeen, err, startedAt)
 	return answer, err
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -234,6 +234,8 @@
 		{"unsafe without an answer in time", unsafe, attempt.FirstByteTimeout, call.MayHaveRun, 1, call.ReasonBackendTimeout, call.MayHaveRun},
 		{"unsafe that the servers did not run", unsafe, attempt.Refused503, call.NotRun, maxTotalAttempts, call.ReasonOverloaded, call.NotRun},
 		{"unsafe that reached no server", unsafe, attempt.DialTimeout, call.NotRun, maxTotalAttempts, call.ReasonBackendTimeout, call.NotRun},
+		{"unsafe that a server may have run before its refusal", unsafe, attempt.UnprovenRefusal, call.Ran, 1, call.ReasonBackendFailed, call.Ran},
+		{"safe after unproven refusals", safe, attempt.UnprovenRefusal, call.Ran, 3, call.ReasonBackendFailed, call.Ran},
 		{"safe up to the most attempts", safe, attempt.Reset, call.MayHaveRun, 3, call.ReasonBackendFailed, call.MayHaveRun},
 		{"the caller left", safe, attempt.Cancelled, call.MayHaveRun, 1, call.ReasonCallerGone, call.MayHaveRun},
 	} {
--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -20,6 +20,8 @@
 	Answers Behaviour = iota
 	// Fails answers 500.
 	Fails
+	// FailsUnavailable runs the request and answers 503.
+	FailsUnavailable
 	// Sheds answers that it did not run the request.
 	Sheds
 	// Cuts runs the request and resets the connection.
@@ -245,9 +247,13 @@
 	}
 	time.Sleep(s.Work)
 	h.Set("X-Server-Seal", "seal-of-"+s.ID)
-	if how == Fails {
+	switch how {
+	case Fails:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case FailsUnavailable:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	if strings.HasPrefix(r.RequestURI, "/chat/") {
 		s.stream(w, r, r.Header.Get("X-Token-Counts"), how)
