--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -113,17 +113,17 @@
 	dispatcher *dispatch.Dispatcher
 	forwarder  *pipeline.Forwarder
 	client     *attempt.Client
-	// answerMemory is what backend servers' answers may take.
-	answerMemory *memory.Budget
-	rollouts     *rollouts
-	membership   *membership
-	absences     *absences
-	peers        *peers
-	feeds        *feeds
-	billing      *billing
-	crashes      *crashes
+	rollouts   *rollouts
+	membership *membership
+	absences   *absences
+	peers      *peers
+	feeds      *feeds
+	billing    *billing
+	crashes    *crashes
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
+	// answerMemory is what backend servers' answers may take.
+	answerMemory *memory.Budget
 
 	// latestSettings holds the settings as last reloaded.
 	latestSettings atomic.Pointer[Settings]
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -137,7 +137,8 @@
 	// parsedHeadBytes is the most memory that a head of maxHeadBytes takes once it is
 	// parsed: as header lines of a few bytes each, some 16 times its size.
 	parsedHeadBytes = 16 * maxHeadBytes
-	// smallBodyBytes is the size of the largest body or event that takes no shared memory.
+	// smallBodyBytes is the size of the largest buffer for a body, and of the largest event,
+	// that takes no shared memory.
 	smallBodyBytes = 16 << 10
 	// minBodyBuffer is the size of the first buffer for a body.
 	minBodyBuffer = 512
--- a/internal/relay/attempt/forward_test.go
+++ b/internal/relay/attempt/forward_test.go
@@ -323,23 +323,23 @@
 			budget := memory.New(limit)
 			client := New(WithDial(func(context.Context, string) (net.Conn, error) {
 				near, far := net.Pipe()
-				go answerRequests(far, c.answer)
+				go answerRequest(far, c.answer)
 				return near, nil
 			}))
 			ctx, cancel := context.WithCancel(t.Context())
 			failed := make(chan Kind, attempts)
-			forward := func(stream bool) error {
+			forward := func() error {
 				account := budget.Open()
 				defer account.Close()
 				_, err := client.Forward(ctx, Target{Server: "s"}, ForwardRequest{
-					RequestID: "r1", Method: http.MethodGet, URI: "/", Host: "h", Stream: stream, Dialect: scriptedDialect{}, Memory: account,
+					RequestID: "r1", Method: http.MethodGet, URI: "/", Host: "h", Stream: c.stream, Dialect: scriptedDialect{}, Memory: account,
 				}, &recordingSink{})
 				return err
 			}
 			for range attempts {
 				go func() {
 					var e *Error
-					is.True(errors.As(forward(c.stream), &e))
+					is.True(errors.As(forward(), &e))
 					failed <- e.Kind
 				}()
 			}
@@ -365,17 +365,17 @@
 // Small answers need no shared memory.
 func TestSmallAnswerNeedsNoMemory(t *testing.T) {
 	is := is.New(t)
-	body := strings.Repeat("x", smallBodyBytes)
-	address := scriptedServer(t, []string{`> HTTP/1.1 200 OK\r\nId: r1\r\nSealed: y\r\nContent-Length: ` + strconv.Itoa(len(body)-1) + `\r\n\r\n` + body[1:]})
+	body := strings.Repeat("x", smallBodyBytes-1)
+	address := scriptedServer(t, []string{`> HTTP/1.1 200 OK\r\nId: r1\r\nSealed: y\r\nContent-Length: ` + strconv.Itoa(len(body)) + `\r\n\r\n` + body})
 	answer, err := New().Forward(t.Context(), Target{Server: "s", Address: address}, ForwardRequest{
 		RequestID: "r1", Method: http.MethodGet, URI: "/", Host: "h", Dialect: scriptedDialect{}, Memory: memory.New(0).Open(),
 	}, nil)
 	is.NoErr(err)
-	is.Equal(string(answer.Body), body[1:])
+	is.Equal(string(answer.Body), body)
 }
 
-// answerRequests reads a request and writes the answer. It leaves the connection open.
-func answerRequests(c net.Conn, answer string) {
+// answerRequest reads a request and writes the answer. It leaves the connection open.
+func answerRequest(c net.Conn, answer string) {
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 		_, _ = io.WriteString(c, answer) // the client may close before the end
 	}
