Stand-in: endless bodies are sent in blocks

The stand-in's server built its 3 MB body for each of the 48 calls of TestEndlessAnswersLeaveMemory, in the same process, which sets a memory limit of 170 MB: the heap of that process peaked at 278 and 268 MB in two runs, so that the collector ran all the time beside tests that measure time.

Change: the body is sent in blocks of one shared buffer.

--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -44,6 +44,9 @@
 // SwollenBytes is what a server that Swells sends of a body.
 const SwollenBytes = 3 << 20
 
+// swollen is a part of the body of a server that Swells.
+var swollen [32 << 10]byte
+
 // Run is a request that a backend server ran, or refused to.
 type Run struct {
 	Server string
@@ -305,7 +308,10 @@
 		}
 		return
 	}
-	_, _ = io.WriteString(c, "\r\n"+strings.Repeat("x", SwollenBytes))
+	_, err := io.WriteString(c, "\r\n")
+	for sent := 0; sent < SwollenBytes && err == nil; sent += len(swollen) {
+		_, err = c.Write(swollen[:])
+	}
 	_, _ = c.Read(make([]byte, 1)) // returns when the caller closes
 }
 
