attempt: one classification for errors of bodies and events

Cause: read as a newcomer: eventErrorKind only put one case before bodyErrorKind, and the comment of Forward didn't say that the answer comes with an UnprovenRefusal too.

Change: the case is in bodyErrorKind; the comment says so.

--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -150,8 +150,8 @@
 	maxSyncBodyBytes = 16 << 10
 )
 
-// Forward runs one attempt to forward a call. With an Error of the kind Status it
-// also returns the answer, which is the server's own error response.
+// Forward runs one attempt to forward a call. With an Error of the kind Status or
+// UnprovenRefusal it also returns the answer, which is the server's own error response.
 func (c *Client) Forward(ctx context.Context, target Target, f ForwardRequest, sink EventSink) (ForwardAnswer, error) {
 	x := c.newExchange(target, f.RequestID, f.Limits, nil)
 	x.lastDelivered, x.beforeWrite, x.memory = f.ResumeFrom, f.BeforeWrite, f.Memory
@@ -420,7 +420,10 @@
 
 // bodyErrorKind classifies a failure to read a body.
 func (x *exchange) bodyErrorKind(err error) Kind {
-	if errors.Is(err, io.ErrUnexpectedEOF) {
+	switch {
+	case errors.Is(err, errNoMemory):
+		return OutOfMemory
+	case errors.Is(err, io.ErrUnexpectedEOF):
 		return Truncated
 	}
 	return x.conn.readErrorKind()
@@ -457,7 +460,7 @@
 			break
 		}
 		if err != nil {
-			return answer, x.fail(x.eventErrorKind(err), err)
+			return answer, x.fail(x.bodyErrorKind(err), err)
 		}
 		if number > 0 {
 			if err := x.checkSequence(number, answer.LastEvent); err != nil {
@@ -484,14 +487,6 @@
 	return answer, nil
 }
 
-// eventErrorKind classifies a failure to read an event.
-func (x *exchange) eventErrorKind(err error) Kind {
-	if errors.Is(err, errNoMemory) {
-		return OutOfMemory
-	}
-	return x.bodyErrorKind(err)
-}
-
 // checkSequence returns an error if an event is not the one after last.
 func (x *exchange) checkSequence(number, last int) error {
 	switch {
