sizing: an answer's value follows its length, not the prompt alone

Change: the value of an answer is relative to the usual size of its route, prompt and expected answer together; the expected length is what the caller estimates. Escalations leave 0.15 of the budget. RequestAnswered logs the time to the first event.

--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -53,7 +53,7 @@
 
 // escalationReserve is the fraction of the retry budget that escalations to a
 // larger model leave for attempts that replace failed ones.
-const escalationReserve = 0.3
+const escalationReserve = 0.15
 
 // RecordRequest implements pipeline.Fleet.
 func (g *Gateway) RecordRequest(service string) { g.retryBudget(service).RecordRequest(g.Clock.Now()) }
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -48,6 +48,8 @@
 	PromptParts         []dispatch.PromptPart
 	PromptTokens        int
 	MaxCompletionTokens int
+	// CompletionTokens is the length that the caller expects of the answer.
+	CompletionTokens int
 	// ResumeFrom is the number of the last event that the caller has received, 0
 	// for none.
 	ResumeFrom int
@@ -197,6 +199,8 @@
 	// calibration relates the confidence that models report to the quality of
 	// their answers.
 	calibration *sizing.Calibration
+	// sizes holds the usual size of each route's requests.
+	sizes *sizing.Sizes
 }
 
 // ForwarderOption configures a Forwarder.
@@ -223,7 +227,7 @@
 	f := &Forwarder{
 		fleet: fleet, client: client, headers: headers, dialect: dialect,
 		clock: clockwork.NewRealClock(), log: zap.NewNop(), random: rand.Float64,
-		calibration: sizing.NewCalibration(), memory: memory.New(math.MaxInt64),
+		calibration: sizing.NewCalibration(), sizes: sizing.NewSizes(), memory: memory.New(math.MaxInt64),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -368,6 +372,7 @@
 	if len(r.Models) == 0 {
 		return
 	}
+	ex.sizes.Observe(r.Name, sizing.Size(ex.call.PromptTokens, ex.call.CompletionTokens))
 	ex.updatePredictions()
 	ex.sizeRank = sizing.ChooseFirst(&ex.query)
 	ex.model = r.Models[ex.sizeRank]
@@ -379,8 +384,8 @@
 	r := ex.call.Route
 	table := ex.fleet.Table()
 	ex.query = sizing.Request{
-		PromptTokens: ex.call.PromptTokens, MaxCompletionTokens: ex.call.MaxCompletionTokens, EscalationsLeft: r.MaxAttempts - ex.serverAttempts - 1,
-		TimeLeft: ex.call.ArrivedAt.Add(r.LatencyTarget).Sub(ex.clock.Now()),
+		PromptTokens: ex.call.PromptTokens, CompletionTokens: ex.call.CompletionTokens, MeanSize: ex.sizes.Mean(r.Name),
+		EscalationsLeft: r.MaxAttempts - ex.serverAttempts - 1, TimeLeft: ex.call.ArrivedAt.Add(r.LatencyTarget).Sub(ex.clock.Now()),
 	}
 	for rank, name := range r.Models {
 		m := sizing.Model{}
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -356,7 +356,7 @@
 		zap.String("RequestId", ex.call.ID), zap.String("Route", ex.call.Route.Name), zap.String("Customer", ex.call.Customer),
 		zap.String("Model", ex.model), zap.Int("Attempts", ex.serverAttempts), zap.Int("Tries", ex.totalAttempts), zap.String("RunState", ex.state.String()),
 		zap.Int64("TableVersion", ex.fleet.Table().Version), zap.Duration("Elapsed", ex.clock.Since(ex.call.ArrivedAt)), zap.Int("LastEvent", ex.lastEvent),
-		zap.Duration("LongestPause", ex.longestPause), zap.Int("Confidence", ex.confidence),
+		zap.Duration("FirstEvent", ex.firstEvent), zap.Duration("LongestPause", ex.longestPause), zap.Int("Confidence", ex.confidence),
 	}
 	outcome := CallOutcome{
 		Route: ex.call.Route, Service: ex.service, Customer: ex.call.Customer, Model: ex.model, PromptTokens: ex.call.PromptTokens,
--- a/internal/routing/sizing/sizing.go
+++ b/internal/routing/sizing/sizing.go
@@ -31,10 +31,12 @@
 type Request struct {
 	// Models are the route's models, smallest first.
 	Models []Model
-	// PromptTokens and MaxCompletionTokens are the lengths of the prompt and of
-	// the answer.
-	PromptTokens        int
-	MaxCompletionTokens int
+	// PromptTokens is the length of the prompt, CompletionTokens the expected length
+	// of the answer.
+	PromptTokens     int
+	CompletionTokens int
+	// MeanSize is the mean Size of the route's requests; 0 if it is not known.
+	MeanSize float64
 	// TimeLeft is the time within which the first part of the answer must arrive
 	// to be on time.
 	TimeLeft time.Duration
@@ -44,12 +46,15 @@
 	EscalationsLeft int
 }
 
-// Value of an answer, in the unit of the models' cost. It is fitted to the users'
-// sheets: a question of 700 tokens is worth about 0.5, a report of 9,000 tokens
-// about 3.5.
 const (
-	baseValue           = 0.3
-	valuePerPromptToken = 0.35 / 1000
+	// answerValue is the value of an answer of its route's mean size, in the unit of
+	// the models' cost. A route's configuration says nothing about what its answers
+	// are worth, so they count the same on all routes.
+	answerValue = 1.9
+	// fixedValueShare is the fraction of the value that doesn't depend on the size, and
+	// maxRelativeSize bounds the part that does.
+	fixedValueShare = 0.3
+	maxRelativeSize = 4
 	// inadequateValueShare is the fraction of the value that an answer has if it
 	// is too simple.
 	inadequateValueShare = 0.05
@@ -57,8 +62,16 @@
 	lateValueShare = 0.3
 )
 
-// Value returns the value of a good answer to the request that is on time.
-func (r *Request) Value() float64 { return baseValue + valuePerPromptToken*float64(r.PromptTokens) }
+// Value returns the value of a good answer to the request that is on time. It grows
+// with the prompt and with the expected answer: an answer that is too simple costs the
+// caller more the longer it is.
+func (r *Request) Value() float64 {
+	relativeSize := 1.0
+	if r.MeanSize > 0 {
+		relativeSize = min(Size(r.PromptTokens, r.CompletionTokens)/r.MeanSize, maxRelativeSize)
+	}
+	return answerValue * (fixedValueShare + (1-fixedValueShare)*relativeSize)
+}
 
 // backlogCost is the value that other requests lose per second of prefill time at
 // a mean backlog of one second. It is multiplied by the square of the backlog,
@@ -71,7 +84,7 @@
 // other requests.
 func (r *Request) cost(sizeRank int) float64 {
 	m, backlog := r.Models[sizeRank], r.MeanBacklog.Seconds()
-	return m.Cost*(float64(r.MaxCompletionTokens)+float64(r.PromptTokens)/4)/1000 + backlogCost*backlog*backlog*m.PrefillTime.Seconds()
+	return m.Cost*(float64(r.CompletionTokens)+float64(r.PromptTokens)/4)/1000 + backlogCost*backlog*backlog*m.PrefillTime.Seconds()
 }
 
 const (
--- a/internal/routing/sizing/sizing_test.go
+++ b/internal/routing/sizing/sizing_test.go
@@ -11,7 +11,7 @@
 // newReportRequest returns a request with a long prompt and three models.
 func newReportRequest(predictedWaits [3]time.Duration, timeLeft time.Duration) *Request {
 	c := NewCalibration()
-	r := &Request{PromptTokens: 9200, MaxCompletionTokens: 54, TimeLeft: timeLeft, EscalationsLeft: 2}
+	r := &Request{PromptTokens: 9200, CompletionTokens: 54, TimeLeft: timeLeft, EscalationsLeft: 2}
 	for i, cost := range []float64{0.017, 0.13, 0.26} {
 		r.Models = append(r.Models, Model{Cost: cost, PredictedWait: predictedWaits[i], Confidence: c.Profile("reports", i, 3)})
 	}
