platform: read load headers of four figures, each figure by itself

Cause: a load header was read only if it had exactly three figures, all of them numbers; the fourth (the pace) made it unknown. A load was recorded at the end of an attempt, seconds after it was true.

The load is a backend.Load, beside backend.Notice, and is recorded with the head of the answer.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -67,6 +67,19 @@
 	RetryAfter time.Duration
 }
 
+// Load is the load that a server states in an answer, as of its head.
+type Load struct {
+	// Running and Waiting are the numbers of requests, of all instances. Slots is how many
+	// can run at a time. Each may be UnknownCount.
+	Running, Waiting, Slots int
+	// Pace is the time that work takes at the server at this moment as a multiple of the
+	// usual; 0 if unknown.
+	Pace float64
+}
+
+// UnknownCount stands for a number in a Load that the server did not state.
+const UnknownCount = -1
+
 // Listing is an immutable snapshot of the directory.
 type Listing struct {
 	// Revision is the newest store revision that the snapshot includes.
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -77,7 +77,7 @@
 	// Misdirected reports whether the address belongs to another server.
 	Misdirected bool
 	// Load is nil if unknown.
-	Load *Load
+	Load *backend.Load
 	// Confidence is the model's confidence in its answer, from 0 to 100, or -1
 	// if unknown.
 	Confidence int
@@ -88,13 +88,6 @@
 	Notice backend.Notice
 }
 
-// Load is the load that a server reports with its answer.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // Head is the status line and header of an answer.
 type Head struct {
 	Status   int
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -119,12 +119,15 @@
 	return answer, err
 }
 
-// recordNotice records what the server says about itself in its answer to the attempt
-// that began at startedAt.
+// recordNotice records what the server says about itself in the head of its answer to the
+// attempt that began at startedAt.
 func (ex *forwardExecution) recordNotice(assigned *dispatch.Assignment, m attempt.Metadata, startedAt time.Time) {
 	if m.Misdirected {
 		return // the answer is another server's
 	}
+	if m.Load != nil {
+		assigned.RecordLoad(*m.Load, ex.clock.Now())
+	}
 	if assigned.RecordNotice(m.Notice, m.Signed || m.NotRun, startedAt, ex.clock.Now()) {
 		ex.log.Info("ServerNotice", zap.String("Server", assigned.Server.ID), zap.Bool("Leaving", m.Notice.Leaving), zap.Bool("Limited", m.Notice.Limited), zap.Float64("Limit", m.Notice.Limit), zap.Duration("RetryAfter", m.Notice.RetryAfter))
 	}
@@ -241,9 +244,6 @@
 // outcome. begun is set if an event of the answer arrived.
 func (ex *forwardExecution) recordOutcome(ctx context.Context, assigned *dispatch.Assignment, answer attempt.ForwardAnswer, begun bool, err error, startedAt time.Time) {
 	now := ex.clock.Now()
-	if l := answer.Metadata.Load; l != nil {
-		assigned.RecordLoad(l.Running, l.Waiting, now)
-	}
 	var e *attempt.Error
 	result := dispatch.Succeeded
 	if errors.As(err, &e) {
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -300,12 +300,16 @@
 	}
 }
 
-// RecordLoad records the load that the server stated in its answer.
-func (a *Assignment) RecordLoad(running, waiting int, now time.Time) {
+// RecordLoad records the load that the server stated in its answer, which was true at the
+// given time.
+func (a *Assignment) RecordLoad(l backend.Load, at time.Time) {
 	a.state.mu.Lock()
 	defer a.state.mu.Unlock()
-	a.state.otherLoad = max(0, float64(running+waiting-a.state.inFlight))
-	a.state.otherLoadAt = now
+	if l.Running < 0 && l.Waiting < 0 || at.Before(a.state.otherLoadAt) {
+		return
+	}
+	a.state.otherLoad = max(0, float64(max(0, l.Running)+max(0, l.Waiting)-a.state.inFlight))
+	a.state.otherLoadAt = at
 }
 
 // Result is how an attempt ended, as far as it tells about the server.
