Backlog is reported each 100 ms, and a placement considers fewer random servers

Cause: instances that know of each other's work late send theirs to the same servers. In real fleets of more than 16 instances a report takes three hops of 250 ms.

Change: the interval is 100 ms and 50 us a server, so that 2,900 servers have the 250 ms of before; notices (0.5 s) and speeds (1 s) go by the clock. 3 random servers of the own data centre and one of the others (4 and 2 before).

--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -78,13 +78,16 @@
 const (
 	// maxDatagramBytes bounds the size of a datagram.
 	maxDatagramBytes = 32 << 10
-	// backlogInterval is the time between reports of an instance's backlog. It
-	// is short compared to the second or two that a long prompt takes.
-	backlogInterval = 250 * time.Millisecond
-	// speedTicks is the number of reports of the backlog for each one of speeds.
-	speedTicks = 4
-	// noticeTicks is the number of reports of the backlog for each one of notices.
-	noticeTicks = 2
+	// minBacklogInterval is the time between reports of an instance's backlog in a small
+	// deployment. It is short compared to the time that a prompt takes: instances that
+	// know of each other's work late send theirs to the same servers.
+	// intervalPerServer is added for each server, since reports grow with them.
+	minBacklogInterval = 100 * time.Millisecond
+	intervalPerServer  = 50 * time.Microsecond
+	// noticeInterval and speedInterval are the times between reports of notices and of
+	// speeds.
+	noticeInterval = 500 * time.Millisecond
+	speedInterval  = time.Second
 	// groupPrefix marks the name of a reader's group, whose backlog is a sum,
 	// apart from the names of single instances.
 	groupPrefix = "group/"
@@ -195,20 +198,24 @@
 	}
 }
 
-// run reports the backlog and the servers' notices until the context ends.
+// run reports the backlog, the servers' notices and their speeds until the context ends.
 func (p *peers) run(ctx context.Context) {
 	g := p.gateway
+	var notices, speeds time.Time
 	for sequence := int64(1); ; sequence++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.Clock.After(jitter(backlogInterval)):
+		case <-g.Clock.After(jitter(p.backlogInterval())):
 			g.protect("Share", func() {
+				now := g.Clock.Now()
 				p.shareBacklog(sequence)
-				if sequence%noticeTicks == 0 {
+				if now.Sub(notices) >= noticeInterval {
+					notices = now
 					p.shareNotices()
 				}
-				if sequence%speedTicks == 0 {
+				if now.Sub(speeds) >= speedInterval {
+					speeds = now
 					p.shareSpeeds(sequence)
 				}
 			})
@@ -216,6 +223,15 @@
 	}
 }
 
+// backlogInterval returns the time between reports of the backlog.
+func (p *peers) backlogInterval() time.Duration {
+	servers := 0
+	if l := p.gateway.follower.View.Servers.Get(); l != nil {
+		servers = len(l.ByID)
+	}
+	return minBacklogInterval + time.Duration(servers)*intervalPerServer
+}
+
 // shareBacklog sends this instance's backlog to all instances in a small fleet,
 // otherwise to its reader. A reader sums up its group, exchanges the sums with
 // the other readers and sends the total to its group, so that the traffic of an
--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -12,8 +12,8 @@
 	maxScannedServers = 32
 	// localSample and remoteSample are the numbers of servers in this instance's data
 	// centre and in others that are considered otherwise.
-	localSample  = 4
-	remoteSample = 2
+	localSample  = 3
+	remoteSample = 1
 )
 
 // choice is one choice between servers.
--- a/internal/routing/dispatch/fleet_test.go
+++ b/internal/routing/dispatch/fleet_test.go
@@ -15,7 +15,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 )
 
-// fleetLoad is the load of testdata/fleet.txt.
+// fleetLoad is the load of a file such as testdata/fleet.txt.
 type fleetLoad struct {
 	kinds   []loadKind
 	changes []loadChange
@@ -34,8 +34,8 @@
 	factor float64
 }
 
-func readFleetLoad(t *testing.T) (l fleetLoad) {
-	raw, err := os.ReadFile("testdata/fleet.txt")
+func readFleetLoad(t *testing.T, file string) (l fleetLoad) {
+	raw, err := os.ReadFile(file)
 	is.New(t).NoErr(err)
 	for line := range strings.Lines(string(raw)) {
 		var word string
@@ -87,6 +87,12 @@
 	servers map[string]*fleetServer
 	events  eventQueue
 	waits   []time.Duration
+	// pace, if not nil, returns the time that work takes at a server now, as a multiple of
+	// the usual. The servers state it in their answers if states is set.
+	pace   func(id string) float64
+	states bool
+	// onPlace, if not nil, is called with each placement.
+	onPlace func(a *Assignment)
 }
 
 type fleetServer struct {
@@ -130,6 +136,9 @@
 		}
 		s.cached[prefix] = w.now
 	}
+	if w.pace != nil {
+		work = time.Duration(float64(work) * w.pace(a.Server.ID))
+	}
 	if s.freeAt.Before(w.now) {
 		s.freeAt = w.now
 	}
@@ -187,9 +196,15 @@
 	if err != nil {
 		panic(err)
 	}
+	if w.onPlace != nil {
+		w.onPlace(a)
+	}
 	wait := w.serve(a, parts)
 	w.waits = append(w.waits, wait)
 	w.after(wait, func() {
+		if w.states {
+			a.RecordLoad(backend.Load{Pace: w.pace(a.Server.ID)}, w.now)
+		}
 		a.RecordFirstEvent(wait)
 		a.Done(Succeeded, w.now)
 	})
@@ -214,7 +229,7 @@
 // are at most 5 in 100 longer, in the middle and for the last in a hundred.
 func TestSampledChoiceIsAsGood(t *testing.T) {
 	is := is.New(t)
-	load := readFleetLoad(t)
+	load := readFleetLoad(t, "testdata/fleet.txt")
 	all, sampled := runFleet(load, fleetServers), runFleet(load, maxScannedServers)
 	at := func(waits []time.Duration, share float64) time.Duration { return waits[int(share*float64(len(waits)))] }
 	for _, share := range []float64{0.5, 0.9, 0.99} {
--- a/internal/routing/dispatch/peers.go
+++ b/internal/routing/dispatch/peers.go
@@ -42,7 +42,7 @@
 	pending  Backlog
 }
 
-// peerReportTTL is how long a report counts: four of the intervals at which it is
+// peerReportTTL is how long a report counts: some four of the intervals at which it is
 // renewed. With a longer one, the backlog of instances that are gone, or that now
 // report to another reader, would count for too long.
 const peerReportTTL = time.Second
