Shedding compares requests by a price of room

Cause: shedding compared one request's predicted wait with its own deadline. In a shortage it let requests in by chance, so that long prompts made all others late, and it knew neither priority nor what an answer is worth.

Change: shedding.Pricer learns the price of a service's room, one for each priority, from the waits relative to latency targets (predicted, observed, and refusals of full servers). Decide refuses, with a probability, what costs others more than it is worth by value per work, lateness, urgency, a refusal before, and the customer's share. Nothing is refused by price while servers state free places. It holds for plain services too. Retry-After follows the fall of the shortage. Metrics Shedding, Room; log line ShortageChanged; fields Priority, Running, Queued of attempts and FirstEvent of requests. Without an observed shortage nothing changes.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -120,6 +120,7 @@
 	feeds      *feeds
 	billing    *billing
 	crashes    *crashes
+	rooms      *rooms
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
 	// answerMemory is what backend servers' answers may take.
@@ -203,6 +204,7 @@
 	g.absences = newAbsences(g)
 	g.peers = &peers{gateway: g}
 	g.crashes = newCrashes(g)
+	g.rooms = newRooms(g)
 	g.runID = deps.Clock.Now().UnixNano()
 	g.billing = &billing{gateway: g, counter: tally.NewCounter(s.Instance, g.runID), copies: tally.NewCopies(), written: map[string]tally.WriteMark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.client, deps.Codec, deps.Codec, pipeline.WithForwardClock(deps.Clock), pipeline.WithForwardLogger(deps.Log),
@@ -258,6 +260,7 @@
 	group.Go(func() { g.peers.run(background) })
 	group.Go(func() { g.billing.run(background) })
 	group.Go(func() { g.crashes.run(background) })
+	group.Go(func() { g.rooms.run(background) })
 	group.Go(g.peers.receive)
 	g.publishGauges()
 	if g.MetricsAddress != "" {
--- /dev/null
+++ b/internal/fleet/gateway/rooms.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
+)
+
+// roomGauges holds the shortage at each service: the price of room relative to the usual
+// value of a second of work, 0 while there is room for all requests.
+var roomGauges = expvar.NewMap("Room")
+
+// roomInterval is the time between updates of the gauges.
+const roomInterval = time.Second
+
+// rooms holds what this instance knows of the room at each service.
+type rooms struct {
+	gateway *Gateway
+
+	mu      sync.Mutex
+	pricers map[string]*shedding.Pricer
+	// short is the set of services with a shortage.
+	short map[string]bool
+}
+
+func newRooms(g *Gateway) *rooms {
+	return &rooms{gateway: g, pricers: map[string]*shedding.Pricer{}, short: map[string]bool{}}
+}
+
+// Pricer implements pipeline.Fleet.
+func (g *Gateway) Pricer(service string) *shedding.Pricer {
+	r := g.rooms
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pricers[service]
+	if p == nil {
+		p = shedding.NewPricer()
+		r.pricers[service] = p
+	}
+	return p
+}
+
+// run updates the gauges, and logs the begin and the end of each shortage, until the
+// context ends.
+func (r *rooms) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.gateway.Clock.After(roomInterval):
+			r.gateway.protect("Rooms", r.report)
+		}
+	}
+}
+
+// report is one round of run. It forgets services that are gone.
+func (r *rooms) report() {
+	now, table := r.gateway.Clock.Now(), r.gateway.Table()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, p := range r.pricers {
+		if table != nil {
+			if _, known := table.Services[service]; !known {
+				delete(r.pricers, service)
+				delete(r.short, service)
+				roomGauges.Delete(service)
+				continue
+			}
+		}
+		room := p.Room(now)
+		level := new(expvar.Float)
+		level.Set(room.Level())
+		roomGauges.Set(service, level)
+		if short := room.Level() > 0; short != r.short[service] {
+			r.short[service] = short
+			r.gateway.Log.Info("ShortageChanged", zap.String("Service", service), zap.Bool("Short", short), zap.Float64("Level", room.Level()))
+		}
+	}
+}
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/relay/memory"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
 )
 
@@ -102,6 +103,8 @@
 	TryRetry(service string, urgent bool) bool
 	// IsQuarantined reports whether a part of a prompt is known to crash servers.
 	IsQuarantined(parts []dispatch.PromptPart) bool
+	// Pricer returns the pricer of a service's room.
+	Pricer(service string) *shedding.Pricer
 	// LateAfter returns after which time without an event an answer is late.
 	LateAfter(predictedWait time.Duration) time.Duration
 	// ObserveAnswer records how a server answers. It is called once for an attempt, as
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"expvar"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
+	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
 )
 
 const (
@@ -76,18 +79,40 @@
 	})
 }
 
-// shed returns a refusal if the predicted wait exceeds the time to the deadline. It
-// refuses only before the first attempt, when nothing of the call has been sent,
-// and only calls of a model.
+// shed returns a refusal if the call is not to be served for lack of room. It refuses
+// only before the first attempt, when nothing of the call has been sent.
 func (ex *forwardExecution) shed(assigned *dispatch.Assignment) *call.Refusal {
-	if ex.totalAttempts > 0 || ex.model == "" {
+	if ex.totalAttempts > 0 {
 		return nil
 	}
-	refuse, retryAfter := shedding.Decide(shedding.Request{PredictedWait: assigned.PredictedWait, TimeLeft: ex.call.Deadline.Sub(ex.clock.Now()), Jitter: ex.random()})
-	if !refuse {
+	now, pricer, r := ex.clock.Now(), ex.fleet.Pricer(ex.service), ex.roomRequest(assigned)
+	room := pricer.Room(now)
+	pricer.ObserveRequest(r, ex.call.Route.LatencyTarget, now)
+	decision := shedding.Decide(r, room)
+	if decision.Reason == "" {
 		return nil
 	}
-	return &call.Refusal{Reason: call.ReasonOverloaded, Detail: "the wait of " + assigned.PredictedWait.String() + " outlasts the deadline", RetryAfter: retryAfter}
+	sheds.Add(string(decision.Reason), 1)
+	detail := fmt.Sprintf("%s: a wait of %v, %v to the deadline, room at %.2f of its usual value", decision.Reason, r.PredictedWait, r.TimeLeft, room.Level())
+	return &call.Refusal{Reason: call.ReasonOverloaded, Detail: detail, RetryAfter: decision.RetryAfter}
+}
+
+// sheds counts the calls that were refused for lack of room, by reason.
+var sheds = expvar.NewMap("Shedding")
+
+// returnedShare is the share of the route's timeout below which a call's time suggests
+// that its caller has used up the rest in an attempt before.
+const returnedShare = 0.95
+
+// roomRequest returns what decides whether the call is served in a shortage.
+func (ex *forwardExecution) roomRequest(assigned *dispatch.Assignment) shedding.Request {
+	c, now := ex.call, ex.clock.Now()
+	value := sizing.Request{PromptTokens: c.PromptTokens, MaxCompletionTokens: c.MaxCompletionTokens}
+	return shedding.Request{
+		PredictedWait: assigned.PredictedWait, TimeToTarget: c.ArrivedAt.Add(c.Route.LatencyTarget).Sub(now), TimeLeft: c.Deadline.Sub(now),
+		Priority: c.Priority, Work: assigned.Work(), Value: value.Value(), Concurrent: ex.model == "",
+		Returned: float64(c.Deadline.Sub(c.ArrivedAt)) < returnedShare*float64(c.Route.Timeout), Jitter: ex.random(), Draw: ex.random(),
+	}
 }
 
 // send carries out one attempt at the assigned server.
@@ -241,15 +266,21 @@
 // outcome. begun is set if an event of the answer arrived.
 func (ex *forwardExecution) recordOutcome(ctx context.Context, assigned *dispatch.Assignment, answer attempt.ForwardAnswer, begun bool, err error, startedAt time.Time) {
 	now := ex.clock.Now()
+	pricer := ex.fleet.Pricer(ex.service)
 	if l := answer.Metadata.Load; l != nil {
 		assigned.RecordLoad(l.Running, l.Waiting, now)
+		pricer.ObserveLoad(l.Running, l.Waiting, l.Slots, now)
 	}
 	var e *attempt.Error
 	result := dispatch.Succeeded
 	if errors.As(err, &e) {
 		result = assignmentResult(e)
+		if e.Kind == attempt.Refused503 && !answer.Metadata.Notice.Leaving {
+			pricer.ObserveFull(ex.call.Priority, now)
+		}
 	} else if answer.FirstEvent > 0 {
 		assigned.RecordFirstEvent(answer.FirstEvent)
+		pricer.ObserveFirstEvent(ex.call.Priority, answer.FirstEvent, ex.call.Route.LatencyTarget, now)
 	}
 	ex.triedServers = append(ex.triedServers, assigned.Server.ID)
 	ex.recordResult(assigned.Server.ID, err)
@@ -261,7 +292,10 @@
 	fields := []zap.Field{
 		zap.String("RequestId", ex.call.ID), zap.String("Server", assigned.Server.ID), zap.String("Version", assigned.Server.Version), zap.String("Model", ex.model),
 		zap.Duration("Predicted", assigned.PredictedWait), zap.Duration("First", answer.FirstEvent), zap.Duration("Took", now.Sub(startedAt)), zap.Int("Held", assigned.CachedTokens),
-		zap.Int("Confidence", answer.Metadata.Confidence), zap.Int("Status", answer.Status), zap.Int("Last", answer.LastEvent),
+		zap.Int("Confidence", answer.Metadata.Confidence), zap.Int("Status", answer.Status), zap.Int("Last", answer.LastEvent), zap.Int("Priority", ex.call.Priority),
+	}
+	if l := answer.Metadata.Load; l != nil {
+		fields = append(fields, zap.Int("Running", l.Running), zap.Int("Queued", l.Waiting))
 	}
 	if err != nil {
 		if e != nil && e.LostAnswer() {
@@ -356,7 +390,7 @@
 		zap.String("RequestId", ex.call.ID), zap.String("Route", ex.call.Route.Name), zap.String("Customer", ex.call.Customer),
 		zap.String("Model", ex.model), zap.Int("Attempts", ex.serverAttempts), zap.Int("Tries", ex.totalAttempts), zap.String("RunState", ex.state.String()),
 		zap.Int64("TableVersion", ex.fleet.Table().Version), zap.Duration("Elapsed", ex.clock.Since(ex.call.ArrivedAt)), zap.Int("LastEvent", ex.lastEvent),
-		zap.Duration("LongestPause", ex.longestPause), zap.Int("Confidence", ex.confidence),
+		zap.Duration("FirstEvent", ex.firstEvent), zap.Duration("LongestPause", ex.longestPause), zap.Int("Confidence", ex.confidence),
 	}
 	outcome := CallOutcome{
 		Route: ex.call.Route, Service: ex.service, Customer: ex.call.Customer, Model: ex.model, PromptTokens: ex.call.PromptTokens,
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 )
 
 // fakeFleet is a Fleet whose state the test sets.
@@ -34,6 +35,7 @@
 
 	mu      sync.Mutex
 	answers []AnswerObservation
+	pricer  *shedding.Pricer
 }
 
 // lateAfter is after which time a fakeFleet counts an answer as late.
@@ -56,6 +58,14 @@
 	return !f.ineligible[w.Server.ID]
 }
 func (f *fakeFleet) RecordRequest(string) {}
+func (f *fakeFleet) Pricer(string) *shedding.Pricer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pricer == nil {
+		f.pricer = shedding.NewPricer()
+	}
+	return f.pricer
+}
 func (f *fakeFleet) TryRetry(string, bool) bool {
 	if f.noRetries {
 		return false
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -266,6 +266,10 @@
 	return n
 }
 
+// Work returns the predicted time that the server needs for the attempt before the first
+// event of the answer.
+func (a *Assignment) Work() time.Duration { return a.work }
+
 // StillEligible reports whether the server may still take the attempt: it is
 // listed with the same address and run, usable, in an open data centre and of an
 // allowed version, and hasn't said that it doesn't want it.
--- a/internal/routing/shedding/shedding.go
+++ b/internal/routing/shedding/shedding.go
@@ -1,9 +1,12 @@
-// Package shedding decides which requests are refused under overload, and when
-// their callers may retry.
+// Package shedding decides which requests are refused when a service has too little
+// room, and when their callers may retry.
 //
-// It is built for this load pattern: most servers of a service are lost at once, and
-// the queues at the remaining ones grow beyond the deadlines of some requests. A
-// request that cannot be served before its deadline is refused immediately.
+// It is built for these load patterns: most servers of a service are lost at once, and
+// the queues at the remaining ones grow beyond the deadlines of some requests; and many
+// requests of unequal urgency, size and value arrive at once, so that not all of them can
+// be answered in time. A request that cannot be served before its deadline is refused
+// immediately. Among the others, those are refused that cost the other callers more than
+// their own answer is worth.
 package shedding
 
 import "time"
@@ -12,10 +15,45 @@
 type Request struct {
 	// PredictedWait is the predicted time to the first event of the answer.
 	PredictedWait time.Duration
-	// TimeLeft is the time until the request's deadline.
-	TimeLeft time.Duration
-	// Jitter is a random number in [0, 1) that spreads the retry times.
+	// TimeToTarget is the time in which an answer still has its full value, TimeLeft
+	// the time until the request's deadline.
+	TimeToTarget time.Duration
+	TimeLeft     time.Duration
+	// Priority is the request's rank; 0 is the most urgent.
+	Priority int
+	// Work is the time that a server needs before the first event of the answer, and
+	// Value what an answer in time is worth.
+	Work  time.Duration
+	Value float64
+	// Concurrent is set if a server with a free place begins the request at once.
+	Concurrent bool
+	// Returned is set if the request seems to come back after a refusal.
+	Returned bool
+	// OverShare is set if the request's customer uses more than its share.
+	OverShare bool
+	// Jitter and Draw are random numbers in [0, 1): Jitter spreads the retry times,
+	// Draw decides on a request that may be refused.
 	Jitter float64
+	Draw   float64
+}
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons.
+const (
+	// NoHope means that the predicted wait outlasts the deadline.
+	NoHope Reason = "NoHope"
+	// TooDear means that the request costs others more than its answer is worth.
+	TooDear Reason = "TooDear"
+	// OverShare means that it does so because its customer uses more than its share.
+	OverShare Reason = "OverShare"
+)
+
+// Decision is what is done with a request. Reason is empty if it is served.
+type Decision struct {
+	Reason     Reason
+	RetryAfter time.Duration
 }
 
 const (
@@ -24,16 +62,76 @@
 	// more than a third of it.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryShare = 0.3
+	// lateValueShare is the fraction of the value that a late answer has.
+	lateValueShare = 0.3
+	// urgencyFactor is the factor by which a request counts for more than one of the
+	// next less urgent priority in use. It exceeds the usual spread of value per work
+	// within a priority.
+	urgencyFactor = 4
+	// shareFactor is the factor by which a request of a customer within its share counts
+	// for more while another customer exceeds its own. It exceeds that of one step of
+	// urgency.
+	shareFactor = 16
+	// returnedFactor is the factor by which a request counts for more that was refused
+	// before. It makes up for lateValueShare: such requests are often late already.
+	returnedFactor = 4
+	// maxRefusal is the highest probability of a refusal by price. It keeps the largest
+	// requests and the least urgent ones from starving.
+	maxRefusal = 0.7
 )
 
-// Decide reports whether to refuse the request, and if so, after what time its
-// caller may retry: when the queue is expected to have shrunk to what the time left
-// allows, with jitter so that callers do not retry at the same moment.
-func Decide(r Request) (refuse bool, retryAfter time.Duration) {
-	if r.PredictedWait <= r.TimeLeft {
-		return false, 0
+// Decide decides on a request, given the room of its service.
+//
+// A request without hope is refused. While there is a shortage and no server has free
+// places, so is one whose answer is worth less than the work costs, with a probability
+// that grows from 0 with the ratio of the two: instances that know the same room then
+// refuse a part of the requests of a kind, and not all or none.
+func Decide(r Request, room Room) Decision {
+	if r.Concurrent && room.placesFree {
+		return Decision{}
+	}
+	if r.PredictedWait > r.TimeLeft {
+		return Decision{NoHope, r.retryAfter(r.PredictedWait - r.TimeLeft)}
+	}
+	price := room.level[rank(r.Priority)]
+	if price == 0 || room.placesFree {
+		return Decision{}
+	}
+	if r.Draw >= maxRefusal*(1-room.relativeWorth(r)/price) {
+		return Decision{}
+	}
+	reason := TooDear
+	if r.OverShare {
+		reason = OverShare
+	}
+	return Decision{reason, r.retryAfter(room.roomIn)}
+}
+
+// relativeWorth returns the value of the request's answer per second of work, relative to
+// the usual one of its priority, weighted by what puts one request before another.
+func (room Room) relativeWorth(r Request) float64 {
+	worth := 1.0
+	if usual := room.valueRate[rank(r.Priority)]; usual > 0 {
+		worth = min(maxRelativeRate, r.valueRate()/usual)
+	}
+	if r.PredictedWait > r.TimeToTarget {
+		worth *= lateValueShare
 	}
-	wait := min(r.PredictedWait-r.TimeLeft, time.Duration(maxRetryShare*float64(r.TimeLeft)))
-	wait = max(minRetryAfter, wait)
-	return true, wait/2 + time.Duration(r.Jitter*float64(wait)/2)
+	if room.shareExceeded && !r.OverShare {
+		worth *= shareFactor
+	}
+	if r.Returned {
+		worth *= returnedFactor
+	}
+	return worth
+}
+
+// valueRate returns the value of the request's answer per second of work.
+func (r *Request) valueRate() float64 { return r.Value / max(minWork, r.Work).Seconds() }
+
+// retryAfter returns the time after which there is room, bounded by what the caller
+// accepts, with jitter so that callers do not retry at the same moment.
+func (r *Request) retryAfter(room time.Duration) time.Duration {
+	wait := max(minRetryAfter, min(room, time.Duration(maxRetryShare*float64(r.TimeLeft))))
+	return wait/2 + time.Duration(r.Jitter*float64(wait)/2)
 }
