Customers' shares of a service over the fleet

Cause: nothing limited a customer, or a caller that repeats at once, over the fleet on the platform's path: each instance sees a few requests a second.

Change: share.Tracker keeps each customer's use of a service (work asked for, refused requests too). Instances report their 48 heaviest uses once a second along the paths of the backlog (member, reader, total); sums are cut to the heaviest again. A customer exceeds its share if its fraction of the whole is over twice the larger of its usual fraction and an equal part. In a shortage, its requests are refused before those of customers within their share. Gauge Shares.Exceeding.

--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/quarantine"
+	"github.com/kingcupyard/kingcupyard/internal/routing/share"
 )
 
 // peers exchanges short-lived state with the other instances in datagrams,
@@ -28,6 +29,8 @@
 	mu sync.Mutex
 	// lastReported is this instance's backlog as last sent to its reader.
 	lastReported dispatch.Backlog
+	// lastUses holds the customers' uses as last sent to it.
+	lastUses share.Uses
 }
 
 // message is one datagram. A field that is missing says nothing.
@@ -43,6 +46,11 @@
 	// and of the sender itself. Total is the backlog of the fleet.
 	Group dispatch.Backlog `json:",omitzero"`
 	Total dispatch.Backlog `json:",omitzero"`
+	// Uses, GroupUses and TotalUses are the same for the customers' uses of services, of
+	// which each holds the heaviest.
+	Uses      share.Uses `json:",omitzero"`
+	GroupUses share.Uses `json:",omitzero"`
+	TotalUses share.Uses `json:",omitzero"`
 	// Tally is the sender's tally, or a part of its entries.
 	Tally *tally.Tally `json:",omitzero"`
 	// Evidence is the sender's evidence on one rollout.
@@ -134,6 +142,7 @@
 		p.mu.Unlock()
 		g.dispatcher.UpdateTotal(m.From, m.Run, m.Sequence, rest, now)
 	}
+	p.handleUses(m, now)
 	if m.Notices != nil {
 		g.dispatcher.MergeNotices(m.Notices, now)
 	}
@@ -201,6 +210,9 @@
 				if sequence%noticeTicks == 0 {
 					p.shareNotices()
 				}
+				if sequence%useTicks == 0 {
+					p.shareUses(sequence)
+				}
 			})
 		}
 	}
--- a/internal/fleet/gateway/rooms.go
+++ b/internal/fleet/gateway/rooms.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kingcupyard/kingcupyard/internal/routing/share"
 	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 )
 
@@ -15,6 +16,9 @@
 // value of a second of work, 0 while there is room for all requests.
 var roomGauges = expvar.NewMap("Room")
 
+// shareGauges holds the number of customers that exceed their share of a service.
+var shareGauges = expvar.NewMap("Shares")
+
 // roomInterval is the time between updates of the gauges.
 const roomInterval = time.Second
 
@@ -24,12 +28,14 @@
 
 	mu      sync.Mutex
 	pricers map[string]*shedding.Pricer
+	// shares follows the customers' uses.
+	shares *share.Tracker
 	// short is the set of services with a shortage.
 	short map[string]bool
 }
 
 func newRooms(g *Gateway) *rooms {
-	return &rooms{gateway: g, pricers: map[string]*shedding.Pricer{}, short: map[string]bool{}}
+	return &rooms{gateway: g, pricers: map[string]*shedding.Pricer{}, shares: share.NewTracker(), short: map[string]bool{}}
 }
 
 // Pricer implements pipeline.Fleet.
@@ -45,7 +51,17 @@
 	return p
 }
 
-// run updates the gauges, and logs the begin and the end of each shortage, until the
+// ObserveUse implements pipeline.Fleet.
+func (g *Gateway) ObserveUse(service, customer string, work time.Duration) {
+	g.rooms.shares.Observe(service, customer, work, g.Clock.Now())
+}
+
+// ExceedsShare implements pipeline.Fleet.
+func (g *Gateway) ExceedsShare(service, customer string) (this, any bool) {
+	return g.rooms.shares.Exceeds(service, customer)
+}
+
+// run updates the gauges and the shares, and logs the begin and the end of each shortage, until the
 // context ends.
 func (r *rooms) run(ctx context.Context) {
 	for {
@@ -61,6 +77,10 @@
 // report is one round of run. It forgets services that are gone.
 func (r *rooms) report() {
 	now, table := r.gateway.Clock.Now(), r.gateway.Table()
+	r.shares.Refresh(now)
+	exceeding := new(expvar.Int)
+	exceeding.Set(int64(r.shares.Exceeding()))
+	shareGauges.Set("Exceeding", exceeding)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, p := range r.pricers {
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -105,6 +105,11 @@
 	IsQuarantined(parts []dispatch.PromptPart) bool
 	// Pricer returns the pricer of a service's room.
 	Pricer(service string) *shedding.Pricer
+	// ObserveUse takes in that a customer asks for the given work of a service.
+	ObserveUse(service, customer string, work time.Duration)
+	// ExceedsShare reports whether the customer uses more than its share of a service,
+	// and whether any customer does.
+	ExceedsShare(service, customer string) (this, any bool)
 	// LateAfter returns after which time without an event an answer is late.
 	LateAfter(predictedWait time.Duration) time.Duration
 	// ObserveAnswer records how a server answers. It is called once for an attempt, as
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -86,7 +86,10 @@
 		return nil
 	}
 	now, pricer, r := ex.clock.Now(), ex.fleet.Pricer(ex.service), ex.roomRequest(assigned)
-	room := pricer.Room(now)
+	ex.fleet.ObserveUse(ex.service, ex.call.Customer, r.Work)
+	overShare, exceeded := ex.fleet.ExceedsShare(ex.service, ex.call.Customer)
+	r.OverShare = overShare
+	room := pricer.Room(now).WithShares(exceeded)
 	pricer.ObserveRequest(r, ex.call.Route.LatencyTarget, now)
 	decision := shedding.Decide(r, room)
 	if decision.Reason == "" {
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex
 	answers []AnswerObservation
 	pricer  *shedding.Pricer
+	// exceeding is the customer that exceeds its share, if any.
+	exceeding string
 }
 
 // lateAfter is after which time a fakeFleet counts an answer as late.
@@ -57,6 +59,10 @@
 func (f *fakeFleet) StillEligible(w *dispatch.Assignment, _ PlacementRequest) bool {
 	return !f.ineligible[w.Server.ID]
 }
+func (f *fakeFleet) ObserveUse(string, string, time.Duration) {}
+func (f *fakeFleet) ExceedsShare(_, customer string) (this, any bool) {
+	return f.exceeding == customer, f.exceeding != ""
+}
 func (f *fakeFleet) RecordRequest(string) {}
 func (f *fakeFleet) Pricer(string) *shedding.Pricer {
 	f.mu.Lock()
