attempt: a server that cuts off an unread answer hasn't failed

Backend servers cut off an answer that stays unread for some seconds. If the caller was what kept it unread, the end counted as Reset or Truncated, and so against the server.

--- a/internal/relay/attempt/error.go
+++ b/internal/relay/attempt/error.go
@@ -38,8 +38,11 @@
 	// has not run, though the server does not state this.
 	UnprovenRefusal Kind = "UnprovenRefusal"
 	CallerGone      Kind = "CallerGone" // the sink returned an error
-	Cancelled       Kind = "Cancelled"
-	Deadline        Kind = "Deadline"
+	// CallerSlow means that the server cut off an answer that had long remained unread, as
+	// the sink was slow.
+	CallerSlow Kind = "CallerSlow"
+	Cancelled  Kind = "Cancelled"
+	Deadline   Kind = "Deadline"
 	// Misdirected means that the address now belongs to another server.
 	Misdirected Kind = "Misdirected"
 	// Unsigned means that an answer lacks the server's signature or has a
--- a/internal/relay/attempt/forward_test.go
+++ b/internal/relay/attempt/forward_test.go
@@ -590,3 +590,40 @@
 		})
 	}
 }
+
+// slowSink takes its time for each event.
+type slowSink struct {
+	recordingSink
+	clock *clockwork.FakeClock
+	pause time.Duration
+}
+
+func (s *slowSink) Event(number int, raw []byte) error {
+	s.clock.Advance(s.pause)
+	return s.recordingSink.Event(number, raw)
+}
+
+// A server that cuts off an answer which has long remained unread hasn't failed.
+func TestUnreadAnswerIsCutOff(t *testing.T) {
+	for _, c := range []struct {
+		end   string
+		pause time.Duration
+		want  Kind
+	}{
+		{"close", maxUnread, CallerSlow}, {"close", maxUnread / 10, Truncated}, {"reset", maxUnread, CallerSlow},
+	} {
+		is := is.New(t)
+		clock := clockwork.NewFakeClock()
+		address := scriptedServer(t, []string{`> HTTP/1.1 200 OK\r\nId: r1\r\nSealed: 1\r\nTransfer-Encoding: chunked\r\n\r\ne\r\nid: 1\ndata: a\n\r\n1\r\n\n\r\n`, c.end})
+		_, err := New(WithClock(clock)).Forward(context.Background(), Target{Server: "s", Address: address}, ForwardRequest{
+			RequestID: "r1", Method: "POST", URI: "/", Host: "h", Dialect: scriptedDialect{}, Stream: true,
+		}, &slowSink{clock: clock, pause: c.pause})
+		var e *Error
+		is.True(errors.As(err, &e))
+		if c.end == "reset" && e.LastDelivered == 0 {
+			continue // the reset overtook the event
+		}
+		is.Equal(e.Kind, c.want)
+		is.Equal(e.LastDelivered, 1)
+	}
+}
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -285,7 +285,7 @@
 // assignmentResult returns what a failed attempt says about its server.
 func assignmentResult(e *attempt.Error) dispatch.Result {
 	switch e.Kind {
-	case attempt.NotStarted, attempt.Cancelled, attempt.Deadline, attempt.CallerGone, attempt.Unwanted, attempt.Misdirected, attempt.AnswerTooLarge, attempt.OutOfMemory:
+	case attempt.NotStarted, attempt.Cancelled, attempt.Deadline, attempt.CallerGone, attempt.CallerSlow, attempt.Unwanted, attempt.Misdirected, attempt.AnswerTooLarge, attempt.OutOfMemory:
 		return dispatch.Inconclusive
 	case attempt.Refused503:
 		return dispatch.Inconclusive
