One account of the bytes held; connections that wait give way

relay/memory: parts of one budget, 0.4 of the memory limit, for requests and answers. relay/connection: a listener whose connections reserve memory for large heads before they are parsed, bound each write by progress, and give way to new connections and to requests that lack memory if their clients make no progress; the framing guard moves there from platform/ and follows bodies, so that a body with lines like those of a head isn't taken for one. platform/ reserves bodies before they are read or grown, and refuses with 503 NoMemory.

--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -74,7 +74,6 @@
 		NewHandler: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
 			return &platform.Handler{Admission: a, Forwarder: f, Clock: clock, Log: log}
 		},
-		WrapListener: platform.WrapListener, ConnContext: platform.ConnContext, ReadyPath: platform.ReadyPath,
-		MetricsAddress: net.JoinHostPort(settings.Address, metricsPort), Clock: clock, Log: log,
+		ReadyPath: platform.ReadyPath, MetricsAddress: net.JoinHostPort(settings.Address, metricsPort), Clock: clock, Log: log,
 	})
 }
--- a/internal/fleet/gateway/callers.go
+++ b/internal/fleet/gateway/callers.go
@@ -9,17 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
-)
-
-// callerConnectionShare is the fraction of the file descriptors that callers'
-// connections may take; the rest is for backend servers, the store and other
-// instances.
-const callerConnectionShare = 0.5
 
-// maxCallerConnections returns the limit on callers' open connections.
-func (g *Gateway) maxCallerConnections() int {
-	return max(1, int(callerConnectionShare*float64(g.Settings.MaxFileDescriptors)))
-}
+	"github.com/kingcupyard/kingcupyard/internal/relay/connection"
+)
 
 // Limits on callers' connections. Of the header limits here and in the routing
 // table the smaller one applies; a timeout in the routing table replaces the
@@ -74,16 +66,14 @@
 
 // connContext adds the connection to the context of its requests.
 func (c *callerTimeouts) connContext(ctx context.Context, conn net.Conn) context.Context {
-	if c.gateway.ConnContext != nil {
-		ctx = c.gateway.ConnContext(ctx, conn)
-	}
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(connection.NewContext(ctx, conn), connKey{}, conn)
 }
 
 // trackState is called when a connection changes its state. A connection is
 // idle until the first byte of a request, which starts the header timeout.
 func (c *callerTimeouts) trackState(conn net.Conn, state http.ConnState) {
 	header, idle := c.timeouts()
+	connection.TrackState(conn, state)
 	switch state {
 	case http.StateNew, http.StateIdle:
 		c.startTimer(conn, idle)
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -14,13 +14,12 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
-	"github.com/kingcupyard/kingcupyard/internal/relay/memory"
+	"github.com/kingcupyard/kingcupyard/internal/relay/connection"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -93,10 +92,6 @@
 	Decode func(follower.Item) follower.Change
 	// NewHandler returns the HTTP handler for callers.
 	NewHandler func(a Admission, f *pipeline.Forwarder) http.Handler
-	// WrapListener wraps the listener for callers and marks its connections.
-	// ConnContext, which may be nil, adds to their contexts.
-	WrapListener func(net.Listener) net.Listener
-	ConnContext  func(context.Context, net.Conn) context.Context
 	// ReadyPath is the URL path of the readiness check.
 	ReadyPath string
 	// MetricsAddress is the address at which counters and histograms are
@@ -122,8 +117,8 @@
 	crashes    *crashes
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
-	// answerMemory is what backend servers' answers may take.
-	answerMemory *memory.Budget
+	// memory is what connections, requests and answers may take together.
+	memory *callMemory
 
 	// latestSettings holds the settings as last reloaded.
 	latestSettings atomic.Pointer[Settings]
@@ -170,9 +165,6 @@
 	// as the Go runtime's soft limit. The rest covers stacks, sockets and memory
 	// that the runtime has not yet returned.
 	memoryLimitShare = 0.6
-	// answerMemoryShare is the fraction of the process's memory limit that backend servers'
-	// answers may take.
-	answerMemoryShare = 0.15
 	// confirmedShare is the fraction of MaxRevokeDelay for which a confirmation
 	// of the routing table is valid. Its age counts from before it was requested,
 	// and a request is sent before it is checked, so that a small margin is
@@ -196,7 +188,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, LocalRoundTrip: localRoundTrip, RemoteRoundTrip: remoteRoundTrip,
 		CrossDataCentreCost: crossDataCentreCost, FailureCost: failureCost, ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
 	})
-	g.answerMemory = memory.New(int64(answerMemoryShare * float64(s.MemoryBytes)))
+	g.memory = newCallMemory(s)
 	g.client = attempt.New(attempt.WithClock(deps.Clock), attempt.WithPoolLimits(maxIdlePerServer, maxIdleTime, maxConnectionAge))
 	g.rollouts = newRollouts(g)
 	g.membership = &membership{gateway: g}
@@ -206,7 +198,7 @@
 	g.runID = deps.Clock.Now().UnixNano()
 	g.billing = &billing{gateway: g, counter: tally.NewCounter(s.Instance, g.runID), copies: tally.NewCopies(), written: map[string]tally.WriteMark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.client, deps.Codec, deps.Codec, pipeline.WithForwardClock(deps.Clock), pipeline.WithForwardLogger(deps.Log),
-		pipeline.WithAnswerMemory(g.answerMemory))
+		pipeline.WithAnswerMemory(g.memory.answers))
 	return g
 }
 
@@ -261,18 +253,18 @@
 	group.Go(g.peers.receive)
 	g.publishGauges()
 	if g.MetricsAddress != "" {
-		metrics := &http.Server{Addr: g.MetricsAddress, Handler: expvar.Handler(), ReadHeaderTimeout: time.Second}
+		metrics := newInternalServer(expvar.Handler())
 		go g.serveMetrics(metrics)
 		defer metrics.Close()
 	}
-	readiness := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: time.Second}
-	group.Go(func() { g.serve(readiness, readyListener) })
-	peerServer := &http.Server{Handler: g.feeds.handler(), ReadHeaderTimeout: time.Second}
-	group.Go(func() { g.serve(peerServer, peerListener) })
+	readiness := newInternalServer(g.readinessHandler())
+	group.Go(func() { g.serve(readiness, g.bound(readyListener, maxReadyConnections)) })
+	peerServer := newInternalServer(g.feeds.handler())
+	group.Go(func() { g.serve(peerServer, g.bound(peerListener, g.maxPeerConnections())) })
 	callerServer := g.newCallerServer()
-	group.Go(func() {
-		g.serve(callerServer, g.WrapListener(netutil.LimitListener(callerListener, g.maxCallerConnections())))
-	})
+	callers := g.bound(callerListener, maxCallerConnections(g.Settings), connection.WithMemory(g.memory.requests))
+	g.publishConnections(callers)
+	group.Go(func() { g.serve(callerServer, callers) })
 	<-ctx.Done()
 	g.stop(callerServer)
 	cancel()
@@ -288,8 +280,12 @@
 // serveMetrics serves the metrics. A failure is only logged, as the instance
 // works without them.
 func (g *Gateway) serveMetrics(s *http.Server) {
-	if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		g.Log.Warn("MetricsNotServed", zap.String("Address", s.Addr), zap.Error(err))
+	l, err := net.Listen("tcp", g.MetricsAddress)
+	if err == nil {
+		err = s.Serve(g.bound(l, maxMetricsConnections))
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.Log.Warn("MetricsNotServed", zap.String("Address", g.MetricsAddress), zap.Error(err))
 	}
 }
 
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -16,14 +16,18 @@
 	latencies = newHistograms("Latency")
 	// viewAges holds the age of what this instance knows, in milliseconds.
 	viewAges = expvar.NewMap("Ages")
-	// memoryUse holds the bytes that are reserved for calls in progress.
+	// memoryUse holds the bytes that are reserved for connections and calls in progress, and
+	// the callers' open connections.
 	memoryUse = expvar.NewMap("Memory")
 )
 
 // publishGauges publishes the memory that is reserved and the ages of a gateway's view. An
 // age is -1 if there is nothing yet.
 func (g *Gateway) publishGauges() {
-	memoryUse.Set("Answers", expvar.Func(func() any { return g.answerMemory.Used() }))
+	memoryUse.Set("Limit", expvar.Func(func() any { return g.memory.whole.Limit() }))
+	memoryUse.Set("Reserved", expvar.Func(func() any { return g.memory.whole.Used() }))
+	memoryUse.Set("Requests", expvar.Func(func() any { return g.memory.requests.Used() }))
+	memoryUse.Set("Answers", expvar.Func(func() any { return g.memory.answers.Used() }))
 	gauge := func(name string, age func() (time.Duration, bool)) {
 		viewAges.Set(name, expvar.Func(func() any {
 			if d, ok := age(); ok {
--- a/internal/relay/call/call.go
+++ b/internal/relay/call/call.go
@@ -102,6 +102,7 @@
 	ReasonOverloaded              Reason = "Overloaded"
 	ReasonCustomerShare           Reason = "CustomerShare"
 	ReasonNoServer                Reason = "NoServer"
+	ReasonNoMemory                Reason = "NoMemory"
 	ReasonColdLimit               Reason = "ColdLimit"
 	ReasonDeadline                Reason = "Deadline"
 	ReasonNotReady                Reason = "NotReady"
