Shares of cold servers hold while instances know different members

Cause: shares of a cold server's rate were divided among the members that an instance knew at the moment, and what it had sent was counted in its memory only. Limits that servers name and the base share of retries had the same cause.

Change: fleet/tenure. An instance uses a share only while its view of the announcements is known to be complete as of 0.8 of the time to drain, once its own announcement has been seen for that long and the window, and those that have gone count for as long. The follower says how old its view is, feeds pass it on. A request counts when it is sent, and the share is checked again right before. A new process has no share of BaseRetries within a window.

--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -139,6 +139,7 @@
 // up to the store's revision, the table's among them. The revision was requested at
 // requestedAt on the boot clock. It reports whether the table is confirmed.
 func (f *Follower) confirmUnchanged(revision int64, requestedAt time.Duration) bool {
+	f.recordView(revision, requestedAt)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordContact()
@@ -153,6 +154,7 @@
 // requested at requestedAt on the boot clock. If the store's revision is newer
 // than the follower's, the watch gets MaxWatchLag to catch up.
 func (f *Follower) applyConfirmation(item Item, revision int64, requestedAt time.Duration) {
+	f.recordView(revision, requestedAt)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordContact()
@@ -194,6 +196,27 @@
 	}
 }
 
+// recordView records that the View is complete as of a time on the boot clock, if all
+// changes up to a revision are applied. The store's revision was no higher at that time.
+func (f *Follower) recordView(revision int64, at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= 0 || f.revision < revision {
+		return
+	}
+	if !f.viewed || at > f.viewedAt {
+		f.viewedAt, f.viewed = at, true
+	}
+}
+
+// ViewAge returns the time since the View was last known to hold all changes of the store.
+// It reports false if it never was.
+func (f *Follower) ViewAge() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bootClock.Elapsed() - f.viewedAt, f.viewed
+}
+
 // ConfirmationAge returns the time since the routing table was last confirmed to
 // be the store's current one. It reports false if it never was.
 func (f *Follower) ConfirmationAge() (time.Duration, bool) {
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -33,6 +33,9 @@
 	// confirmation was when the instance answered.
 	Table int64
 	Age   time.Duration
+	// ViewAge is how old the sending instance's state was when it answered; 0 if it
+	// doesn't know. Instances of earlier versions leave it out.
+	ViewAge time.Duration `json:",omitzero"`
 	// TableDiff is the newest routing table if it is too large for Items.
 	TableDiff *TableDiff `json:",omitzero"`
 }
@@ -259,7 +262,8 @@
 // context's.
 func (f *Follower) Next(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	timer := f.clock.After(wait)
-	for {
+	for waited := false; ; {
+		viewedAt := f.lastView()
 		b, changed := f.history.since(after.Revision)
 		if b.Revision < 0 {
 			return Batch{}, ErrNotSynced
@@ -272,21 +276,34 @@
 			f.log.Info("TableNotCompressed", zap.Error(err)) // followers read it from the store
 		}
 		b.TableDiff = diff
-		if len(b.Items) > 0 || b.Whole || diff != nil {
+		if len(b.Items) > 0 || b.Whole || diff != nil || waited {
 			f.addConfirmation(&b)
+			if viewedAt != nil {
+				b.ViewAge = max(1, f.bootClock.Elapsed()-*viewedAt)
+			}
 			return b, nil
 		}
 		select {
 		case <-changed:
 		case <-timer:
-			f.addConfirmation(&b)
-			return b, nil
+			waited = true
 		case <-ctx.Done():
 			return Batch{}, ctx.Err()
 		}
 	}
 }
 
+// lastView returns the time on the boot clock as of which the View is complete, or nil.
+func (f *Follower) lastView() *time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.viewed {
+		return nil
+	}
+	at := f.viewedAt
+	return &at
+}
+
 // addConfirmation sets the batch's Table and Age to the routing table that this
 // instance has confirmed.
 func (f *Follower) addConfirmation(b *Batch) {
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -120,6 +120,10 @@
 	// table's entry was requested. It is valid if confirmed is set.
 	confirmedAt time.Duration
 	confirmed   bool
+	// viewedAt is the latest time on the boot clock for which all changes that the store had
+	// made by then are known to be applied. It is valid if viewed is set.
+	viewedAt time.Duration
+	viewed   bool
 	// tableSoughtAt is when the last read was requested that was answered and would have
 	// brought a new table.
 	tableSoughtAt time.Time
@@ -296,6 +300,7 @@
 		if err == nil {
 			f.recordAnswer()
 			f.applyBatch(Batch{Items: items, Revision: at, Whole: true}, true)
+			f.recordView(at, requestedAt)
 			if withTable {
 				f.recordTableRead(at, requestedAt)
 				f.recordTableSought(soughtAt)
@@ -386,6 +391,9 @@
 	}
 	f.expandTable(&batch)
 	f.applyBatch(batch, batch.Table > 0 && batch.Age < f.settings.MaxFeedAge)
+	if batch.ViewAge > 0 {
+		f.recordView(batch.Revision, requestedAt-batch.ViewAge)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordFeedTable(batch)
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -238,6 +238,46 @@
 	is.Equal(age, 31*time.Second)
 }
 
+// The view's age counts from before a read was requested that shows no later change than the
+// view holds, also over a feed. A read that shows a later change says nothing.
+func TestViewAge(t *testing.T) {
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	revision := int64(5)
+	source.store = &fakeStore{
+		load:  func() ([]Item, int64, error) { return []Item{tableItem(1, 1)}, revision, nil },
+		watch: func(int64) ([]Item, int64, error) { return nil, revision, nil },
+	}
+	age := func(f *testFollower, now time.Duration) time.Duration {
+		f.bootClock.now = now
+		age, known := f.ViewAge()
+		is.True(known)
+		return age
+	}
+	_, known := source.ViewAge()
+	is.True(!known)
+	source.bootClock.now = 10 * time.Second
+	is.NoErr(source.readStore(t.Context())) // a load
+	is.Equal(age(source, 11*time.Second), time.Second)
+	is.NoErr(source.readStore(t.Context())) // a watch
+	is.Equal(age(source, 12*time.Second), time.Second)
+	source.applyConfirmation(tableItem(1, 1), 5, 12*time.Second)
+	is.Equal(age(source, 13*time.Second), time.Second)
+	source.applyConfirmation(tableItem(1, 1), 6, 13*time.Second) // the view lacks a change
+	is.Equal(age(source, 14*time.Second), 2*time.Second)
+	source.applyConfirmation(Item{}, 0, 14*time.Second)
+	is.Equal(age(source, 14*time.Second), 2*time.Second)
+
+	f.bootClock.now = 100 * time.Second
+	f.readFeed(t.Context(), followerFeed{source})
+	is.Equal(age(f, 101*time.Second), 3*time.Second)
+	revision = 6
+	is.NoErr(source.readStore(t.Context()))
+	f.bootClock.now = 102 * time.Second
+	f.readFeed(t.Context(), followerFeed{source})
+	is.True(age(f, 102*time.Second) <= 1)
+}
+
 // followerFeed is the feed of another follower. It doesn't wait for changes.
 type followerFeed struct{ *testFollower }
 
--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -13,9 +13,11 @@
 // request.
 func (g *Gateway) dispatchQuery(req pipeline.PlacementRequest) *dispatch.Query {
 	service := g.Table().Services[req.Service]
+	now := g.Clock.Now()
+	knownFor := g.knownFor(now)
 	return &dispatch.Query{
 		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, ExcludeServers: req.ExcludeServers,
-		Versions: g.rollouts.allowedVersions(req.Service, req.Session), ClosedDataCentres: g.fleet().ClosedDataCentres, Members: g.instanceNames(),
+		Versions: g.rollouts.allowedVersions(req.Service, req.Session), ClosedDataCentres: g.fleet().ClosedDataCentres, Members: g.members(now), KnownFor: knownFor,
 		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
 	}
 }
@@ -36,7 +38,8 @@
 
 // StillEligible implements pipeline.Fleet.
 func (g *Gateway) StillEligible(assigned *dispatch.Assignment, req pipeline.PlacementRequest) bool {
-	return assigned.StillEligible(g.follower.View.Servers.Get(), g.rollouts.allowedVersions(req.Service, req.Session), g.fleet().ClosedDataCentres, g.Clock.Now())
+	servers, q, now := g.follower.View.Servers.Get(), g.dispatchQuery(req), g.Clock.Now()
+	return assigned.StillEligible(servers, q.Versions, q.ClosedDataCentres, now) && assigned.Send(servers, q, now)
 }
 
 // retryBudget returns the retry budget of a service.
@@ -64,7 +67,9 @@
 	if urgent {
 		reserve = 0
 	}
-	return g.retryBudget(service).TryRetry(g.Clock.Now(), len(g.instanceNames()), reserve)
+	now := g.Clock.Now()
+	g.index()
+	return g.retryBudget(service).TryRetry(now, g.tenure.LastingShare(g.currentSettings().RetryWindow, now), reserve)
 }
 
 // ObserveCall implements pipeline.Fleet.
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/tenure"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/memory"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
@@ -120,6 +121,7 @@
 	feeds      *feeds
 	billing    *billing
 	crashes    *crashes
+	tenure     *tenure.Tracker
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
 	// answerMemory is what backend servers' answers may take.
@@ -203,6 +205,7 @@
 	g.absences = newAbsences(g)
 	g.peers = &peers{gateway: g}
 	g.crashes = newCrashes(g)
+	g.tenure = tenure.New(s.Instance, maxViewAge(s))
 	g.runID = deps.Clock.Now().UnixNano()
 	g.billing = &billing{gateway: g, counter: tally.NewCounter(s.Instance, g.runID), copies: tally.NewCopies(), written: map[string]tally.WriteMark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.client, deps.Codec, deps.Codec, pipeline.WithForwardClock(deps.Clock), pipeline.WithForwardLogger(deps.Log),
@@ -343,6 +346,7 @@
 		case <-servers:
 			g.dispatcher.PruneServers(g.follower.View.Servers.Get())
 		case <-fleet:
+			g.index() // notes who has come and gone
 		case <-table:
 			g.mu.Lock()
 			g.tableChangedAt = g.Clock.Now()
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -34,6 +34,7 @@
 	}
 	gauge("Confirmation", g.follower.ConfirmationAge)
 	gauge("StoreContact", g.follower.ContactAge)
+	gauge("View", g.follower.ViewAge)
 	gauge("Table", func() (time.Duration, bool) { return g.Clock.Since(g.lastTableChange()), g.Table() != nil })
 }
 
--- a/internal/fleet/gateway/times.go
+++ b/internal/fleet/gateway/times.go
@@ -17,6 +17,10 @@
 	feedWaitShare         = 0.125
 	maxFeedAgeShare       = 0.65
 	feedStallShare        = 0.125
+	// maxViewAgeShare is the age of the view from which on an instance uses no share of the
+	// limits of servers. It is longer than a confirmation gets in normal operation, and all
+	// instances wait for it before they use a share.
+	maxViewAgeShare = 0.8
 	// confirmationsPerRevokeDelay is the least number of confirmations within
 	// MaxRevokeDelay.
 	confirmationsPerRevokeDelay = 4
@@ -33,6 +37,11 @@
 	return max(minFeedStallTimeout, time.Duration(feedStallShare*float64(min(s.DrainDuration, s.MaxApplyDelay))))
 }
 
+// maxViewAge returns the age of the view from which on an instance uses no share of a limit.
+func maxViewAge(s Settings) time.Duration {
+	return time.Duration(maxViewAgeShare * float64(min(s.DrainDuration, s.MaxApplyDelay)))
+}
+
 // followerSettings derives the follower's intervals from the platform's bounds.
 func followerSettings(s Settings) follower.Settings {
 	f := follower.DefaultSettings
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -92,7 +92,8 @@
 	// Predict returns the wait and load that an attempt would face, without placing
 	// it.
 	Predict(req PlacementRequest) (dispatch.Prediction, error)
-	// StillEligible reports whether the assigned server may still take the request.
+	// StillEligible reports whether the assigned server may still take the request. If so,
+	// the request counts as sent.
 	StillEligible(assigned *dispatch.Assignment, req PlacementRequest) bool
 	// RecordRequest counts a request of a service towards its retry budget.
 	RecordRequest(service string)
--- a/internal/routing/allowance/allowance.go
+++ b/internal/routing/allowance/allowance.go
@@ -2,7 +2,8 @@
 // any window, the retries of a service stay within Ratio times its requests plus
 // BaseRetries. Each instance enforces its own part of the limit, Ratio times its
 // own requests plus an equal part of BaseRetries, so the total holds without
-// communication between instances.
+// communication between instances. A new process doesn't know what its predecessor has spent,
+// so that it has no part of BaseRetries for a window.
 //
 // It is designed for the failure of many servers at once, when every request
 // would otherwise be sent to each of them in turn.
@@ -85,16 +86,16 @@
 }
 
 // TryRetry takes one retry from the budget and reports whether one was left.
-// instances is the number of instances that share BaseRetries. reserve is the
+// baseShare is this instance's share of BaseRetries, 0 to 1. reserve is the
 // fraction of the limit, 0 to 1, that must remain afterwards. A retry that only improves
 // the answer leaves such a reserve for retries after failures.
-func (b *RetryBudget) TryRetry(now time.Time, instances int, reserve float64) bool {
+func (b *RetryBudget) TryRetry(now time.Time, baseShare, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	bucket := b.bucketAt(now)
 	b.requests.advance(bucket)
 	b.retries.advance(bucket)
-	limit := safetyFactor * (b.settings.Ratio*float64(b.requests.total()) + b.settings.BaseRetries/float64(max(1, instances)))
+	limit := safetyFactor * (b.settings.Ratio*float64(b.requests.total()) + b.settings.BaseRetries*baseShare)
 	if float64(b.retries.total()+1) > limit*(1-reserve) {
 		return false
 	}
--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -211,6 +211,9 @@
 	if c.query.ColdRate <= 0 {
 		return true
 	}
+	if c.query.KnownFor < coldWindow {
+		return false
+	}
 	bounds := c.cold.Load()
 	limit := int(coldQuotaShare * (c.query.ColdRate*bounds.overrun + bounds.slack))
 	return st.sends.recent(c.now, coldWindow) < Quota(s.ID, c.settings.Instance, c.query.Members, limit)
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -49,12 +49,11 @@
 }
 
 // coldQuotaShare is the fraction of the limit on a cold server that is divided
-// among the instances. The rest is headroom for instances that disagree on the
-// membership.
+// among the instances. The rest is headroom for requests that are delayed on the way.
 const coldQuotaShare = 0.75
 
 // connectionQuotaShare is the fraction of a server's connections that is divided
-// among the instances, with the rest as headroom for the same reason.
+// among the instances. The rest is headroom for instances that disagree on the membership.
 const connectionQuotaShare = 0.8
 
 // VersionConstraint restricts the versions that a request may run on.
@@ -83,8 +82,12 @@
 	// ClosedDataCentres is the set of data centres taken out of service.
 	ClosedDataCentres map[string]bool
 	ExcludeServers    []string
-	// Members lists the names of all instances, including this one.
+	// Members lists the names of the instances among which the limits of servers are
+	// divided, including this one.
 	Members []string
+	// KnownFor is for how long all other instances have known this one. Limits on the
+	// requests of a window are divided so that this instance has no share before.
+	KnownFor time.Duration
 	// MaxConnections limits the concurrent requests to one server, over all
 	// instances; 0 means no limit. ColdRate is the number of requests per second
 	// that a server can take during cold start; 0 means no limit.
@@ -166,6 +169,7 @@
 	uncachedTokens int
 	serverIdle     bool
 	firstEventSeen bool
+	sent           bool
 }
 
 // candidate is a server that may take the attempt.
@@ -221,7 +225,7 @@
 	st.inFlight++
 	st.ownBacklog += a.work
 	st.awaitingFirstEvent[a] = c.now
-	st.sends.add(c.now)
+	st.sends.planned++
 	return true
 }
 
@@ -275,6 +279,32 @@
 		!closed[s.DataCentre] && versions.Allows(s.Version) && !a.isUnwanted(now)
 }
 
+// Send counts the attempt as sent now, right before it is. It reports false if the server's
+// limit or cold start doesn't allow it any more: since the placement the server may have
+// turned cold, or this instance may have lost its share. l is the newest listing and q as for
+// Place.
+func (a *Assignment) Send(l *backend.Listing, q *Query, now time.Time) bool {
+	s := l.ByID[a.Server.ID]
+	c := choice{Dispatcher: a.dispatcher, query: q, now: now}
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	a.unplan()
+	if s == nil || s.IsCold(now) && !c.withinColdQuota(s, a.state) || !c.withinLimit(s, a.state) {
+		return false
+	}
+	a.state.sends.add(now)
+	return true
+}
+
+// unplan ends the time for which the attempt counts although it hasn't been sent. The caller
+// holds the state's lock.
+func (a *Assignment) unplan() {
+	if !a.sent {
+		a.sent = true
+		a.state.sends.planned--
+	}
+}
+
 // isUnwanted reports whether the server has said since the placement that it doesn't want
 // the attempt.
 func (a *Assignment) isUnwanted(now time.Time) bool {
@@ -329,6 +359,7 @@
 	a.state.mu.Lock()
 	defer a.state.mu.Unlock()
 	a.state.inFlight--
+	a.unplan()
 	if !a.firstEventSeen {
 		a.firstEventSeen = true
 		a.state.ownBacklog -= a.work
--- a/internal/routing/dispatch/notice.go
+++ b/internal/routing/dispatch/notice.go
@@ -13,8 +13,10 @@
 const (
 	// limitWindow is the time over which requests to a server with a limit are counted:
 	// the 4 s over which servers count them, plus the amount by which the delays of two
-	// requests from one instance can differ on the way.
+	// requests can differ on the way.
 	limitWindow = 4150 * time.Millisecond
+	// ShareWindow is the longest window over which a server's limit counts requests.
+	ShareWindow = limitWindow
 	// limitPeriod is the time for which the requests that a limit allows are divided
 	// among the instances. It is long enough for a limit below one request a second.
 	limitPeriod = 4 * time.Second
@@ -169,10 +171,16 @@
 	if !notice.Limited {
 		return true
 	}
+	if q.KnownFor < limitWindow {
+		return false
+	}
 	allowed := max(1, int(min(notice.Limit*limitPeriod.Seconds(), math.MaxInt32)))
 	if quota := Quota(s.ID, c.settings.Instance, q.Members, allowed); quota > 0 {
 		return st.sends.recent(now, limitWindow) < quota
 	}
+	if st.sends.planned > 0 {
+		return false
+	}
 	probeAfter := limitProbeDelay + time.Duration(rank(s.ID, c.settings.Instance, q.Members))*limitProbeGap
 	return now.Sub(st.notice.heardAt) >= probeAfter && now.Sub(st.sends.last) >= probeAfter
 }
--- a/internal/routing/dispatch/notice_test.go
+++ b/internal/routing/dispatch/notice_test.go
@@ -31,6 +31,7 @@
 	placed := 0
 	for range n {
 		if a, err := w.instances[instance].Place(w.listing(), q, now); err == nil {
+			w.is.True(a.Send(w.listing(), q, now))
 			a.Done(Succeeded, now)
 			placed++
 		}
@@ -138,6 +139,7 @@
 					q.Members = members
 					for _, m := range members {
 						if a, err := dispatchers[m].Place(l, q, now); err == nil {
+							is.True(a.Send(l, q, now))
 							sent = append(sent, now)
 							a.Done(Succeeded, now)
 						}
