--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/tenure"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/connection"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
@@ -116,6 +117,7 @@
 	billing    *billing
 	crashes    *crashes
 	rooms      *rooms
+	tenure     *tenure.Tracker
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
 	// memory is what connections, requests and answers may take together.
@@ -197,6 +199,7 @@
 	g.peers = &peers{gateway: g}
 	g.crashes = newCrashes(g)
 	g.rooms = newRooms(g)
+	g.tenure = tenure.New(s.Instance, maxViewAge(s))
 	g.runID = deps.Clock.Now().UnixNano()
 	g.billing = &billing{gateway: g, counter: tally.NewCounter(s.Instance, g.runID), copies: tally.NewCopies(), written: map[string]tally.WriteMark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.client, deps.Codec, deps.Codec, pipeline.WithForwardClock(deps.Clock), pipeline.WithForwardLogger(deps.Log),
@@ -343,6 +346,7 @@
 		case <-servers:
 			g.dispatcher.PruneServers(g.follower.View.Servers.Get())
 		case <-fleet:
+			g.index() // notes who has come and gone
 		case <-table:
 			g.mu.Lock()
 			g.tableChangedAt = g.Clock.Now()
