dispatch: a query may name the servers that are used

A trial of a new version is to give one of its servers the usual load of a server, so its requests must go to few of them. The named servers are looked up by their hash, so that the cost doesn't grow with the service.

Test: TestOnlyServers, in a service in which all servers are considered and in a large one.

--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 )
 
@@ -58,11 +60,13 @@
 		return choice{}, &NoServerError{Service: q.Service}
 	}
 	c := d.newChoice(p, q, prompt, now)
-	sampled := len(p.entries) > d.scanLimit
+	sampled := len(q.OnlyServers) == 0 && len(p.entries) > d.scanLimit
 	if sampled {
 		c.considerSample(p)
 	}
-	if c.candidates == 0 {
+	if len(q.OnlyServers) > 0 {
+		c.considerOnly(p)
+	} else if c.candidates == 0 {
 		sampled = false
 		c.none = &NoServerError{Service: q.Service, Listed: len(p.entries)}
 		c.considerAll(p)
@@ -96,6 +100,18 @@
 	c.consider(list)
 }
 
+// considerOnly considers the servers that the query names.
+func (c *choice) considerOnly(p *pool) {
+	var inline [maxScannedServers]*entry
+	list := inline[:0]
+	for _, id := range c.query.OnlyServers {
+		if e := p.byHash[xxhash.Sum64String(id)]; e != nil {
+			list = append(list, e)
+		}
+	}
+	c.consider(list)
+}
+
 // considerSample considers the servers that may have the prompt cached and random ones.
 func (c *choice) considerSample(p *pool) {
 	var inline [1 + maxHolders + localSample + remoteSample]*entry
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -83,6 +83,8 @@
 	// ClosedDataCentres is the set of data centres taken out of service.
 	ClosedDataCentres map[string]bool
 	ExcludeServers    []string
+	// OnlyServers holds the IDs of the servers that may be used, if not empty.
+	OnlyServers []string
 	// Members lists the names of all instances, including this one.
 	Members []string
 	// MaxConnections limits the concurrent requests to one server, over all
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -221,6 +221,28 @@
 	is.Equal(*none, NoServerError{Service: "assistant", Listed: 5, Draining: 1, Closed: 1, OtherVersion: 1, Excluded: 2})
 }
 
+// A query that names servers uses only these, also where few of many are considered.
+func TestOnlyServers(t *testing.T) {
+	for _, n := range []int{5, 3 * maxScannedServers} {
+		is := is.New(t)
+		d, l := New(testSettings("a")), listing(n, nil)
+		var q *Query
+		used := map[string]bool{}
+		for i := range 20 {
+			q = query(PromptPart{ID: fmt.Sprint(i), Tokens: 5000})
+			q.OnlyServers = []string{"s01", "s03", "gone"}
+			w, err := d.Place(l, q, epoch)
+			is.NoErr(err)
+			used[w.Server.ID] = true
+		}
+		is.Equal(used, map[string]bool{"s01": true, "s03": true})
+		q.ExcludeServers = []string{"s01", "s03"}
+		_, err := d.Place(l, q, epoch)
+		var none *NoServerError
+		is.True(errors.As(err, &none))
+	}
+}
+
 // StillEligible detects changes that happen between placing and sending.
 func TestCheckAfterChoice(t *testing.T) {
 	is := is.New(t)
