verdict: the share of a new version spends the exposure limit

- The requests that the fleet sends to each version are counted as they are sent, go to the driver with the evidence, and stand in the progress record, so that neither a restart nor a new driver loses them.
- The share rises to 0.4 and 1 only when 0.75 of the limit bears all requests that come until the deadline, at the higher of the mean and the recent rate.
From 0.89 of the duration on it rises to 0.4 in any case, at 0.93 the roll-out is complete.
- The trial before that has what the switch leaves of the limit.
As few servers of the new version take part as get the usual load of a server by that, the same at all instances.
- Failures are compared by the exact binomial test: 3 in 100 are found in some hundred answers if the old version has none.
A version that looks worse keeps its share; at 0.89 one that is worse by a chance of 1 in 400 is reverted.
Slow answers are certain from 12 on, before 8.

--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -55,6 +55,9 @@
 		Share float64
 		// Elapsed is the time from the start of the rollout to this record.
 		Elapsed time.Duration
+		// SentOld and SentNew are the numbers of requests that the fleet had sent to other
+		// versions and to the target.
+		SentOld, SentNew int
 		// Revision is the store's revision of the record.
 		Revision int64
 		Ended    bool
--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -13,16 +13,22 @@
 // request.
 func (g *Gateway) dispatchQuery(req pipeline.PlacementRequest) *dispatch.Query {
 	service := g.Table().Services[req.Service]
+	versions := g.rollouts.allowedVersions(req.Service, req.Session)
 	return &dispatch.Query{
 		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, ExcludeServers: req.ExcludeServers,
-		Versions: g.rollouts.allowedVersions(req.Service, req.Session), ClosedDataCentres: g.fleet().ClosedDataCentres, Members: g.instanceNames(),
+		Versions: versions, OnlyServers: g.rollouts.trialServers(req.Service, versions), ClosedDataCentres: g.fleet().ClosedDataCentres, Members: g.instanceNames(),
 		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
 	}
 }
 
 // Place implements pipeline.Fleet.
 func (g *Gateway) Place(req pipeline.PlacementRequest) (*dispatch.Assignment, error) {
-	assigned, err := g.dispatcher.Place(g.follower.View.Servers.Get(), g.dispatchQuery(req), g.Clock.Now())
+	query := g.dispatchQuery(req)
+	assigned, err := g.dispatcher.Place(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	if err != nil && len(query.OnlyServers) > 0 {
+		query.OnlyServers = nil
+		assigned, err = g.dispatcher.Place(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	}
 	if err == nil {
 		g.rollouts.recordPlacement(req.Service, req.Session, assigned.Server.Version)
 	}
@@ -31,12 +37,22 @@
 
 // Predict implements pipeline.Fleet.
 func (g *Gateway) Predict(req pipeline.PlacementRequest) (dispatch.Prediction, error) {
-	return g.dispatcher.Predict(g.follower.View.Servers.Get(), g.dispatchQuery(req), g.Clock.Now())
+	query := g.dispatchQuery(req)
+	prediction, err := g.dispatcher.Predict(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	if err != nil && len(query.OnlyServers) > 0 {
+		query.OnlyServers = nil
+		prediction, err = g.dispatcher.Predict(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	}
+	return prediction, err
 }
 
 // StillEligible implements pipeline.Fleet.
 func (g *Gateway) StillEligible(assigned *dispatch.Assignment, req pipeline.PlacementRequest) bool {
-	return assigned.StillEligible(g.follower.View.Servers.Get(), g.rollouts.allowedVersions(req.Service, req.Session), g.fleet().ClosedDataCentres, g.Clock.Now())
+	if !assigned.StillEligible(g.follower.View.Servers.Get(), g.rollouts.allowedVersions(req.Service, req.Session), g.fleet().ClosedDataCentres, g.Clock.Now()) {
+		return false
+	}
+	g.rollouts.recordSent(req.Service, assigned.Server.Version)
+	return true
 }
 
 // retryBudget returns the retry budget of a service.
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -64,6 +64,8 @@
 	Service  string
 	Order    int64
 	Evidence verdict.Evidence
+	// Sent counts the requests that the sender sent.
+	Sent verdict.Traffic
 }
 
 // sessionMessage says on which version a session's request ran.
@@ -138,7 +140,7 @@
 		g.dispatcher.MergeNotices(m.Notices, now)
 	}
 	if m.Evidence != nil {
-		g.rollouts.storePeerEvidence(m.From, *m.Evidence)
+		g.rollouts.storePeerEvidence(senderRun{m.From, m.Run}, *m.Evidence)
 	}
 	if m.Tally != nil {
 		g.billing.copies.Merge(*m.Tally)
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +29,8 @@
 	// local holds this instance's state of the rollouts, by service.
 	local map[string]*localRollout
 	// peerEvidence holds, on the driver, the other instances' evidence by
-	// service and instance.
-	peerEvidence map[string]map[string]verdict.Evidence
+	// service and run of the instance.
+	peerEvidence map[string]map[senderRun]evidenceMessage
 	// pins holds the version that each session last ran on.
 	pins map[string]pin
 	// paces holds the usual pace of each service's models, from the versions that
@@ -44,6 +46,14 @@
 	duration      time.Duration
 	firstSeenAt   time.Time
 	evidence      verdict.Evidence
+	// sent counts the requests that this instance sent.
+	sent verdict.Traffic
+	// recordedSent is what the last progress record says of the fleet.
+	recordedSent verdict.Traffic
+	// trial holds the servers of the trial.
+	trial trial
+	// rate belongs to rollouts.run.
+	rate verdict.Rate
 	// startedAt is the earliest known time of the order: when this instance
 	// first saw it, or what the elapsed time in a progress record implies.
 	startedAt time.Time
@@ -61,6 +71,19 @@
 	ended bool
 }
 
+// trial holds the servers of a trial, chosen by a view of the fleet and a listing.
+type trial struct {
+	fleet   *follower.Fleet
+	listing *backend.Listing
+	servers []string
+}
+
+// senderRun is one run of another instance. A restarted one counts from zero.
+type senderRun struct {
+	instance string
+	run      int64
+}
+
 // pin is the version that a session's last request ran on.
 type pin struct {
 	version  string
@@ -115,7 +138,7 @@
 
 // newRollouts returns the rollouts of a gateway, without evidence or pins.
 func newRollouts(g *Gateway) *rollouts {
-	return &rollouts{gateway: g, local: map[string]*localRollout{}, peerEvidence: map[string]map[string]verdict.Evidence{}, pins: map[string]pin{}, paces: map[paceKey]*pace{}}
+	return &rollouts{gateway: g, local: map[string]*localRollout{}, peerEvidence: map[string]map[senderRun]evidenceMessage{}, pins: map[string]pin{}, paces: map[paceKey]*pace{}}
 }
 
 // allowedVersions returns the versions that a request of a session may run on.
@@ -147,8 +170,8 @@
 // usesNewVersion reports whether a session runs on the target of a rollout in
 // progress. Sessions are selected by the hash of their names, so that all
 // instances agree and a growing share moves no session back to the old version.
-// In the first half of the rollout, while the share is at most ExposureShare, a session
-// in progress stays on its version: the canary phase.
+// In the first half of the rollout a session in progress stays on its version: the canary
+// phase.
 func (r *rollouts) usesNewVersion(progress follower.RolloutProgress, service, session string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -159,7 +182,7 @@
 	if !isInShare(session, progress.Share) {
 		return false
 	}
-	if progress.Share > r.gateway.currentSettings().ExposureShare || 2*progress.Elapsed > ro.duration {
+	if !verdict.IsTrial(progress.Share) || verdict.IsSecondTrial(max(progress.Elapsed, r.gateway.Clock.Since(ro.startedAt)), ro.duration) {
 		return true
 	}
 	p, pinned := r.pins[session]
@@ -200,19 +223,87 @@
 	}
 }
 
+// recordSent counts a request that is sent to a version of a service.
+func (r *rollouts) recordSent(service, version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ro := r.local[service]
+	switch {
+	case ro == nil || ro.ended:
+		return
+	case version == ro.target:
+		ro.sent.New++
+	default:
+		ro.sent.Old++
+	}
+	ro.evidenceChanged = true
+}
+
+// trialServers returns the servers that the requests of a trial of the only version allowed
+// are sent to, and nil if there is no trial.
+func (r *rollouts) trialServers(service string, versions dispatch.VersionConstraint) []string {
+	if versions.Only == "" {
+		return nil
+	}
+	fleet, listing := r.gateway.follower.View.Fleet.Get(), r.gateway.follower.View.Servers.Get()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ro := r.local[service]
+	if ro == nil || ro.ended || fleet == nil || listing == nil {
+		return nil
+	}
+	if ro.trial.fleet != fleet || ro.trial.listing != listing {
+		ro.trial = trial{fleet, listing, chooseTrialServers(fleet, listing.ByService[service], fleet.Rollouts[service])}
+	}
+	return ro.trial.servers
+}
+
+// chooseTrialServers returns the IDs of the servers that take part in a trial, which all
+// instances choose alike, and nil if there is no trial.
+func chooseTrialServers(fleet *follower.Fleet, servers []*backend.Server, progress follower.RolloutProgress) []string {
+	if progress.State != follower.RolloutActive || !verdict.IsTrial(progress.Share) {
+		return nil
+	}
+	var ids []string
+	others := 0
+	for _, s := range servers {
+		switch {
+		case s.State != backend.Ready || fleet.ClosedDataCentres[s.DataCentre]:
+		case s.Version == progress.Target:
+			ids = append(ids, s.ID)
+		default:
+			others++
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return ids[:min(len(ids), verdict.TrialServers(progress.Share, others))]
+}
+
 // readyServers counts a service's servers of a version that accept requests.
 func (r *rollouts) readyServers(service, version string) int {
+	n, _ := r.countServers(service, version)
+	return n
+}
+
+// countServers counts a service's servers that accept requests, those of a version and the
+// others.
+func (r *rollouts) countServers(service, version string) (ofVersion, others int) {
 	listing := r.gateway.follower.View.Servers.Get()
 	if listing == nil {
-		return 0
+		return 0, 0
 	}
-	n := 0
 	for _, s := range listing.ByService[service] {
-		if s.Version == version && s.State == backend.Ready {
-			n++
+		switch {
+		case s.State != backend.Ready:
+		case s.Version == version:
+			ofVersion++
+		default:
+			others++
 		}
 	}
-	return n
+	return ofVersion, others
 }
 
 // observe adds an answer to the evidence on its service's rollout and to the usual pace.
@@ -304,6 +395,7 @@
 		return
 	}
 	ro.progressRevision = progress.Revision
+	ro.recordedSent = verdict.Traffic{Old: progress.SentOld, New: progress.SentNew}
 	if startedAt := now.Add(-progress.Elapsed); startedAt.Before(ro.startedAt) {
 		ro.startedAt = startedAt
 	}
@@ -348,18 +440,17 @@
 	if progress.Order != order.Revision {
 		progress = follower.RolloutProgress{}
 	}
-	evidence, startedAt, nextDecisionAt := r.totalEvidence(order.Service)
+	settings := g.currentSettings()
+	in, nextDecisionAt := r.decisionInput(order.Service)
 	if g.Clock.Now().Before(nextDecisionAt) {
 		return
 	}
-	elapsed := g.Clock.Since(startedAt)
-	decision := verdict.Decide(verdict.DecisionInput{
-		Elapsed: elapsed, Duration: order.Duration, MaxExposure: g.currentSettings().ExposureShare, Evidence: evidence,
-		Ready: r.readyServers(order.Service, order.Target), Share: progress.Share,
-	})
+	in.Duration, in.MaxExposure, in.BaseExposure, in.Share = order.Duration, settings.ExposureShare, settings.BaseExposure, progress.Share
+	in.Ready, in.OldServers = r.countServers(order.Service, order.Target)
+	decision := verdict.Decide(in)
 	next := follower.RolloutProgress{
 		Service: order.Service, Order: order.Revision, Target: order.Target, State: follower.RolloutActive, Share: decision.Share,
-		Elapsed: elapsed, Revision: revision,
+		Elapsed: in.Elapsed, SentOld: in.Sent.Old, SentNew: in.Sent.New, Revision: revision,
 	}
 	switch {
 	case decision.Revert:
@@ -371,7 +462,7 @@
 		return
 	}
 	recorded, err := g.Store.RecordProgress(ctx, next, fleet.Driver)
-	g.Log.Info("StageRecorded", zap.Bool("Done", recorded), zap.String("Stage", fmt.Sprintf("%+v", next)), zap.String("Evidence", fmt.Sprintf("%+v", evidence)), zap.Error(err))
+	g.Log.Info("StageRecorded", zap.Bool("Done", recorded), zap.String("Stage", fmt.Sprintf("%+v", next)), zap.String("Evidence", fmt.Sprintf("%+v", in.Evidence)), zap.Float64("PerSecond", in.PerSecond), zap.Error(err))
 	if err == nil {
 		r.delayNextDecision(order.Service)
 	}
@@ -393,18 +484,24 @@
 	r.local[service].nextDecisionAt = r.gateway.Clock.Now().Add(2 * rolloutInterval)
 }
 
-// totalEvidence returns the evidence of all instances on a service's rollout,
-// the time of its order and the time before which nothing is to be decided.
-func (r *rollouts) totalEvidence(service string) (evidence verdict.Evidence, startedAt, nextDecisionAt time.Time) {
+// decisionInput returns what all instances know of a service's rollout, and the time before
+// which nothing is to be decided.
+func (r *rollouts) decisionInput(service string) (in verdict.DecisionInput, nextDecisionAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.local[service]
-	total := verdict.Evidence{}
-	total.Add(ro.evidence)
-	for _, e := range r.peerEvidence[service] {
-		total.Add(e)
-	}
-	return total, ro.startedAt, ro.nextDecisionAt
+	in.Elapsed = r.gateway.Clock.Since(ro.startedAt)
+	in.Evidence, in.Sent = verdict.Evidence{}, ro.sent
+	in.Evidence.Add(ro.evidence)
+	for _, m := range r.peerEvidence[service] {
+		in.Evidence.Add(m.Evidence)
+		in.Sent.Add(m.Sent)
+	}
+	// A new driver doesn't know what instances sent that are gone.
+	in.Sent.Old, in.Sent.New = max(in.Sent.Old, ro.recordedSent.Old), max(in.Sent.New, ro.recordedSent.New)
+	ro.rate.Observe(in.Elapsed, in.Sent.Old+in.Sent.New)
+	in.PerSecond = ro.rate.PerSecond()
+	return in, ro.nextDecisionAt
 }
 
 // sendEvidence sends this instance's evidence to the driver if it has changed
@@ -427,21 +524,24 @@
 	ro.evidenceChanged = false
 	evidence := verdict.Evidence{}
 	evidence.Add(ro.evidence)
-	return &evidenceMessage{service, ro.orderRevision, evidence}
+	return &evidenceMessage{service, ro.orderRevision, evidence, ro.sent}
 }
 
 // storePeerEvidence replaces the stored evidence of another instance. Evidence
 // on another order is ignored.
-func (r *rollouts) storePeerEvidence(from string, msg evidenceMessage) {
+func (r *rollouts) storePeerEvidence(from senderRun, msg evidenceMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ro := r.local[msg.Service]; ro == nil || ro.orderRevision != msg.Order {
 		return
 	}
 	if r.peerEvidence[msg.Service] == nil {
-		r.peerEvidence[msg.Service] = map[string]verdict.Evidence{}
+		r.peerEvidence[msg.Service] = map[senderRun]evidenceMessage{}
+	}
+	if known := r.peerEvidence[msg.Service][from].Sent; known.Old+known.New > msg.Sent.Old+msg.Sent.New {
+		return // it was overtaken
 	}
-	r.peerEvidence[msg.Service][from] = msg.Evidence
+	r.peerEvidence[msg.Service][from] = msg
 }
 
 // recordPeerSession notes the version that a session's request ran on at
--- a/internal/fleet/gateway/settings.go
+++ b/internal/fleet/gateway/settings.go
@@ -45,8 +45,10 @@
 	// get.
 	ColdOverrun float64
 	ColdSlack   float64
-	// ExposureShare bounds the share of requests that a faulty version may get.
+	// ExposureShare bounds the share of requests that a faulty version may get, of those
+	// until the deadline of its rollout. BaseExposure is added to that bound.
 	ExposureShare float64
+	BaseExposure  float64
 	// SessionIdleTimeout is the time without a request after which a session has
 	// ended.
 	SessionIdleTimeout time.Duration
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -70,11 +70,20 @@
 	// minSignificant is the number of bad answers from which a difference that is
 	// certainSigma standard deviations wide counts as certain, however small the margin.
 	// suspectSigma makes a version suspect.
-	minSignificant = 8
+	minSignificant = 12
 	certainSigma   = 3.5
 	suspectSigma   = 2
-	// minDifference is the difference of rates below which it doesn't matter.
-	minDifference = 0.05
+	// minDifference is the difference of rates below which it doesn't matter,
+	// minFailedDifference that for failures.
+	minDifference       = 0.05
+	minFailedDifference = 0.01
+	// certainChance, doubtChance and suspectChance are the chances of equal versions below
+	// which a difference is certain, doubtful or suspect.
+	// significantChance is that of many bad answers of any kind.
+	certainChance     = 0.00005
+	significantChance = 0.002
+	doubtChance       = 0.0025
+	suspectChance     = 0.005
 	// failedMargin, slowMargin and paceMargin are the tolerated differences between
 	// the rates of the two versions. slowMargin is larger because load also makes
 	// answers begin late; it hardly changes their pace.
@@ -85,24 +94,54 @@
 
 // IsRegression reports whether the new version is worse than the old one on any
 // route or over all routes together.
-func IsRegression(e Evidence) bool { return e.anyWorse(exceeds) }
+func IsRegression(e Evidence) bool {
+	return e.anyWorse(criterion{
+		failed: func(bad, n, oldBad, oldN int, margin float64) bool {
+			return exceeds(bad, n, oldBad, oldN, margin) || bad >= minBad && isUnlikely(bad, n, oldBad, oldN, certainChance)
+		},
+		slow: exceeds,
+	})
+}
 
 // isSuspect reports whether the new version looks worse than the old one on any route or
 // over all routes together, with less certainty than IsRegression.
-func isSuspect(e Evidence) bool { return e.anyWorse(isHigher) }
+func isSuspect(e Evidence) bool {
+	return e.anyWorse(criterion{
+		failed: func(bad, n, oldBad, oldN int, margin float64) bool {
+			return isHigher(bad, n, oldBad, oldN, margin) || isUnlikely(bad, n, oldBad, oldN, suspectChance)
+		},
+		slow: isHigher,
+	})
+}
+
+// isDoubtful reports whether the new version is rather worse than equal, by what is known
+// at the last moment. Few answers may be slow by chance; failures are rare.
+func isDoubtful(e Evidence) bool {
+	return e.anyWorse(criterion{
+		failed: func(bad, n, oldBad, oldN int, _ float64) bool {
+			return isUnlikely(bad, n, oldBad, oldN, doubtChance)
+		},
+		slow: func(bad, n, oldBad, oldN int, _ float64) bool {
+			return bad >= minSuspect && float64(bad)/float64(n)-float64(oldBad)/float64(max(1, oldN)) > minDifference && isUnlikely(bad, n, oldBad, oldN, doubtChance)
+		},
+	})
+}
+
+// criterion holds what compares the rates of failures, and those of slow answers.
+type criterion struct{ failed, slow rateComparison }
 
 // anyWorse reports whether the new version is worse on any route or over all routes
-// together. compare compares two rates.
-func (e Evidence) anyWorse(compare rateComparison) bool {
+// together.
+func (e Evidence) anyWorse(c criterion) bool {
 	var all Comparison
 	for _, pair := range e {
 		all.Old.add(pair.Old)
 		all.New.add(pair.New)
-		if pair.isWorse(compare) {
+		if pair.isWorse(c) {
 			return true
 		}
 	}
-	return all.isWorse(compare)
+	return all.isWorse(c)
 }
 
 // rateComparison reports whether the rate bad/n is more than margin above oldBad/oldN.
@@ -110,10 +149,37 @@
 
 // isWorse reports whether the new version fails more often, begins late more often or
 // makes its events more slowly.
-func (p Comparison) isWorse(compare rateComparison) bool {
-	return compare(p.New.Failed, p.New.Answers, p.Old.Failed, p.Old.Answers, failedMargin) ||
-		compare(p.New.Slow, p.New.Answers, p.Old.Slow, p.Old.Answers, slowMargin) ||
-		compare(p.New.SlowPaced, p.New.Paced, p.Old.SlowPaced, p.Old.Paced, paceMargin)
+func (p Comparison) isWorse(c criterion) bool {
+	return c.failed(p.New.Failed, p.New.Answers, p.Old.Failed, p.Old.Answers, failedMargin) ||
+		c.slow(p.New.Slow, p.New.Answers, p.Old.Slow, p.Old.Answers, slowMargin) ||
+		c.slow(p.New.SlowPaced, p.New.Paced, p.Old.SlowPaced, p.Old.Paced, paceMargin)
+}
+
+// isUnlikely reports whether two versions of the same rate would show at least so many bad
+// answers of the new one, out of those of both, with less than the given chance. It is
+// exact for small numbers. One bad answer says nothing.
+func isUnlikely(bad, n, oldBad, oldN int, chance float64) bool {
+	if bad < 2 || oldN == 0 || float64(bad)/float64(n)-float64(oldBad)/float64(oldN) < minFailedDifference {
+		return false
+	}
+	share := float64(n) / float64(n+oldN)
+	total := bad + oldBad
+	// Each of the terms of the binomial distribution is less than the one before.
+	term := math.Exp(logChoose(total, bad) + float64(bad)*math.Log(share) + float64(oldBad)*math.Log(1-share))
+	sum := 0.0
+	for k := bad; k <= total && term > 1e-9; k++ {
+		sum += term
+		term *= float64(total-k) / float64(k+1) * share / (1 - share)
+	}
+	return sum < chance
+}
+
+// logChoose returns the logarithm of the number of ways to choose k of n.
+func logChoose(n, k int) float64 {
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	return a - b - c
 }
 
 // isHigher compares the rates as they are.
@@ -147,7 +213,7 @@
 	if oldN > 0 {
 		old = float64(oldBad) / float64(oldN)
 	}
-	return lowerBound(bad, n) > old+margin || bad >= minSignificant && isSignificant(bad, n, oldBad, oldN, certainSigma)
+	return lowerBound(bad, n) > old+margin || bad >= minSignificant && isSignificant(bad, n, oldBad, oldN, certainSigma) && isUnlikely(bad, n, oldBad, oldN, significantChance)
 }
 
 // lowerBound returns the lower end of the Wilson score interval of the rate
@@ -160,34 +226,66 @@
 	return max(0, centre-width)
 }
 
-// Stage gives the new version a share of the sessions from a given fraction of
-// the rollout's duration on, once there are enough answers of the new version, or
-// from a later fraction on without them: a service with few requests exposes few.
-type Stage struct {
-	From    float64
-	Share   float64
-	Answers int
-	Latest  float64
+// Traffic counts the requests that the fleet sent to each version since the order,
+// answered or not, repeats included.
+type Traffic struct{ Old, New int }
+
+// Add adds the requests of another instance to t.
+func (t *Traffic) Add(o Traffic) {
+	t.Old += o.Old
+	t.New += o.New
 }
 
-// stages moves the traffic in the second half of the duration, because sessions
-// must not change to the new version earlier. The time after the last stage is
-// reserved for a driver that is late.
-var stages = []Stage{{0.52, 0.3, 12, 0.66}, {0.58, 0.6, 24, 0.71}, {0.64, 1, 30, 0.76}}
+const (
+	// secondTrialFrom is the fraction of the duration from which on sessions in progress
+	// take part in the trial. They must not change to the new version earlier.
+	secondTrialFrom = 0.52
+	// rampShare is the share of the new version between the trial and the whole traffic,
+	// which for rampFraction of the duration warms its caches.
+	rampShare    = 0.4
+	rampFraction = 0.04
+	// maxTrialShare bounds the share of a trial in a service of few servers.
+	maxTrialShare = 0.3
+	// rampFrom and switchFrom are the fractions of the duration for which the trial's part
+	// of the exposure limit is planned. From latestRamp on the share rises although the limit
+	// doesn't bear it.
+	rampFrom   = 0.85
+	switchFrom = 0.89
+	latestRamp = 0.89
+	// completeAt is the fraction of the duration at which a rollout is complete. The answers
+	// that the old version has begun and not ended continue on the new version. The rest is
+	// left for writing that down.
+	completeAt = 0.93
+	// minTrialAnswers is the number of answers below which a trial says nothing.
+	minTrialAnswers = 12
+	// budgetShare is the fraction of the exposure limit that may be spent up to the deadline
+	// when the share rises. The rest covers what comes then: more requests, and repeats of
+	// those that fail. plannedShare is the fraction for which the trial is planned.
+	budgetShare  = 0.75
+	plannedShare = 0.9
+	// minTrialShare is the fraction of the budget that is the trial's also if none is
+	// left beside the requests after the switch, firstTrialShare the fraction of that for
+	// the first half of the rollout.
+	minTrialShare   = 0.15
+	firstTrialShare = 0.5
+	// minRateTime is the time after which the rate of requests is known.
+	minRateTime = 2 * time.Second
+)
 
-// secondTrialFrom is the fraction of the duration from which on sessions in progress
-// take part in the trial.
-const secondTrialFrom = 0.52
+// IsTrial reports whether a version with the share is on trial.
+func IsTrial(share float64) bool { return share < rampShare }
 
-// completeAt is the fraction of the duration at which a rollout is complete. By
-// then the answers that the old version had begun at the last stage have ended
-// or continue on the new version.
-const completeAt = 0.82
+// IsSecondTrial reports whether sessions in progress take part in the trial.
+func IsSecondTrial(elapsed, duration time.Duration) bool {
+	return elapsed.Seconds() >= secondTrialFrom*duration.Seconds()
+}
 
-// trialExposureShare is the fraction of the exposure limit that the trial
-// before the first stage uses. The rest is left for the later stages, in which
-// a version may still turn bad.
-const trialExposureShare = 0.5
+// TrialServers returns the number of servers among which the trial's requests are
+// divided, so that a server of the new version has the load of one of the old: a version
+// may be bad only under load.
+func TrialServers(share float64, oldServers int) int {
+	return max(1, int(math.Round(share*float64(oldServers))))
+}
 
 // Decision tells how a rollout continues.
 type Decision struct {
@@ -200,40 +298,149 @@
 type DecisionInput struct {
 	Elapsed  time.Duration
 	Duration time.Duration
-	// MaxExposure limits the share of all requests that a bad version may get.
-	MaxExposure float64
-	Evidence    Evidence
-	// Ready is the number of servers of the new version that accept work.
-	Ready int
+	// MaxExposure limits the share of all requests until the deadline that a bad version
+	// may get. It may get BaseExposure requests more.
+	MaxExposure  float64
+	BaseExposure float64
+	Evidence     Evidence
+	Sent         Traffic
+	// PerSecond is the rate of requests to expect, rather too high than too low.
+	PerSecond float64
+	// Ready is the number of servers of the new version that accept work, OldServers
+	// that of other versions.
+	Ready      int
+	OldServers int
 	// Share is the current share of the new version.
 	Share float64
 }
 
-// Decide returns how the rollout continues. It reverts on evidence of a
-// regression. Otherwise the share never shrinks, and the rollout completes on
-// time. While no server of the new version is ready, or the new version looks worse
-// without certainty, the share stays as it is. Once the new version has all traffic,
-// the old one's answers are of another load, and only certainty counts.
+// Decide returns how the rollout continues. It reverts on evidence of a regression.
+// Otherwise the share never shrinks, and the rollout completes on time. The share rises
+// above that of the trial only when the exposure limit bears all requests from then to the
+// deadline, so that a version whose faults don't show in time, or only under the whole
+// load, stays within it. While no server of the new version is ready, or the new version
+// looks worse without certainty, the share stays as it is; when the deadline requires the
+// switch, one that is rather worse than equal is reverted. Once the new version has all
+// traffic, the old one's answers are of another load, and only certainty counts.
+//
+// The load that it answers is a version that is bad from some load on, or in few answers,
+// before some tens to some thousands of requests a second.
 func Decide(in DecisionInput) Decision {
 	if IsRegression(in.Evidence) {
 		return Decision{Revert: true}
 	}
-	if in.Ready == 0 || in.Share < 1 && isSuspect(in.Evidence) {
+	progress := in.progress()
+	if in.Share < 1 && progress >= latestRamp && isDoubtful(in.Evidence) {
+		return Decision{Revert: true}
+	}
+	if in.Ready == 0 || in.Share < 1 && progress < latestRamp && isSuspect(in.Evidence) {
 		return Decision{Share: in.Share}
 	}
-	progress := 1.0
-	if in.Duration > 0 {
-		progress = float64(in.Elapsed) / float64(in.Duration)
+	// After the deadline there is no hurry.
+	return Decision{Share: max(in.nextShare(), in.Share), Complete: progress >= completeAt && (in.Share >= 1 || progress < 1)}
+}
+
+// nextShare returns the share of a version that looks good.
+func (in *DecisionInput) nextShare() float64 {
+	progress := in.progress()
+	mayRise := progress >= secondTrialFrom && in.Evidence.newAnswers() >= minTrialAnswers
+	switch {
+	case progress >= completeAt:
+		return 1
+	case progress >= latestRamp:
+		return rampShare // another stage wouldn't be in force before the rollout is complete
+	case mayRise && in.Share >= rampShare && in.bears(0):
+		return 1
+	case mayRise && in.bears((1-rampShare)*rampFraction):
+		return rampShare
+	case IsTrial(in.Share):
+		return in.trialShare()
 	}
-	share := trialExposureShare * in.MaxExposure
-	if progress >= secondTrialFrom {
-		share = in.MaxExposure
+	return in.Share
+}
+
+// progress returns the elapsed fraction of the duration.
+func (in *DecisionInput) progress() float64 {
+	if in.Duration <= 0 {
+		return 1
+	}
+	return float64(in.Elapsed) / float64(in.Duration)
+}
+
+// limit returns the number of requests that a bad version may get until the deadline,
+// before which the given number is to come.
+func (in *DecisionInput) limit(coming float64) float64 {
+	return in.MaxExposure*(float64(in.Sent.Old+in.Sent.New)+coming) + in.BaseExposure
+}
+
+// requests returns the number of requests to expect in a fraction of the duration.
+func (in *DecisionInput) requests(fraction float64) float64 {
+	return in.PerSecond * in.Duration.Seconds() * max(0, fraction)
+}
+
+// bears reports whether the exposure limit bears it if the new version gets all requests
+// from now to the deadline but those of the given fraction of the duration.
+func (in *DecisionInput) bears(spared float64) bool {
+	coming := in.requests(1 - in.progress())
+	return float64(in.Sent.New)+coming-in.requests(spared) <= budgetShare*in.limit(coming)
+}
+
+// trialBudget returns the number of requests that the new version may get before the ramp:
+// what the ramp and the planned switch leave of the exposure limit.
+func (in *DecisionInput) trialBudget() float64 {
+	budget := plannedShare * in.limit(in.requests(1-in.progress()))
+	return max(minTrialShare*budget, budget-in.requests(rampShare*rampFraction+1-switchFrom))
+}
+
+// trialShare returns the share of the trial. In the first half of the rollout few requests
+// take part. Then as many servers of the new version as possible get the usual load of a
+// server, as soon as the trial's budget lasts until the ramp.
+func (in *DecisionInput) trialShare() float64 {
+	if in.Elapsed < minRateTime || in.OldServers == 0 {
+		return in.Share
 	}
-	answers := in.Evidence.newAnswers()
-	for _, s := range stages {
-		if progress >= s.From && answers >= s.Answers || progress >= s.Latest {
-			share = s.Share
+	one := min(maxTrialShare, 1/float64(in.OldServers))
+	budget := in.trialBudget()
+	if in.progress() < secondTrialFrom {
+		if in.Share > 0 {
+			return in.Share
 		}
+		coming := in.requests(secondTrialFrom - in.progress())
+		return min(one, in.MaxExposure, firstTrialShare*budget/max(1, coming))
+	}
+	servers := max(1, math.Floor(in.MaxExposure*float64(in.OldServers)))
+	affordable := (budget - float64(in.Sent.New)) / max(1, in.requests(rampFrom-in.progress()))
+	if affordable < one {
+		return in.Share
+	}
+	return one * min(servers, math.Floor(affordable/one))
+}
+
+// Rate estimates the rate of a service's requests. It belongs to one goroutine.
+type Rate struct{ samples []rateSample }
+
+type rateSample struct {
+	at    time.Duration
+	total int
+}
+
+// rateWindow is the time whose requests count as recent.
+const rateWindow = 2 * time.Second
+
+// Observe records the number of requests since the order at an elapsed time.
+func (r *Rate) Observe(elapsed time.Duration, total int) {
+	r.samples = append(r.samples, rateSample{elapsed, total})
+	for len(r.samples) > 2 && elapsed-r.samples[1].at >= rateWindow {
+		r.samples = r.samples[1:]
+	}
+}
+
+// PerSecond returns the mean rate since the order or the recent one, whichever is higher.
+func (r *Rate) PerSecond() float64 {
+	if len(r.samples) == 0 {
+		return 0
 	}
-	return Decision{Share: max(share, in.Share), Complete: progress >= completeAt && in.Share >= 1}
+	first, last := r.samples[0], r.samples[len(r.samples)-1]
+	mean := float64(last.total) / max(1, last.at.Seconds())
+	return max(mean, float64(last.total-first.total)/max(1, (last.at-first.at).Seconds()))
 }
