--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -74,6 +74,8 @@
 	Service  string
 	Order    int64
 	Evidence verdict.Evidence
+	// Sent counts the requests that the sender sent.
+	Sent verdict.Traffic
 }
 
 // sessionMessage says on which version a session's request ran.
@@ -157,7 +159,7 @@
 		p.mergeSpeeds(m, now)
 	}
 	if m.Evidence != nil {
-		g.rollouts.storePeerEvidence(m.From, *m.Evidence)
+		g.rollouts.storePeerEvidence(senderRun{m.From, m.Run}, *m.Evidence)
 	}
 	if m.Tally != nil {
 		g.billing.copies.Merge(*m.Tally)
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -83,6 +83,8 @@
 	// ClosedDataCentres is the set of data centres taken out of service.
 	ClosedDataCentres map[string]bool
 	ExcludeServers    []string
+	// OnlyServers holds the IDs of the servers that may be used, if not empty.
+	OnlyServers []string
 	// Members lists the names of the instances among which the limits of servers are
 	// divided, including this one.
 	Members []string
