sizing: instances learn together what models' confidence is worth

Cause: an instance of 60 sees some ten answers of a route and model in half a minute, and the prior counts for 60, so that a model that is better or worse than the prior stays unknown for long; the largest model was seen mostly on requests that a smaller one had found hard.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
 )
 
 // Store is the platform's store, as far as a gateway uses it.
@@ -118,6 +119,8 @@
 	crashes    *crashes
 	rooms      *rooms
 	tenure     *tenure.Tracker
+	// calibration relates models' confidence to the quality of their answers.
+	calibration *sizing.Calibration
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
 	// memory is what connections, requests and answers may take together.
@@ -199,11 +202,12 @@
 	g.peers = &peers{gateway: g}
 	g.crashes = newCrashes(g)
 	g.rooms = newRooms(g)
+	g.calibration = sizing.NewCalibration()
 	g.tenure = tenure.New(s.Instance, maxViewAge(s))
 	g.runID = deps.Clock.Now().UnixNano()
 	g.billing = &billing{gateway: g, counter: tally.NewCounter(s.Instance, g.runID), copies: tally.NewCopies(), written: map[string]tally.WriteMark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.client, deps.Codec, deps.Codec, pipeline.WithForwardClock(deps.Clock), pipeline.WithForwardLogger(deps.Log),
-		pipeline.WithAnswerMemory(g.memory.answers))
+		pipeline.WithAnswerMemory(g.memory.answers), pipeline.WithCalibration(g.calibration), pipeline.WithSampleShare(s.ModelSampleShare))
 	return g
 }
 
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -5,18 +5,17 @@
 	"encoding/json"
 	"expvar"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
-	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/quarantine"
 	"github.com/kingcupyard/kingcupyard/internal/routing/share"
+	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
 )
 
 // peers exchanges short-lived state with the other instances in datagrams,
@@ -51,6 +50,11 @@
 	Uses      share.Uses `json:",omitzero"`
 	GroupUses share.Uses `json:",omitzero"`
 	TotalUses share.Uses `json:",omitzero"`
+	// Confidence, GroupConfidence and TotalConfidence are the same for the confidence that
+	// models report.
+	Confidence      sizing.Counts `json:",omitzero"`
+	GroupConfidence sizing.Counts `json:",omitzero"`
+	TotalConfidence sizing.Counts `json:",omitzero"`
 	// Tally is the sender's tally, or a part of its entries.
 	Tally *tally.Tally `json:",omitzero"`
 	// Evidence is the sender's evidence on one rollout.
@@ -152,6 +156,7 @@
 		g.dispatcher.UpdateTotal(m.From, m.Run, m.Sequence, rest, now)
 	}
 	p.handleUses(m, now)
+	p.handleConfidence(m, now)
 	if m.Notices != nil {
 		g.dispatcher.MergeNotices(m.Notices, now)
 	}
@@ -212,7 +217,7 @@
 // run reports the backlog, the servers' notices and their speeds until the context ends.
 func (p *peers) run(ctx context.Context) {
 	g := p.gateway
-	var notices, speeds, uses time.Time
+	var notices, speeds, uses, confidence time.Time
 	for sequence := int64(1); ; sequence++ {
 		select {
 		case <-ctx.Done():
@@ -229,6 +234,10 @@
 					speeds = now
 					p.shareSpeeds(sequence)
 				}
+				if now.Sub(confidence) >= confidenceInterval {
+					confidence = now
+					p.shareConfidence(sequence)
+				}
 				if now.Sub(uses) >= useInterval {
 					uses = now
 					p.shareUses(sequence)
@@ -247,30 +256,32 @@
 	return minBacklogInterval + time.Duration(servers)*intervalPerServer
 }
 
-// shareBacklog sends this instance's backlog to all instances in a small fleet,
-// otherwise to its reader. A reader sums up its group, exchanges the sums with
-// the other readers and sends the total to its group, so that the traffic of an
-// instance does not grow with the fleet.
+// shareBacklog passes the backlogs on, so that the traffic of an instance does not grow with
+// the fleet.
 func (p *peers) shareBacklog(sequence int64) {
-	g := p.gateway
-	local := g.dispatcher.Backlog()
-	instances := g.fleet().Instances
-	if len(instances) <= smallFleetSize {
-		p.broadcast(&message{Sequence: sequence, Pending: local})
-		return
-	}
-	reader, found := g.feeds.reader()
-	if !found {
-		return
-	}
-	if reader.Name != g.Settings.Instance {
-		p.mu.Lock()
-		p.lastReported = local
-		p.mu.Unlock()
-		p.send(reader.PeerAddress, &message{Sequence: sequence, Pending: local})
-		return
-	}
-	p.shareGroupSums(sequence, local, instances)
+	d := p.gateway.dispatcher
+	sumPath[dispatch.Backlog]{
+		own: func(time.Time) dispatch.Backlog { return d.Backlog() },
+		sum: func(sources []string, value dispatch.Backlog, _ time.Time) dispatch.Backlog {
+			sum := d.PeerBacklog(sources)
+			sum.Add(value)
+			return sum
+		},
+		reported: func(own dispatch.Backlog) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.lastReported = own
+		},
+		message: func(stage sumStage, b dispatch.Backlog) *message {
+			switch stage {
+			case groupSum:
+				return &message{Group: b}
+			case fleetSum:
+				return &message{Total: b}
+			}
+			return &message{Pending: b}
+		},
+	}.share(p, sequence)
 }
 
 // shareNotices passes the recent notices of servers on, along the paths of shareBacklog.
@@ -298,28 +309,3 @@
 		}
 	}
 }
-
-// shareGroupSums is what a reader does in shareBacklog.
-func (p *peers) shareGroupSums(sequence int64, local dispatch.Backlog, instances map[string]follower.Instance) {
-	g := p.gateway
-	var members, groups []string
-	for _, name := range g.dispatcher.ActivePeers(g.Clock.Now()) {
-		if strings.HasPrefix(name, groupPrefix) {
-			groups = append(groups, name)
-		} else {
-			members = append(members, name)
-		}
-	}
-	group := g.dispatcher.PeerBacklog(members)
-	group.Add(local)
-	for _, other := range g.index().readers {
-		if other.Name != g.Settings.Instance {
-			p.send(other.PeerAddress, &message{Sequence: sequence, Group: group})
-		}
-	}
-	total := g.dispatcher.PeerBacklog(groups)
-	total.Add(group)
-	for _, name := range members {
-		p.send(instances[name].PeerAddress, &message{Sequence: sequence, Total: total})
-	}
-}
--- a/internal/fleet/gateway/settings.go
+++ b/internal/fleet/gateway/settings.go
@@ -49,6 +49,9 @@
 	// until the deadline of its rollout. BaseExposure is added to that bound.
 	ExposureShare float64
 	BaseExposure  float64
+	// ModelSampleShare is the fraction of the requests whose first attempt goes to the
+	// largest model, while there is room, to learn how the smaller ones compare.
+	ModelSampleShare float64
 	// SessionIdleTimeout is the time without a request after which a session has
 	// ended.
 	SessionIdleTimeout time.Duration
--- a/internal/fleet/gateway/uses.go
+++ b/internal/fleet/gateway/uses.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
-	"strings"
 	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/routing/share"
 )
 
 // useInterval is the time between reports of customers' uses.
@@ -11,43 +12,25 @@
 // shareUses passes the customers' uses on, along the paths of shareBacklog. Each message
 // holds the heaviest ones only.
 func (p *peers) shareUses(sequence int64) {
-	g := p.gateway
-	now, shares := g.Clock.Now(), g.rooms.shares
-	own := shares.Own(now)
-	instances := g.fleet().Instances
-	if len(instances) <= smallFleetSize {
-		p.broadcast(&message{Sequence: sequence, Uses: own})
-		return
-	}
-	reader, found := g.feeds.reader()
-	if !found {
-		return
-	}
-	if reader.Name != g.Settings.Instance {
-		p.mu.Lock()
-		p.lastUses = own
-		p.mu.Unlock()
-		p.send(reader.PeerAddress, &message{Sequence: sequence, Uses: own})
-		return
-	}
-	var members, groups []string
-	for _, name := range g.dispatcher.ActivePeers(now) {
-		if strings.HasPrefix(name, groupPrefix) {
-			groups = append(groups, name)
-		} else {
-			members = append(members, name)
-		}
-	}
-	group := shares.Sum(members, own, now)
-	for _, other := range g.index().readers {
-		if other.Name != g.Settings.Instance {
-			p.send(other.PeerAddress, &message{Sequence: sequence, GroupUses: group})
-		}
-	}
-	total := shares.Sum(groups, group, now)
-	for _, name := range members {
-		p.send(instances[name].PeerAddress, &message{Sequence: sequence, TotalUses: total})
-	}
+	shares := p.gateway.rooms.shares
+	sumPath[share.Uses]{
+		own: shares.Own,
+		sum: shares.Sum,
+		reported: func(own share.Uses) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.lastUses = own
+		},
+		message: func(stage sumStage, u share.Uses) *message {
+			switch stage {
+			case groupSum:
+				return &message{GroupUses: u}
+			case fleetSum:
+				return &message{TotalUses: u}
+			}
+			return &message{Uses: u}
+		},
+	}.share(p, sequence)
 }
 
 // handleUses applies the parts of a message that concern customers' uses.
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -210,6 +211,9 @@
 	calibration *sizing.Calibration
 	// sizes holds the usual size of each route's requests.
 	sizes *sizing.Sizes
+	// sampleShare is the fraction of the calls that go to the largest model first, whatever
+	// is known of the smaller ones.
+	sampleShare float64
 }
 
 // ForwarderOption configures a Forwarder.
@@ -230,6 +234,21 @@
 	return func(f *Forwarder) { f.memory = b }
 }
 
+// WithCalibration sets what is known of the models' confidence, which other instances may
+// share.
+func WithCalibration(c *sizing.Calibration) ForwarderOption {
+	return func(f *Forwarder) { f.calibration = c }
+}
+
+// WithSampleShare sets the fraction of the calls, from 0 to 1, that go to the largest model
+// first while there is room, so that a wrong belief about the smaller ones is found out.
+func WithSampleShare(share float64) ForwarderOption {
+	return func(f *Forwarder) { f.sampleShare = share }
+}
+
+// samples counts the calls that went to the largest model as a sample.
+var samples = expvar.NewInt("ModelSamples")
+
 // NewForwarder returns a Forwarder with the given dependencies. Without options
 // it uses the real clock, no logger, the default random source and any amount of memory.
 func NewForwarder(fleet Fleet, client ForwardClient, headers HeaderEncoder, dialect attempt.Dialect, opts ...ForwarderOption) *Forwarder {
@@ -384,6 +403,10 @@
 	ex.sizes.Observe(r.Name, sizing.Size(ex.call.PromptTokens, ex.call.CompletionTokens))
 	ex.updatePredictions()
 	ex.sizeRank = sizing.ChooseFirst(&ex.query)
+	if ex.random() < ex.sampleShare && sizing.MaySample(&ex.query) {
+		ex.sizeRank = len(r.Models) - 1
+		samples.Add(1)
+	}
 	ex.model = r.Models[ex.sizeRank]
 }
 
@@ -406,7 +429,7 @@
 		prediction, err := ex.fleet.Predict(ex.placementRequest(name, rank))
 		m.PredictedWait, m.PrefillTime, m.Blocked = prediction.Wait, prediction.PrefillTime, err != nil
 		ex.query.MeanBacklog = max(ex.query.MeanBacklog, prediction.MeanBacklog)
-		m.Confidence = ex.calibration.Profile(r.Name, rank, len(r.Models))
+		m.Confidence = ex.calibration.Profile(r.Name, r.Models, rank, ex.clock.Now())
 		ex.query.Models = append(ex.query.Models, m)
 	}
 }
@@ -423,7 +446,7 @@
 	if len(r.Models) == 0 || ex.headWritten {
 		return nil
 	}
-	ex.calibration.Observe(r.Name, ex.sizeRank, len(r.Models), h.Metadata.Confidence)
+	ex.calibration.Observe(r.Name, ex.model, h.Metadata.Confidence, ex.clock.Now())
 	if ex.sizeRank >= len(r.Models)-1 {
 		return nil
 	}
--- a/internal/routing/sizing/sizes_test.go
+++ b/internal/routing/sizing/sizes_test.go
@@ -30,7 +30,7 @@
 		c := NewCalibration()
 		r := &Request{PromptTokens: 700, CompletionTokens: completionTokens, MeanSize: Size(700, 280), TimeLeft: 1500 * time.Millisecond, MeanBacklog: time.Second, EscalationsLeft: 2}
 		for i, cost := range []float64{0.017, 0.13, 0.26} {
-			r.Models = append(r.Models, Model{Cost: cost, PredictedWait: 100 * ms, PrefillTime: 50 * ms, Confidence: c.Profile("chats", i, 3)})
+			r.Models = append(r.Models, Model{Cost: cost, PredictedWait: 100 * ms, PrefillTime: 50 * ms, Confidence: c.Profile("chats", threeModels, i, epoch)})
 		}
 		return r
 	}
--- a/internal/routing/sizing/sizing.go
+++ b/internal/routing/sizing/sizing.go
@@ -123,6 +123,16 @@
 	return max(best, 0)
 }
 
+// MaySample reports whether the request may go to the largest model only to learn how its
+// answers compare: it is expected in time, and hardly anything waits.
+func MaySample(r *Request) bool {
+	top := r.Models[len(r.Models)-1]
+	return !top.Blocked && float64(top.PredictedWait) < onTimeMidpoint*float64(r.TimeLeft) && r.MeanBacklog < maxSampleBacklog
+}
+
+// maxSampleBacklog is the mean backlog from which on no samples are taken.
+const maxSampleBacklog = 300 * time.Millisecond
+
 // expectedValue returns the expected value, less cost, of starting with the model.
 func (r *Request) expectedValue(sizeRank int) float64 {
 	m := r.Models[sizeRank]
--- a/internal/routing/sizing/sizing_test.go
+++ b/internal/routing/sizing/sizing_test.go
@@ -13,13 +13,18 @@
 	c := NewCalibration()
 	r := &Request{PromptTokens: 9200, CompletionTokens: 54, TimeLeft: timeLeft, EscalationsLeft: 2}
 	for i, cost := range []float64{0.017, 0.13, 0.26} {
-		r.Models = append(r.Models, Model{Cost: cost, PredictedWait: predictedWaits[i], Confidence: c.Profile("reports", i, 3)})
+		r.Models = append(r.Models, Model{Cost: cost, PredictedWait: predictedWaits[i], Confidence: c.Profile("reports", threeModels, i, epoch)})
 	}
 	return r
 }
 
 const ms = time.Millisecond
 
+var (
+	threeModels = []string{"small", "medium", "large"}
+	epoch       = time.Unix(1000, 0)
+)
+
 // At low load the small model is tried first, since there is time left to escalate
 // to the large one.
 func TestSmallModelFirstAtLowLoad(t *testing.T) {
@@ -74,15 +79,15 @@
 		var counts, goodCounts Histogram
 		for range 3000 {
 			small, isGood := drawAnswer(rnd, good)
-			c.Observe("reports", 0, 3, small)
+			c.Observe("reports", "small", small, epoch)
 			counts[binOf(small)]++
 			if isGood {
 				goodCounts[binOf(small)]++
 			}
 			large, _ := drawAnswer(rnd, 1)
-			c.Observe("reports", 2, 3, large)
+			c.Observe("reports", "large", large, epoch)
 		}
-		profile := c.Profile("reports", 0, 3)
+		profile := c.Profile("reports", threeModels, 0, epoch)
 		expected := 0.0
 		for i := range profile.Distribution {
 			expected += profile.Distribution[i] * profile.GoodProbability[i]
