dispatch: calls of plain services use free slots, and distance costs what their goal bears

Cause: each call counted as 50 ms of work whatever the service, divided by the slots also while slots were free; and 150 ms of cost kept calls with a goal of 120 ms in their data centre until 18 of them waited there.

Change: the time of a service's calls is learnt from those that found a slot free; calls wait only once the slots are taken; leaving the data centre costs at most 0.15 of the route's goal (unchanged from a goal of 1 s on).

--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -26,6 +26,8 @@
 	preferred *entry
 	// tokenTime is the time that the model takes for one token of a short prompt.
 	tokenTime time.Duration
+	// callTime is the time that a server takes for a call to a service without models.
+	callTime time.Duration
 	// others holds the backlogs of the other instances.
 	others backlogView
 	none   *NoServerError
@@ -43,6 +45,8 @@
 	}
 	if q.Model != "" {
 		c.tokenTime = d.prefill.tokenTime(q.Model, q.SizeRank)
+	} else {
+		c.callTime = d.calls.of(q.Service)
 	}
 	return c
 }
@@ -219,33 +223,53 @@
 // evaluate predicts the wait at a server and the cost by which servers are compared.
 func (c *choice) evaluate(e *entry, st *serverState, cachedTokens int) candidate {
 	s, q := e.server, c.query
-	o := candidate{entry: e, work: plainCallTime, cachedTokens: cachedTokens, pace: c.speeds.Pace(s.ID, c.now)}
-	if q.Model != "" {
+	o := candidate{entry: e, cachedTokens: cachedTokens, pace: c.speeds.Pace(s.ID, c.now), distance: c.settings.LocalRoundTrip}
+	if s.DataCentre != c.settings.DataCentre {
+		o.distance = c.settings.RemoteRoundTrip
+	}
+	o.backlog = st.ownBacklog + c.otherBacklog(s.ID, st)
+	if q.Model == "" {
+		o.work = c.callTime
+		o.backlog = queueBeforeSlots(o.backlog, o.work, s.Slots)
+		o.slotFree = o.backlog == 0
+	} else {
 		if e == c.preferred {
 			o.cachedTokens = max(o.cachedTokens, sharedTokens(q.PromptParts))
 		}
 		o.work = prefillTime(c.tokenTime, o.cachedTokens, c.prompt.tokens-o.cachedTokens)
 	}
-	o.backlog = st.ownBacklog + c.otherBacklog(s.ID, st)
-	if q.Model == "" {
-		// Plain services process calls concurrently.
-		o.backlog /= time.Duration(max(1, s.Slots))
-	}
-	distance := c.settings.LocalRoundTrip
-	if s.DataCentre != c.settings.DataCentre {
-		distance = c.settings.RemoteRoundTrip
-	}
-	o.wait = distance + time.Duration(o.pace*st.slowness.factor()*float64(o.backlog+o.work))
+	o.wait = o.distance + time.Duration(o.pace*st.slowness.factor()*float64(o.backlog+o.work))
 	if q.Model != "" {
 		o.wait = max(o.wait, st.longestWait(c.now))
 	}
 	o.cost = o.wait + time.Duration(st.failures.rateAt(c.now)*float64(c.settings.FailureCost))
 	if s.DataCentre != c.settings.DataCentre {
-		o.cost += c.settings.CrossDataCentreCost
+		o.cost += c.crossDataCentreCost()
 	}
 	return o
 }
 
+// queueBeforeSlots returns the time until a call may start at a server that processes as many
+// calls at a time as it has slots, if each takes callTime and the work in progress is backlog.
+func queueBeforeSlots(backlog, callTime time.Duration, slots int) time.Duration {
+	slots = max(1, slots)
+	return max(0, backlog-time.Duration(slots-1)*callTime) / time.Duration(slots)
+}
+
+// crossDataCentreCost returns what it costs to leave the data centre: no more than
+// crossGoalShare of what the caller's goal allows.
+func (c *choice) crossDataCentreCost() time.Duration {
+	cost := c.settings.CrossDataCentreCost
+	if c.query.Goal > 0 {
+		cost = min(cost, time.Duration(crossGoalShare*float64(c.query.Goal)))
+	}
+	return cost
+}
+
+// crossGoalShare is the share of a caller's goal that an attempt may wait for longer so that it
+// stays in its data centre.
+const crossGoalShare = 0.15
+
 // otherBacklog returns the predicted work of the other instances that waits at a
 // server, from their own reports or, if there are none, from the load that the
 // server stated.
@@ -256,11 +280,6 @@
 	return time.Duration(st.decayedOtherLoad(c.now) * float64(c.meanPrefillTime.Load()) * otherLoadWeight)
 }
 
-const (
-	// plainCallTime is the assumed processing time of a call to a service without
-	// models.
-	plainCallTime = 50 * time.Millisecond
-	// otherLoadWeight is the fraction of another instance's request that still has
-	// to be processed before its first event, on average.
-	otherLoadWeight = 0.2
-)
+// otherLoadWeight is the fraction of another instance's request that still has to be
+// processed before its first event, on average.
+const otherLoadWeight = 0.2
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -34,7 +34,8 @@
 	RemoteRoundTrip time.Duration
 	// CrossDataCentreCost is added to the cost of servers in other data centres,
 	// since traffic between data centres is paid for: an attempt leaves its data
-	// centre only if that saves more than this wait.
+	// centre only if that saves more than this wait. It is less for a query whose Goal
+	// is short.
 	CrossDataCentreCost time.Duration
 	// FailureCost is the time lost by an attempt that fails. It is weighted with
 	// the server's recent failure rate.
@@ -80,7 +81,10 @@
 	// the smallest.
 	SizeRank    int
 	PromptParts []PromptPart
-	Versions    VersionConstraint
+	// Goal is the time within which callers want the answer, or its first event; 0 if
+	// unknown.
+	Goal     time.Duration
+	Versions VersionConstraint
 	// ClosedDataCentres is the set of data centres taken out of service.
 	ClosedDataCentres map[string]bool
 	ExcludeServers    []string
@@ -128,6 +132,7 @@
 	cache   *prefixCache
 	others  *otherBacklogs
 	prefill *prefillModel
+	calls   *callTimes
 	speeds  *speed.Estimates
 	// meanPrefillTime is the moving average of the predicted prefill time of placed
 	// attempts.
@@ -145,7 +150,7 @@
 	if settings.Random == nil {
 		settings.Random = rand.IntN
 	}
-	d := &Dispatcher{settings: settings, scanLimit: maxScannedServers, states: map[string]*serverState{}, cache: newPrefixCache(), others: newOtherBacklogs(), prefill: newPrefillModel(), speeds: speed.New()}
+	d := &Dispatcher{settings: settings, scanLimit: maxScannedServers, states: map[string]*serverState{}, cache: newPrefixCache(), others: newOtherBacklogs(), prefill: newPrefillModel(), calls: newCallTimes(), speeds: speed.New()}
 	d.meanPrefillTime.Store(int64(initialPrefillTime))
 	d.SetColdBounds(settings.ColdOverrun, settings.ColdSlack)
 	return d
@@ -167,8 +172,11 @@
 	work           time.Duration
 	uncachedTokens int
 	serverIdle     bool
-	// pace is that of the server, as of the placement.
+	// pace and distance are those of the server, as of the placement. slotFree is set if
+	// the attempt is a call that was predicted to find a slot free.
 	pace           float64
+	distance       time.Duration
+	slotFree       bool
 	firstEventSeen bool
 }
 
@@ -179,12 +187,16 @@
 	work         time.Duration
 	cachedTokens int
 	cost         time.Duration
+	distance     time.Duration
 	// pace is the expected pace of the server.
 	pace float64
 	// backlog is the predicted work that waits at the server; meanBacklog is its
 	// mean over all candidates.
 	backlog     time.Duration
 	meanBacklog time.Duration
+	// slotFree is set if a call to a service without models is predicted to find a slot
+	// free.
+	slotFree bool
 }
 
 // maxPlacementTries bounds the choices of one placement. Another one is needed if
@@ -202,7 +214,7 @@
 		}
 		a := &Assignment{
 			Server: c.best.entry.server, PredictedWait: c.best.wait, CachedTokens: c.best.cachedTokens, dispatcher: d, state: c.best.entry.state, query: q,
-			work: c.best.work, pace: c.best.pace, uncachedTokens: tokens(q.PromptParts) - c.best.cachedTokens,
+			work: c.best.work, pace: c.best.pace, distance: c.best.distance, slotFree: c.best.slotFree, uncachedTokens: tokens(q.PromptParts) - c.best.cachedTokens,
 		}
 		if c.begin(a) {
 			d.recordPlacement(&c)
@@ -301,6 +313,9 @@
 	a.state.ownBacklog -= a.work
 	delete(a.state.awaitingFirstEvent, a)
 	a.state.slowness.observe(after, a.PredictedWait)
+	if a.query.Model == "" && a.slotFree {
+		a.dispatcher.calls.observe(a.query.Service, time.Duration(float64(max(0, after-a.distance))/a.pace))
+	}
 	if a.serverIdle && a.query.Model != "" {
 		a.dispatcher.prefill.observe(a.query.Model, a.query.SizeRank, a.CachedTokens, a.uncachedTokens, time.Duration(float64(after)/a.pace))
 	}
--- a/internal/routing/dispatch/learn.go
+++ b/internal/routing/dispatch/learn.go
@@ -147,3 +147,35 @@
 	current := p.currentTokenTime(model, size)
 	p.perToken[model] = current + time.Duration(prefillWeight*(float64(took)/effectiveTokens(cached, tokens)-float64(current)))
 }
+
+// callTimes estimates how long a server takes for a call to a service without models.
+type callTimes struct {
+	mu        sync.RWMutex
+	byService map[string]time.Duration
+}
+
+const (
+	// initialCallTime is the time that is assumed until a service has answered.
+	initialCallTime = 50 * time.Millisecond
+	// callTimeWeight is the weight of one observation in the moving average.
+	callTimeWeight = 0.1
+)
+
+func newCallTimes() *callTimes { return &callTimes{byService: map[string]time.Duration{}} }
+
+func (c *callTimes) of(service string) time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if d, ok := c.byService[service]; ok {
+		return d
+	}
+	return initialCallTime
+}
+
+// observe updates a service's time with that of a call that found a slot free.
+func (c *callTimes) observe(service string, took time.Duration) {
+	current := c.of(service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byService[service] = max(time.Millisecond, current+time.Duration(callTimeWeight*float64(took-current)))
+}
