dispatch: servers of about the same cost have the same chance

Cause: of two like servers the one with the lower learnt slowness was always chosen, so that one which names a limit could be left out for as long as another one seemed a little quicker (KNOWN-RED.txt, TestNamedLimitHoldsForAllInstances, traced in the code).

Change: of servers whose costs differ by less than 5 in 100, one is chosen at random.

Result: TestLikeServersShareCalls fails before and passes. TestNamedLimitHoldsForAllInstances is left in KNOWN-RED.txt: it failed once, beside load, and wasn't reproduced.

--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -32,7 +32,11 @@
 	others backlogView
 	none   *NoServerError
 
-	best         candidate
+	best candidate
+	// lowestCost is the lowest cost so far, and ties the number of servers among which best
+	// was chosen.
+	lowestCost   time.Duration
+	ties         int
 	totalBacklog time.Duration
 	candidates   int
 }
@@ -162,10 +166,29 @@
 		}
 		c.totalBacklog += o.backlog
 		c.candidates++
-		if c.candidates == 1 || o.cost < c.best.cost {
+		c.compare(o)
+	}
+}
+
+// sameCostShare is the share by which costs may differ and count as the same. What is known of
+// servers isn't more exact, and instances that all prefer the one which looks best by a
+// little leave the others idle.
+const sameCostShare = 0.05
+
+// compare replaces the best server by another one if that costs less. Of servers that cost
+// about the same, each has the same chance.
+func (c *choice) compare(o candidate) {
+	switch limit := time.Duration(sameCostShare * float64(c.lowestCost)); {
+	case c.candidates == 1 || o.cost < c.lowestCost-limit:
+		c.best, c.ties = o, 1
+	case o.cost <= c.lowestCost+limit:
+		if c.ties++; c.settings.Random(c.ties) == 0 {
 			c.best = o
 		}
 	}
+	if c.candidates == 1 || o.cost < c.lowestCost {
+		c.lowestCost = o.cost
+	}
 }
 
 // assess returns what is predicted for the attempt at a server, if that is eligible.
