speed: reports of the fleet's sums keep no more servers than others

Cause: only the sums of members and groups were bounded in the number of servers.

Change: the same bound for the fleet's sums.

Result: TestReportsOfUnknownServers.

--- a/internal/routing/speed/speed.go
+++ b/internal/routing/speed/speed.go
@@ -241,14 +241,18 @@
 			counters.Add("OutOfRange", 1)
 			continue
 		}
+		into := s.sums
 		if k == Fleet {
-			e.reported.set(server, sum, now)
-			continue
+			into = e.reported
 		}
-		if _, ok := s.sums[server]; !ok && len(s.sums) >= maxServers {
+		if _, ok := into[server]; !ok && len(into) >= maxServers {
 			counters.Add("ServerNotKept", 1)
 			continue
 		}
+		if k == Fleet {
+			e.reported.set(server, sum, now)
+			continue
+		}
 		change := sum.less(s.sums.at(server, now))
 		s.sums.set(server, sum, now)
 		e.fleet.add(server, change, now)
--- a/internal/routing/speed/speed_test.go
+++ b/internal/routing/speed/speed_test.go
@@ -301,3 +301,20 @@
 	is.Equal(len(slowest), 20)
 	is.True(expvar.Get("SpeedReports").(*expvar.Map).Get("ServerNotKept") != nil)
 }
+
+// Reports that name ever new servers take a bounded amount of memory.
+func TestReportsOfUnknownServers(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	for _, k := range []Kind{Own, Group, Fleet} {
+		for i := range 3 * maxServers / 100 {
+			r := Report{}
+			for j := range 100 {
+				r[fmt.Sprint(k, i, "-", j)] = Sum{Count: 1}
+			}
+			e.Merge("a", k, 1, int64(i+1), r, epoch)
+		}
+	}
+	known, _ := e.Slowest(1, epoch)
+	is.True(known <= 3*maxServers)
+}
