peers: a sum of the backlog that exceeds a datagram keeps the busiest servers

Cause: read in the code: the sum over 2,900 servers is some 70 KB of JSON and was dropped whole (PeerMessageTooLarge), so that no instance knew any other's backlog.

Change: Backlog.Largest leaves out the servers with the least work, for a member's report, a group's sum and the total.

Result: TestLargestBacklog. Not played with 2,900 servers.

--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -78,6 +78,9 @@
 const (
 	// maxDatagramBytes bounds the size of a datagram.
 	maxDatagramBytes = 32 << 10
+	// maxBacklogBytes bounds the backlog in one datagram. Servers with less work than
+	// others are left out.
+	maxBacklogBytes = maxDatagramBytes - 2<<10
 	// minBacklogInterval is the time between reports of an instance's backlog in a small
 	// deployment. It is short compared to the time that a prompt takes: instances that
 	// know of each other's work late send theirs to the same servers.
@@ -238,7 +241,7 @@
 // instance does not grow with the fleet.
 func (p *peers) shareBacklog(sequence int64) {
 	g := p.gateway
-	local := g.dispatcher.Backlog()
+	local := g.dispatcher.Backlog().Largest(maxBacklogBytes)
 	instances := g.fleet().Instances
 	if len(instances) <= smallFleetSize {
 		p.broadcast(&message{Sequence: sequence, Pending: local})
@@ -297,13 +300,15 @@
 	}
 	group := g.dispatcher.PeerBacklog(members)
 	group.Add(local)
+	sent := group.Largest(maxBacklogBytes)
 	for _, other := range g.index().readers {
 		if other.Name != g.Settings.Instance {
-			p.send(other.PeerAddress, &message{Sequence: sequence, Group: group})
+			p.send(other.PeerAddress, &message{Sequence: sequence, Group: sent})
 		}
 	}
 	total := g.dispatcher.PeerBacklog(groups)
 	total.Add(group)
+	total = total.Largest(maxBacklogBytes)
 	for _, name := range members {
 		p.send(instances[name].PeerAddress, &message{Sequence: sequence, Total: total})
 	}
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -316,3 +317,26 @@
 	at = at.Add(peerReportTTL)
 	is.Equal(meanBacklog(), time.Duration(0))
 }
+
+// A report of the backlog at all servers of a large fleet fits a datagram and keeps the servers
+// with most work.
+func TestLargestBacklog(t *testing.T) {
+	is := is.New(t)
+	const limit = 30 << 10
+	b := Backlog{}
+	for i := range 2900 {
+		b[fmt.Sprintf("i-%010x", i)] = int64(i) * 5000
+	}
+	largest := b.Largest(limit)
+	raw, err := json.Marshal(largest)
+	is.NoErr(err)
+	is.True(len(raw) <= limit)
+	is.True(len(raw) > limit/2)
+	least := b[fmt.Sprintf("i-%010x", 2900-len(largest))]
+	for _, work := range largest {
+		is.True(work >= least)
+	}
+	is.Equal(len(b), 2900) // it is left as it was
+	small := Backlog{"a": 1}
+	is.Equal(small.Largest(limit), small)
+}
--- a/internal/routing/dispatch/peers.go
+++ b/internal/routing/dispatch/peers.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -33,6 +35,31 @@
 	return b
 }
 
+// Largest returns the backlog at the servers where most work waits, as far as they take no more
+// than the given number of bytes in JSON.
+func (b Backlog) Largest(bytes int) Backlog {
+	total := 0
+	for server := range b {
+		total += len(server) + backlogEntryBytes
+	}
+	if total <= bytes {
+		return b
+	}
+	byWork := slices.SortedFunc(maps.Keys(b), func(x, y string) int { return cmp.Or(cmp.Compare(b[y], b[x]), cmp.Compare(x, y)) })
+	largest := Backlog{}
+	for _, server := range byWork {
+		if bytes -= len(server) + backlogEntryBytes; bytes < 0 {
+			break
+		}
+		largest[server] = b[server]
+	}
+	return largest
+}
+
+// backlogEntryBytes is what an entry of a Backlog takes in JSON besides the server's ID: quotes,
+// separators and up to eight digits.
+const backlogEntryBytes = 12
+
 // peerReport is the latest report of a source, which may be an instance, a group of
 // instances or all the others. run and sequence order the reports of one source.
 type peerReport struct {
