--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -92,6 +92,9 @@
 const (
 	// maxDatagramBytes bounds the size of a datagram.
 	maxDatagramBytes = 32 << 10
+	// maxBacklogBytes bounds the backlog in one datagram. Servers with less work than
+	// others are left out.
+	maxBacklogBytes = maxDatagramBytes - 2<<10
 	// minBacklogInterval is the time between reports of an instance's backlog in a small
 	// deployment. It is short compared to the time that a prompt takes: instances that
 	// know of each other's work late send theirs to the same servers.
@@ -261,7 +264,7 @@
 func (p *peers) shareBacklog(sequence int64) {
 	d := p.gateway.dispatcher
 	sumPath[dispatch.Backlog]{
-		own: func(time.Time) dispatch.Backlog { return d.Backlog() },
+		own: func(time.Time) dispatch.Backlog { return d.Backlog().Largest(maxBacklogBytes) },
 		sum: func(sources []string, value dispatch.Backlog, _ time.Time) dispatch.Backlog {
 			sum := d.PeerBacklog(sources)
 			sum.Add(value)
@@ -275,9 +278,9 @@
 		message: func(stage sumStage, b dispatch.Backlog) *message {
 			switch stage {
 			case groupSum:
-				return &message{Group: b}
+				return &message{Group: b.Largest(maxBacklogBytes)}
 			case fleetSum:
-				return &message{Total: b}
+				return &message{Total: b.Largest(maxBacklogBytes)}
 			}
 			return &message{Pending: b}
 		},
