Pressure of room by time, before a request's own work

Cause: an instance of a large fleet sees a request of a kind about once a second; with a weight per observation its price followed a shortage after some ten seconds. A long request's own work counted as a shortage.

Change: observations are weighed by the time since the last one, a pressure holds for 1.5 s without one, and the wait counts without the request's work. The replays decide in 20 instances that see a twentieth of the load each.

--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -283,7 +283,7 @@
 		}
 	} else if answer.FirstEvent > 0 {
 		assigned.RecordFirstEvent(answer.FirstEvent)
-		pricer.ObserveFirstEvent(ex.call.Priority, answer.FirstEvent, ex.call.Route.LatencyTarget, now)
+		pricer.ObserveFirstEvent(shedding.Request{Priority: ex.call.Priority, Work: assigned.Work()}, answer.FirstEvent, ex.call.Route.LatencyTarget, now)
 	}
 	ex.triedServers = append(ex.triedServers, assigned.Server.ID)
 	ex.recordResult(assigned.Server.ID, err)
--- a/internal/routing/shedding/pricer.go
+++ b/internal/routing/shedding/pricer.go
@@ -17,14 +17,17 @@
 	minWork = time.Millisecond
 	// maxRelativeRate bounds the value per work of a request, relative to the usual one.
 	maxRelativeRate = 3
-	// bearablePressure is the mean predicted wait, as a fraction of the latency target,
-	// above which there is a shortage. It is below 1 because predictions hardly include
-	// what other instances send in the meantime.
-	bearablePressure = 0.7
+	// bearablePressure is the mean wait before a request's own work, as a fraction of the
+	// latency target, above which there is a shortage. It is below 1 because of that work,
+	// and because predictions hardly include what other instances send in the meantime.
+	bearablePressure = 0.6
 	// maxPressure bounds a single observation.
 	maxPressure = 3
-	// pressureWeight is the weight of one observation in the moving averages.
-	pressureWeight = 0.1
+	// pressureWindow is the time constant of the mean pressure, and meanWeight the weight of
+	// one observation in the other means. An instance of a large fleet sees a request of a
+	// kind about once a second.
+	pressureWindow = 500 * time.Millisecond
+	meanWeight     = 0.1
 	// levelGain is the growth rate of the level per second and unit of pressure beyond
 	// what is bearable.
 	levelGain = 2
@@ -32,7 +35,9 @@
 	minLevel = 0.1
 	maxLevel = 4
 	// maxSilence is the time without an observation after which the pressure counts as 0.
-	maxSilence = 250 * time.Millisecond
+	maxSilence = 1500 * time.Millisecond
+	// minGap is the least time that an observation counts for.
+	minGap = 10 * time.Millisecond
 	// priorityMemory is how long a priority counts as in use after a request.
 	priorityMemory = 10 * time.Second
 	// loadMemory is how long the loads that servers state are believed.
@@ -98,6 +103,8 @@
 	at       time.Time
 	pressure float64
 	level    float64
+	// observedAt is when a wait was last observed.
+	observedAt time.Time
 	// valueRate is the usual value per second of work.
 	valueRate float64
 	// usedAt is when a request was last seen.
@@ -114,15 +121,14 @@
 	q := &p.queues[rank(r.Priority)]
 	q.usedAt = now
 	update(&q.valueRate, r.valueRate())
-	q.observe(r.PredictedWait, target, now)
+	q.observe(r.PredictedWait-r.Work, target, now)
 }
 
-// ObserveFirstEvent takes in after what time the first event of an answer to a request of a
-// priority came.
-func (p *Pricer) ObserveFirstEvent(priority int, after, target time.Duration, now time.Time) {
+// ObserveFirstEvent takes in after what time the first event of an answer to a request came.
+func (p *Pricer) ObserveFirstEvent(r Request, after, target time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queues[rank(priority)].observe(after, target, now)
+	p.queues[rank(r.Priority)].observe(after-r.Work, target, now)
 }
 
 // ObserveFull takes in that a server has refused a request of a priority because it was
@@ -149,32 +155,42 @@
 	if now.Sub(p.loadAt) > loadMemory {
 		p.taken, p.waiting = taken, waiting
 	}
-	p.taken += pressureWeight * (taken - p.taken)
-	p.waiting += pressureWeight * (waiting - p.waiting)
+	p.taken += meanWeight * (taken - p.taken)
+	p.waiting += meanWeight * (waiting - p.waiting)
 	p.loadAt = now
 }
 
 // observe takes in a wait.
 func (q *queue) observe(wait, target time.Duration, now time.Time) {
-	q.advance(now)
-	if target > 0 {
-		q.pressure += pressureWeight * (min(maxPressure, float64(wait)/float64(target)) - q.pressure)
+	if target <= 0 {
+		return
 	}
+	q.advance(now)
+	weight := 1 - math.Exp(-max(minGap, now.Sub(q.observedAt)).Seconds()/pressureWindow.Seconds())
+	q.observedAt = now
+	q.pressure += weight * (max(0, min(maxPressure, float64(wait)/float64(target))) - q.pressure)
 }
 
-// advance brings the level up to date.
+// advance brings the level up to date. Without observations, the pressure counts on for
+// maxSilence and then as 0.
 func (q *queue) advance(now time.Time) {
 	elapsed := now.Sub(q.at)
 	if q.at.IsZero() || elapsed < 0 {
-		q.at = now
+		q.at, q.observedAt = now, now
 		return
 	}
-	q.at = now
-	active := min(elapsed, maxSilence)
-	growth := levelGain * ((q.pressure-bearablePressure)*active.Seconds() - bearablePressure*(elapsed-active).Seconds())
-	if elapsed > active {
-		q.pressure *= math.Exp(-(elapsed - active).Seconds())
+	active := max(0, min(elapsed, q.observedAt.Add(maxSilence).Sub(q.at)))
+	q.grow(active)
+	if active < elapsed {
+		q.pressure = 0
+		q.grow(elapsed - active)
 	}
+	q.at = now
+}
+
+// grow lets the level follow the pressure for a time.
+func (q *queue) grow(d time.Duration) {
+	growth := levelGain * (q.pressure - bearablePressure) * d.Seconds()
 	if q.level == 0 && growth > 0 {
 		q.level = minLevel
 	}
@@ -225,5 +241,5 @@
 	if *mean == 0 {
 		*mean = x
 	}
-	*mean += pressureWeight * (x - *mean)
+	*mean += meanWeight * (x - *mean)
 }
--- a/internal/routing/shedding/replay_test.go
+++ b/internal/routing/shedding/replay_test.go
@@ -77,6 +77,7 @@
 // replayRequest is one request of a caller and its retry, which is a request of its own.
 type replayRequest struct {
 	kind     int
+	instance int
 	sentAt   time.Duration // of the first attempt
 	at       time.Duration
 	work     time.Duration
@@ -115,7 +116,11 @@
 	return q
 }
 
-const replayDuration = 40 * time.Second
+const (
+	replayDuration = 40 * time.Second
+	// replayInstances is the number of instances that learn from their own requests.
+	replayInstances = 20
+)
 
 // replayServers are servers that take the most urgent of what waits there, one after the
 // other.
@@ -170,7 +175,11 @@
 // replay plays a load. decide stands for Decide.
 func replay(l *replayLoad, seed uint64, decide func(r Request, room Room) Decision) []replayResult {
 	rnd := rand.New(rand.NewPCG(seed, 1))
-	queue, pricer, start := l.arrivals(rnd), NewPricer(), time.Unix(1000, 0)
+	queue, start := l.arrivals(rnd), time.Unix(1000, 0)
+	var pricers []*Pricer
+	for range replayInstances {
+		pricers = append(pricers, NewPricer())
+	}
 	results := make([]replayResult, len(l.kinds))
 	servers := &replayServers{}
 	for range int(slices.MaxFunc(l.servers, func(a, b replayStep) int { return int(a.value - b.value) }).value) {
@@ -178,7 +187,7 @@
 	}
 	done := func(r replayRequest, after time.Duration) {
 		k, result := &l.kinds[r.kind], &results[r.kind]
-		pricer.ObserveFirstEvent(k.priority, r.sentAt+after-r.at, k.target, start.Add(r.sentAt+after))
+		pricers[r.instance].ObserveFirstEvent(Request{Priority: k.priority, Work: r.work}, r.sentAt+after-r.at, k.target, start.Add(r.sentAt+after))
 		switch {
 		case after <= k.target:
 			result.earned += r.value
@@ -194,7 +203,8 @@
 	}
 	for len(queue) > 0 {
 		r := heap.Pop(&queue).(replayRequest)
-		k, result := &l.kinds[r.kind], &results[r.kind]
+		r.instance = rnd.IntN(replayInstances)
+		k, result, pricer := &l.kinds[r.kind], &results[r.kind], pricers[r.instance]
 		servers.run(l, r.at, done)
 		if !r.returned {
 			result.asked++
--- a/internal/routing/shedding/shedding_test.go
+++ b/internal/routing/shedding/shedding_test.go
@@ -120,7 +120,7 @@
 	_, pricer = inShortage(0.1, 0.1, 2)
 	for range 30 {
 		now = now.Add(20 * time.Millisecond)
-		pricer.ObserveFirstEvent(2, 50*time.Millisecond, time.Second, now)
+		pricer.ObserveFirstEvent(usualRequest(2, 0), 50*time.Millisecond, time.Second, now)
 	}
 	room := pricer.Room(now)
 	is.True(room.Price(2) > 0)
@@ -131,7 +131,7 @@
 		if now = now.Add(20 * time.Millisecond); pricer.Room(now).Price(2) == 0 {
 			break
 		}
-		pricer.ObserveFirstEvent(2, 50*time.Millisecond, time.Second, now)
+		pricer.ObserveFirstEvent(usualRequest(2, 0), 50*time.Millisecond, time.Second, now)
 	}
 	ended := now.Sub(time.Unix(1004, 0).Add(600 * time.Millisecond))
 	is.True(after <= ended*5/4 && after >= ended*3/4) // the caller is told about when
