Calls wait in order for full plain services

The time between calls doubles with each refusal of a full server and shrinks with each that is taken. At most 256 wait, at most 0.6 of their time; the rest are refused as not run, with a Retry-After. While no server is full, nothing waits. Gauge Shares.Waiting, counter Shedding.Full.

--- a/internal/fleet/gateway/rooms.go
+++ b/internal/fleet/gateway/rooms.go
@@ -10,6 +10,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/routing/share"
 	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
+	"github.com/kingcupyard/kingcupyard/internal/routing/turn"
 )
 
 // roomGauges holds the shortage at each service: the price of room relative to the usual
@@ -28,6 +29,7 @@
 
 	mu      sync.Mutex
 	pricers map[string]*shedding.Pricer
+	lines   map[string]*turn.Line
 	// shares follows the customers' uses.
 	shares *share.Tracker
 	// short is the set of services with a shortage.
@@ -35,7 +37,7 @@
 }
 
 func newRooms(g *Gateway) *rooms {
-	return &rooms{gateway: g, pricers: map[string]*shedding.Pricer{}, shares: share.NewTracker(), short: map[string]bool{}}
+	return &rooms{gateway: g, pricers: map[string]*shedding.Pricer{}, lines: map[string]*turn.Line{}, shares: share.NewTracker(), short: map[string]bool{}}
 }
 
 // Pricer implements pipeline.Fleet.
@@ -51,6 +53,19 @@
 	return p
 }
 
+// Line implements pipeline.Fleet.
+func (g *Gateway) Line(service string) *turn.Line {
+	r := g.rooms
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.lines[service]
+	if l == nil {
+		l = turn.NewLine(g.Clock)
+		r.lines[service] = l
+	}
+	return l
+}
+
 // ObserveUse implements pipeline.Fleet.
 func (g *Gateway) ObserveUse(service, customer string, work time.Duration) {
 	g.rooms.shares.Observe(service, customer, work, g.Clock.Now())
@@ -83,6 +98,19 @@
 	shareGauges.Set("Exceeding", exceeding)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	waiting := int64(0)
+	for service, l := range r.lines {
+		n := l.Waiting()
+		if table != nil && n == 0 {
+			if _, known := table.Services[service]; !known {
+				delete(r.lines, service)
+			}
+		}
+		waiting += int64(n)
+	}
+	inLine := new(expvar.Int)
+	inLine.Set(waiting)
+	shareGauges.Set("Waiting", inLine)
 	for service, p := range r.pricers {
 		if table != nil {
 			if _, known := table.Services[service]; !known {
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -21,6 +21,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
+	"github.com/kingcupyard/kingcupyard/internal/routing/turn"
 )
 
 // ForwardRequest is a call that is passed on unchanged along a route.
@@ -105,6 +106,8 @@
 	IsQuarantined(parts []dispatch.PromptPart) bool
 	// Pricer returns the pricer of a service's room.
 	Pricer(service string) *shedding.Pricer
+	// Line returns the line in which calls wait for the servers of a plain service.
+	Line(service string) *turn.Line
 	// ObserveUse takes in that a customer asks for the given work of a service.
 	ObserveUse(service, customer string, work time.Duration)
 	// ExceedsShare reports whether the customer uses more than its share of a service,
@@ -316,6 +319,9 @@
 	if err := ex.checkQuarantine(); err != nil {
 		return err
 	}
+	if err := ex.awaitTurn(ctx); err != nil {
+		return err
+	}
 	assigned, err := ex.place(ctx)
 	if err != nil {
 		return err
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -18,6 +18,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
+	"github.com/kingcupyard/kingcupyard/internal/routing/turn"
 )
 
 const (
@@ -79,6 +80,38 @@
 	})
 }
 
+// awaitTurn waits until the call may be sent to a plain service. Servers that run models take
+// all requests, and order them by themselves.
+func (ex *forwardExecution) awaitTurn(ctx context.Context) error {
+	if ex.model != "" {
+		return nil
+	}
+	c := ex.call
+	err := ex.fleet.Line(ex.service).Wait(ctx, &turn.Call{Priority: c.Priority, ArrivedAt: c.ArrivedAt, Target: c.ArrivedAt.Add(c.Route.LatencyTarget), Deadline: c.Deadline})
+	var refused *turn.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		sheds.Add("Full", 1)
+		return &call.Refusal{Reason: call.ReasonOverloaded, State: ex.state, Detail: err.Error(), RetryAfter: refused.RetryAfter}
+	case err != nil:
+		return &call.Refusal{Reason: call.ReasonCallerGone, State: ex.state, Detail: err.Error()}
+	}
+	return nil
+}
+
+// recordTurn tells the service's line whether its servers take calls.
+func (ex *forwardExecution) recordTurn(e *attempt.Error, leaving bool, took time.Duration) {
+	if ex.model != "" {
+		return
+	}
+	switch line := ex.fleet.Line(ex.service); {
+	case e == nil || e.Kind == attempt.Status:
+		line.Taken(took)
+	case e.Kind == attempt.Refused503 && !leaving:
+		line.Full()
+	}
+}
+
 // shed returns a refusal if the call is not to be served for lack of room. It refuses
 // only before the first attempt, when nothing of the call has been sent.
 func (ex *forwardExecution) shed(assigned *dispatch.Assignment) *call.Refusal {
@@ -285,6 +318,7 @@
 		assigned.RecordFirstEvent(answer.FirstEvent)
 		pricer.ObserveFirstEvent(shedding.Request{Priority: ex.call.Priority, Work: assigned.Work()}, answer.FirstEvent, ex.call.Route.LatencyTarget, now)
 	}
+	ex.recordTurn(e, answer.Metadata.Notice.Leaving, now.Sub(startedAt))
 	ex.triedServers = append(ex.triedServers, assigned.Server.ID)
 	ex.recordResult(assigned.Server.ID, err)
 	assigned.Done(result, now)
