--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -630,7 +630,7 @@
 		{"shortage", func(fx *forwardFixture) { fx.shortage(3 * time.Second) }, true},
 		{"free places", func(fx *forwardFixture) {
 			fx.shortage(3 * time.Second)
-			fx.fleet.Pricer("assistant").ObserveLoad(1, 0, 6, fx.clock.Now())
+			fx.fleet.Pricer("assistant").ObserveLoad(backend.Load{Running: 1, Waiting: 0, Slots: 6}, fx.clock.Now())
 		}, false},
 		{"others exceed their share", func(fx *forwardFixture) { fx.shortage(3 * time.Second); fx.fleet.exceeding = "other" }, false},
 		{"over its share", func(fx *forwardFixture) { fx.shortage(3 * time.Second); fx.fleet.exceeding = "c" }, true},
