--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -307,6 +307,8 @@
 	declinedServers []*backend.Server
 	// crashes is the number of servers that have crashed under the call.
 	crashes int
+	// foundFull is set once a server has refused the call because it was full.
+	foundFull bool
 }
 
 // responseMargin is subtracted from the time that a server gets. It leaves time to
@@ -345,6 +347,7 @@
 	if err := ex.checkQuarantine(); err != nil {
 		return err
 	}
+	ex.reportFull()
 	if err := ex.awaitTurn(ctx); err != nil {
 		return err
 	}
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -99,16 +99,29 @@
 	return nil
 }
 
-// recordTurn tells the service's line whether its servers take calls.
+// recordTurn tells the service's line that a server has taken the call, and notes if it was
+// full.
 func (ex *forwardExecution) recordTurn(e *attempt.Error, leaving bool, took time.Duration) {
 	if ex.model != "" {
 		return
 	}
-	switch line := ex.fleet.Line(ex.service); {
+	switch {
 	case e == nil || e.Kind == attempt.Status:
-		line.Taken(took)
+		ex.fleet.Line(ex.service).Taken(took)
 	case e.Kind == attempt.Refused503 && !leaving:
-		line.Full()
+		ex.foundFull = true
+	}
+}
+
+// reportFull tells the service's line that its servers are full, once no server is left that
+// hasn't refused or failed the call. A single server that refuses calls is passed by.
+func (ex *forwardExecution) reportFull() {
+	if !ex.foundFull {
+		return
+	}
+	if _, err := ex.fleet.Predict(ex.placementRequest(ex.model, ex.sizeRank)); err != nil {
+		ex.foundFull = false
+		ex.fleet.Line(ex.service).Full()
 	}
 }
 
