--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -264,7 +264,6 @@
 	group.Go(func() { g.rooms.run(background) })
 	group.Go(g.peers.receive)
 	g.publishGauges()
-	g.publishSpeeds()
 	if g.MetricsAddress != "" {
 		metrics := newInternalServer(expvar.Handler())
 		go g.serveMetrics(metrics)
--- a/internal/fleet/gateway/metrics.go
+++ b/internal/fleet/gateway/metrics.go
@@ -24,6 +24,7 @@
 // publishGauges publishes the memory that is reserved and the ages of a gateway's view. An
 // age is -1 if there is nothing yet.
 func (g *Gateway) publishGauges() {
+	g.publishSpeeds()
 	memoryUse.Set("Limit", expvar.Func(func() any { return g.memory.whole.Limit() }))
 	memoryUse.Set("Reserved", expvar.Func(func() any { return g.memory.whole.Used() }))
 	memoryUse.Set("Requests", expvar.Func(func() any { return g.memory.requests.Used() }))
