--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -597,6 +597,10 @@
 	is.Equal(len(trialOf(g, 0.02)), 1)
 	is.Equal(len(trialOf(g, 0.22)), 2)
 	is.Equal(len(trialOf(g, 0.4)), 0) // no trial any more
+	all := servers
+	servers = []backend.Server{all[1], all[3]}
+	is.Equal(len(trialOf(g, 0.11)), 0) // no server of the old version is left
+	servers = all
 	trial = trialOf(g, 0.11)
 	is.Equal(len(g.rollouts.trialServers("assistant", dispatch.VersionConstraint{Except: "v2"})), 0)
 
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -275,6 +275,9 @@
 			others++
 		}
 	}
+	if others == 0 {
+		return nil // there is no usual load to compare with
+	}
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
