verdict: the trial has more of the limit, up to the latest ramp

It may now use up to 0.3 of the old servers' number of servers, until 0.89 instead of 0.85 of the duration, and reserves what comes after the latest ramp instead of a planned switch at 0.89.

--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -246,11 +246,8 @@
 	rampFraction = 0.04
 	// maxTrialShare bounds the share of a trial in a service of few servers.
 	maxTrialShare = 0.3
-	// rampFrom and switchFrom are the fractions of the duration for which the trial's part
-	// of the exposure limit is planned. From latestRamp on the share rises although the limit
-	// doesn't bear it.
-	rampFrom   = 0.85
-	switchFrom = 0.89
+	// latestRamp is the fraction of the duration from which on the share rises although the
+	// limit doesn't bear it. The trial's part of the limit is planned for it.
 	latestRamp = 0.89
 	// completeAt is the fraction of the duration at which a rollout is complete. The answers
 	// that the old version has begun and not ended continue on the new version. The rest is
@@ -258,13 +255,12 @@
 	completeAt = 0.93
 	// minTrialAnswers is the number of answers below which a trial says nothing.
 	minTrialAnswers = 12
-	// budgetShare is the fraction of the exposure limit that may be spent up to the deadline
-	// when the share rises. The rest covers what comes then: more requests, and repeats of
-	// those that fail. plannedShare is the fraction for which the trial is planned.
-	budgetShare  = 0.75
-	plannedShare = 0.9
-	// minTrialShare is the fraction of the budget that is the trial's also if none is
-	// left beside the requests after the switch, firstTrialShare the fraction of that for
+	// budgetShare is the fraction of the exposure limit that is planned with. The rest
+	// covers what comes until the deadline: more requests than expected, and repeats of those
+	// that fail.
+	budgetShare = 0.75
+	// minTrialShare is the fraction of the budget that is the trial's also if less is
+	// left beside the ramp and the requests after it, firstTrialShare the fraction of that for
 	// the first half of the rollout.
 	minTrialShare   = 0.15
 	firstTrialShare = 0.5
@@ -386,10 +382,10 @@
 }
 
 // trialBudget returns the number of requests that the new version may get before the ramp:
-// what the ramp and the planned switch leave of the exposure limit.
+// what the latest ramp and the requests after the completion leave of the exposure limit.
 func (in *DecisionInput) trialBudget() float64 {
-	budget := plannedShare * in.limit(in.requests(1-in.progress()))
-	return max(minTrialShare*budget, budget-in.requests(rampShare*rampFraction+1-switchFrom))
+	budget := budgetShare * in.limit(in.requests(1-in.progress()))
+	return max(minTrialShare*budget, budget-in.requests(rampShare*rampFraction+1-completeAt))
 }
 
 // trialShare returns the share of the trial. In the first half of the rollout few requests
@@ -408,8 +404,8 @@
 		coming := in.requests(secondTrialFrom - in.progress())
 		return min(one, in.MaxExposure, firstTrialShare*budget/max(1, coming))
 	}
-	servers := max(1, math.Floor(in.MaxExposure*float64(in.OldServers)))
-	affordable := (budget - float64(in.Sent.New)) / max(1, in.requests(rampFrom-in.progress()))
+	servers := max(1, math.Floor(maxTrialShare*float64(in.OldServers)))
+	affordable := (budget - float64(in.Sent.New)) / max(1, in.requests(latestRamp-in.progress()))
 	if affordable < one {
 		return in.Share
 	}
