--- a/internal/fleet/gateway/limits.go
+++ b/internal/fleet/gateway/limits.go
@@ -20,9 +20,10 @@
 	connectionMemoryShare = 0.3
 	answerMemoryShare     = 0.2
 	// callerConnectionShare and peerConnectionShare are the fractions of the file
-	// descriptors that the connections of callers and of other instances may take. The rest
-	// is for backend servers, the store and files.
-	callerConnectionShare = 0.5
+	// descriptors that the connections of callers and of other instances may take. A caller's
+	// request takes another one for its backend server; the rest is for idle connections,
+	// the store and files.
+	callerConnectionShare = 0.4
 	peerConnectionShare   = 0.0625
 	// maxReadyConnections and maxMetricsConnections bound the connections of those who ask
 	// whether the instance is ready, and of those who read its metrics.
