A document that lacks a field names nothing

The same held for every other document, for answers of the store and for what other instances send: a negative age in a feed made a confirmation young for ever.

Change: fleet/document decodes by the exact names and tells missing from zero; every document has a check of its ranges. The log names key and field, once for each entry and reason. A datagram or feed with an invalid field is refused whole. The odd entries of the tests are complete but for what is odd, fixtures and stand-ins write ColdLeftMs, hand-written datagrams name their run, as instances do.

--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -25,6 +25,7 @@
 	shared := b.Items[:0:0]
 	for _, item := range b.Items {
 		c := f.decode(item)
+		f.logInvalid(c)
 		if _, ignored := c.Subject.(Ignored); !ignored {
 			changes, shared = append(changes, c), append(shared, item)
 		}
@@ -52,6 +53,24 @@
 	}
 }
 
+// maxLoggedEntries bounds the invalid entries that are told apart in the log.
+const maxLoggedEntries = 1000
+
+// logInvalid logs an entry that can't be decoded, once for each entry and reason. The caller
+// holds mu.
+func (f *Follower) logInvalid(c Change) {
+	if c.Err == nil {
+		delete(f.invalid, c.Key)
+		return
+	}
+	reason := c.Err.Error()
+	if known, ok := f.invalid[c.Key]; known == reason || !ok && len(f.invalid) >= maxLoggedEntries {
+		return
+	}
+	f.invalid[c.Key] = reason
+	f.log.Warn("EntryInvalid", zap.String("Key", c.Key), zap.Int64("Revision", c.Revision), zap.Error(c.Err))
+}
+
 // IsComplete reports whether the View has had a routing table and the servers that there
 // were with it. A confirmation may bring the table before the watch brings the servers.
 func (f *Follower) IsComplete() bool {
--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -163,7 +163,9 @@
 	}
 	f.tableReadAt = max(f.tableReadAt, revision)
 	if item.Revision > f.tableRevision {
-		f.applyChanges([]Change{f.decode(item)})
+		c := f.decode(item)
+		f.logInvalid(c)
+		f.applyChanges([]Change{c})
 		f.history.setTable(item)
 	}
 	if f.tableRevision >= item.Revision {
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -106,6 +106,8 @@
 	// a change of the table: those of a feed, and a loaded state.
 	tableReadAt int64
 	tableGap    int64
+	// invalid holds, by key, why entries can't be decoded.
+	invalid map[string]string
 	// firstTable is the revision of the first routing table, complete whether IsComplete
 	// has found all changes up to it applied.
 	firstTable int64
@@ -183,6 +185,7 @@
 	f := &Follower{
 		settings: DefaultSettings, store: store, decode: decode, upstream: func() Feed { return nil },
 		clock: clockwork.NewRealClock(), bootClock: systemBootClock{}, log: zap.NewNop(), revision: -1, history: newHistory(),
+		invalid:     map[string]string{},
 		watchWanted: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -17,6 +17,9 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
@@ -278,6 +281,38 @@
 	is.True(age(f, 102*time.Second) <= 1)
 }
 
+// An entry that can't be decoded is logged once, however often it is written or read again,
+// until it has been sound.
+func TestInvalidEntryIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	f := newTestFollower()
+	f.log = zap.New(core)
+	f.decode = func(item Item) Change {
+		c := decodeTestItem(item)
+		if string(item.Value) == "odd" {
+			c.Err = errors.New("the field Version: it is missing")
+		}
+		return c
+	}
+	invalid := func() int { return logs.FilterMessage("EntryInvalid").Len() }
+	odd := func(revision int64) Item {
+		return Item{Key: "servers/a", Value: []byte("odd"), Revision: revision}
+	}
+	f.applyBatch(Batch{Items: []Item{odd(1)}, Revision: 1, Whole: true}, true)
+	is.Equal(invalid(), 1)
+	f.applyBatch(Batch{Items: []Item{odd(2)}, Revision: 2}, true)
+	f.applyBatch(Batch{Items: []Item{odd(2)}, Revision: 2, Whole: true}, true)
+	is.Equal(invalid(), 1)
+	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 3)}, Revision: 3}, true)
+	f.applyBatch(Batch{Items: []Item{odd(4)}, Revision: 4}, true)
+	is.Equal(invalid(), 2)
+	for i := range 2 * maxLoggedEntries {
+		f.applyBatch(Batch{Items: []Item{{Key: fmt.Sprint("servers/", i), Value: []byte("odd"), Revision: int64(i + 5)}}, Revision: int64(i + 5)}, true)
+	}
+	is.Equal(invalid(), 1+maxLoggedEntries)
+}
+
 // followerFeed is the feed of another follower. It doesn't wait for changes.
 type followerFeed struct{ *testFollower }
 
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -21,6 +21,8 @@
 	Key      string
 	Revision int64
 	Subject  any
+	// Err says which field of the entry is wrong, if it couldn't be decoded for that.
+	Err error
 }
 
 // The types of Change.Subject, besides *route.Table and backend.Server. Their
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/kingcupyard/kingcupyard/internal/fleet/document"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/platform/transfer"
 )
@@ -212,11 +213,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return follower.Batch{}, fmt.Errorf("feed of %s: status %d", f.address, resp.StatusCode)
 	}
-	var b follower.Batch
-	if err := json.Unmarshal(raw, &b); err != nil {
+	var answer feedAnswer
+	if err := document.DecodeLoosely(raw, &answer); err != nil {
 		return follower.Batch{}, fmt.Errorf("decode feed of %s: %w", f.address, err)
 	}
-	return b, nil
+	return follower.Batch(answer), nil
 }
 
 // parsePosition returns the position of the follower that sent a request. An instance of
@@ -249,8 +250,8 @@
 			return
 		}
 		wait, err := time.ParseDuration(r.FormValue("Wait"))
-		if err != nil {
-			http.Error(w, "Wait must be a duration", http.StatusBadRequest)
+		if err != nil || wait < 0 || wait > maxFeedRequestWait {
+			http.Error(w, "Wait must be a duration up to "+maxFeedRequestWait.String(), http.StatusBadRequest)
 			return
 		}
 		b, err := f.gateway.follower.Next(r.Context(), after, wait)
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/document"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -28,6 +29,8 @@
 	mu sync.Mutex
 	// lastReported is this instance's backlog as last sent to its reader.
 	lastReported dispatch.Backlog
+	// loggedInvalid holds the senders of invalid messages, with the field, that are logged.
+	loggedInvalid map[string]bool
 }
 
 // message is one datagram. A field that is missing says nothing.
@@ -105,8 +108,8 @@
 			return // the instance has stopped and closed the socket
 		}
 		var m message
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
-			peerCounters.Add("Unreadable", 1)
+		if err := document.DecodeLoosely(buf[:n], &m); err != nil {
+			p.logInvalid(addr.String(), err)
 			continue
 		}
 		peerCounters.Add("Received", 1)
--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -84,7 +84,7 @@
 // Announce writes the entry of a backend server.
 func (s *Server) Announce(store *Store, service, state string) {
 	store.Set("servers/"+s.ID, map[string]any{
-		"Service": service, "Address": s.Address, "Zone": "gulberg", "Version": "v1", "Slots": 6, "State": state, "Seq": time.Now().UnixMilli(), "born": 1,
+		"Service": service, "Address": s.Address, "Zone": "gulberg", "Version": "v1", "Slots": 6, "State": state, "ColdLeftMs": 0, "Seq": time.Now().UnixMilli(), "born": 1,
 	})
 }
 
