A stream that may run once isn't repeated for a better answer

Cause: how many larger models may still be asked followed from MaxAttempts alone, so that an answer of low confidence was declined for a larger model's on a streaming route with Sizes that may not be resumed, which ran twice (review, seen without a case).

Change: none may be asked for a request that isn't idempotent; the retry loop holds to that too.

Result: TestForwardKeepsLastAnswer (not idempotent) and two lines of TestRetryLoop fail before and pass after; the package's tests and the linter pass.

--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -380,9 +380,12 @@
 	r := ex.call.Route
 	table := ex.fleet.Table()
 	ex.query = sizing.Request{
-		PromptTokens: ex.call.PromptTokens, MaxCompletionTokens: ex.call.MaxCompletionTokens, EscalationsLeft: r.MaxAttempts - ex.serverAttempts - 1,
+		PromptTokens: ex.call.PromptTokens, MaxCompletionTokens: ex.call.MaxCompletionTokens,
 		TimeLeft: ex.call.ArrivedAt.Add(r.LatencyTarget).Sub(ex.clock.Now()),
 	}
+	if r.IsIdempotent() {
+		ex.query.EscalationsLeft = r.MaxAttempts - ex.serverAttempts - 1
+	}
 	for rank, name := range r.Models {
 		m := sizing.Model{}
 		for _, known := range table.Services[ex.service].Models {
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -357,6 +357,27 @@
 	is.Equal(fx.out.events, []string{"1", "2", "3"})
 }
 
+// TestForwardKeepsLastAnswer checks that an answer of the small model is kept, whatever its
+// confidence, if the request may not run again.
+func TestForwardKeepsLastAnswer(t *testing.T) {
+	for name, change := range map[string]func(r *route.Route){
+		"neither idempotent nor resumable": func(r *route.Route) { r.Resumable = false },
+		"one attempt":                      func(r *route.Route) { r.MaxAttempts = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newForwardFixture(func(r *route.Route) {
+				streaming(r)
+				change(r)
+			})
+			fx.client.steps = append(fx.client.steps, sends(3, 2, nil))
+			is.True(fx.run(t) == nil)
+			is.Equal(len(fx.client.sent), 1)
+			is.Equal(fx.out.events, []string{"1", "2", "3"})
+		})
+	}
+}
+
 // TestForwardStall checks that an attempt at a silent server is abandoned only if
 // another attempt may follow at once. Otherwise streams are cut, as in the
 // Csatornakep scenario trouble-2, or prompts are prefilled again and again, as in
--- a/internal/relay/pipeline/retry_loop.go
+++ b/internal/relay/pipeline/retry_loop.go
@@ -113,7 +113,7 @@
 		p.replan()
 		return true
 	case e.Kind == attempt.Unwanted:
-		return p.escalate()
+		return l.idempotent && l.serverAttempts < l.maxAttempts && p.escalate()
 	case !e.RetryableElsewhere(), e.State != call.NotRun && !l.idempotent, l.serverAttempts >= l.maxAttempts:
 		return false
 	case !p.takeRetry(e):
