A SIGHUP is taken from the start of the process on

Cause: the signal was asked for only once the settings were read and the instance was built; until then it ended the process (review, seen without a case).

Change: console/hangup asks for it while packages are initialised, among the first; reload takes it from there. Other commands release it.

--- a/cmd/kingcupyard/main.go
+++ b/cmd/kingcupyard/main.go
@@ -9,6 +9,8 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"github.com/kingcupyard/kingcupyard/internal/console/hangup"
 )
 
 func main() {
@@ -23,6 +25,9 @@
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
+	if flags.Arg(0) != (*gatewayCommand)(nil).Name() {
+		hangup.Release()
+	}
 	return int(commander.Execute(context.Background()))
 }
 
--- a/cmd/kingcupyard/reload.go
+++ b/cmd/kingcupyard/reload.go
@@ -4,12 +4,11 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/kingcupyard/kingcupyard/internal/console/hangup"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/gateway"
 	"github.com/kingcupyard/kingcupyard/platform"
 )
@@ -21,9 +20,6 @@
 // reload puts the settings file in force when it changes, with or without a
 // SIGHUP. A file that is wrong changes nothing.
 func reload(ctx context.Context, path string, g *gateway.Gateway, log *zap.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	known, err := os.ReadFile(path)
@@ -31,17 +27,17 @@
 		if err != nil {
 			log.Warn("SettingsNotRead", zap.Error(err))
 		}
-		hangup := false
+		hungUp := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-hangups:
-			hangup = true
+		case <-hangup.Signals():
+			hungUp = true
 		}
 		var raw []byte
 		raw, err = os.ReadFile(path)
-		if err != nil || bytes.Equal(raw, known) && !hangup {
+		if err != nil || bytes.Equal(raw, known) && !hungUp {
 			continue
 		}
 		known = raw
@@ -50,7 +46,7 @@
 			log.Warn("SettingsRefused", zap.Error(wrong))
 			continue
 		}
-		log.Info("SettingsRead", zap.Bool("Hangup", hangup))
+		log.Info("SettingsRead", zap.Bool("Hangup", hungUp))
 		g.Reload(settings)
 	}
 }
