Idle connections to addresses that are gone are closed

Cause: the pool looked at idle connections only when their address was asked for again, which that of a server that is gone isn't (read by the review; 17 descriptors after 100 replaced servers).

Change: every 5 s the pool closes idle connections to addresses that aren't listed, and those that are too old to be used.

--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/tenure"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
@@ -168,6 +169,9 @@
 	maxIdlePerServer = 4
 	maxIdleTime      = 8 * time.Second
 	maxConnectionAge = 5 * time.Minute
+	// idlePruneInterval is the time between two closings of the idle connections that won't
+	// be used any more.
+	idlePruneInterval = 5 * time.Second
 	// memoryLimitShare is the fraction of the process's memory limit that is set
 	// as the Go runtime's soft limit. The rest covers stacks, sockets and memory
 	// that the runtime has not yet returned.
@@ -339,10 +343,15 @@
 	defer unsubscribeFleet()
 	table, unsubscribeTable := g.follower.View.Table.Subscribe()
 	defer unsubscribeTable()
+	prune := g.Clock.NewTicker(idlePruneInterval)
+	defer prune.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-prune.Chan():
+			g.client.Prune(listedAddresses(g.follower.View.Servers.Get()))
+			continue
 		case <-servers:
 			g.dispatcher.PruneServers(g.follower.View.Servers.Get())
 		case <-fleet:
@@ -360,6 +369,17 @@
 	}
 }
 
+// listedAddresses returns the addresses of all servers of a listing.
+func listedAddresses(l *backend.Listing) map[string]bool {
+	addresses := map[string]bool{}
+	if l != nil {
+		for _, s := range l.ByID {
+			addresses[s.Address] = true
+		}
+	}
+	return addresses
+}
+
 // Changed implements pipeline.Fleet.
 func (g *Gateway) Changed() <-chan struct{} {
 	g.mu.Lock()
--- a/internal/relay/attempt/attempt.go
+++ b/internal/relay/attempt/attempt.go
@@ -212,6 +212,10 @@
 // Close closes the idle connections. Attempts in progress continue.
 func (c *Client) Close() { c.pool.closeAll() }
 
+// Prune closes the idle connections to addresses that aren't listed, and those that are too
+// old to be used.
+func (c *Client) Prune(listed map[string]bool) { c.pool.prune(listed, c.clock.Now()) }
+
 // dialTCP dials with TCP keep-alive, so that the kernel detects most dead idle
 // connections before they are used.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/relay/attempt/pool.go
+++ b/internal/relay/attempt/pool.go
@@ -40,7 +40,7 @@
 			return nil
 		}
 		switch {
-		case now.Sub(c.idleSince) >= p.maxIdle(c) || now.Sub(c.dialledAt) >= p.ageLimit:
+		case p.isAged(c, now):
 			connections.Add("Aged", 1)
 		case c.reader.Buffered() > 0 || !isIdle(c.Conn):
 			connections.Add("Unusable", 1)
@@ -62,6 +62,11 @@
 	return p.idleLimit
 }
 
+// isAged reports whether a connection has been idle for too long or is too old.
+func (p *pool) isAged(c *conn, now time.Time) bool {
+	return now.Sub(c.idleSince) >= p.maxIdle(c) || now.Sub(c.dialledAt) >= p.ageLimit
+}
+
 func (p *pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -146,6 +151,33 @@
 	return len(byAddress) > 1
 }
 
+// prune closes the idle connections that are too old to be used, and those to addresses that
+// aren't listed.
+func (p *pool) prune(listed map[string]bool, now time.Time) {
+	p.mu.Lock()
+	var gone, aged []*conn
+	for address, list := range p.idle {
+		var kept []*conn
+		for _, c := range list {
+			switch {
+			case !listed[address]:
+				gone = append(gone, c)
+			case p.isAged(c, now):
+				aged = append(aged, c)
+			default:
+				kept = append(kept, c)
+			}
+		}
+		p.setIdle(address, kept)
+	}
+	p.mu.Unlock()
+	connections.Add("Gone", int64(len(gone)))
+	connections.Add("Aged", int64(len(aged)))
+	for _, c := range append(gone, aged...) {
+		c.abort(Cancelled)
+	}
+}
+
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	idle := p.idle
