--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/document"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/quarantine"
@@ -30,6 +31,8 @@
 	lastReported dispatch.Backlog
 	// lastUses holds the customers' uses as last sent to it.
 	lastUses share.Uses
+	// loggedInvalid holds the senders of invalid messages, with the field, that are logged.
+	loggedInvalid map[string]bool
 }
 
 // message is one datagram. A field that is missing says nothing.
@@ -129,8 +132,8 @@
 			return // the instance has stopped and closed the socket
 		}
 		var m message
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
-			peerCounters.Add("Unreadable", 1)
+		if err := document.DecodeLoosely(buf[:n], &m); err != nil {
+			p.logInvalid(addr.String(), err)
 			continue
 		}
 		peerCounters.Add("Received", 1)
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -428,7 +428,10 @@
 	table := ex.fleet.Table()
 	ex.query = sizing.Request{
 		PromptTokens: ex.call.PromptTokens, CompletionTokens: ex.call.CompletionTokens, MeanSize: ex.sizes.Mean(r.Name),
-		EscalationsLeft: r.MaxAttempts - ex.serverAttempts - 1, TimeLeft: ex.call.ArrivedAt.Add(r.LatencyTarget).Sub(ex.clock.Now()),
+		TimeLeft: ex.call.ArrivedAt.Add(r.LatencyTarget).Sub(ex.clock.Now()),
+	}
+	if r.IsIdempotent() {
+		ex.query.EscalationsLeft = r.MaxAttempts - ex.serverAttempts - 1
 	}
 	for rank, name := range r.Models {
 		m := sizing.Model{}
