dispatch: long answers prefer quick servers

Cause: an answer of many events pauses whenever its server reads other prompts between its tokens, for longer on a slow server.

Change: a query names the longest answer (OutputTokens), each token of which costs 1 ms times the server's pace. Where servers state no pace it costs the same at all.

--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -14,7 +14,7 @@
 func (g *Gateway) dispatchQuery(req pipeline.PlacementRequest) *dispatch.Query {
 	service := g.Table().Services[req.Service]
 	return &dispatch.Query{
-		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, Goal: req.Goal, ExcludeServers: req.ExcludeServers,
+		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, OutputTokens: req.OutputTokens, Goal: req.Goal, ExcludeServers: req.ExcludeServers,
 		Versions: g.rollouts.allowedVersions(req.Service, req.Session), ClosedDataCentres: g.fleet().ClosedDataCentres, Members: g.instanceNames(),
 		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
 	}
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -122,6 +122,8 @@
 	Model       string
 	SizeRank    int
 	PromptParts []dispatch.PromptPart
+	// OutputTokens is the largest length of the answer.
+	OutputTokens int
 	// Goal is the time within which the caller wants the answer, or its first event.
 	Goal time.Duration
 	// Session identifies requests that should run on the same version.
@@ -361,7 +363,7 @@
 func (c *ForwardRequest) splitHash() uint64 { return xxhash.Sum64String(c.session()) }
 
 func (ex *forwardExecution) placementRequest(model string, rank int) PlacementRequest {
-	return PlacementRequest{Service: ex.service, Model: model, SizeRank: rank, PromptParts: ex.call.PromptParts, Goal: ex.call.Route.LatencyTarget, Session: ex.call.session(), ExcludeServers: ex.failedServers}
+	return PlacementRequest{Service: ex.service, Model: model, SizeRank: rank, PromptParts: ex.call.PromptParts, OutputTokens: ex.call.MaxCompletionTokens, Goal: ex.call.Route.LatencyTarget, Session: ex.call.session(), ExcludeServers: ex.failedServers}
 }
 
 // chooseModel chooses the model for the first attempt if the route lists models.
--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -266,6 +266,7 @@
 		o.wait = max(o.wait, st.longestWait(c.now))
 	}
 	o.cost = o.wait + time.Duration(st.failures.rateAt(c.now)*float64(c.settings.FailureCost))
+	o.cost += time.Duration(o.pace * float64(q.OutputTokens) * float64(outputTokenCost))
 	if s.DataCentre != c.settings.DataCentre {
 		o.cost += c.crossDataCentreCost()
 	}
@@ -289,6 +290,11 @@
 	return cost
 }
 
+// outputTokenCost is the cost of one token of the longest answer at a server of the usual pace.
+// The longer an answer, the likelier it pauses while its server reads other prompts, for longer
+// on a slow server.
+const outputTokenCost = time.Millisecond
+
 // crossGoalShare is the share of a caller's goal that an attempt may wait for longer so that it
 // stays in its data centre.
 const crossGoalShare = 0.15
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -81,6 +81,8 @@
 	// the smallest.
 	SizeRank    int
 	PromptParts []PromptPart
+	// OutputTokens is the largest length of the answer.
+	OutputTokens int
 	// Goal is the time within which callers want the answer, or its first event; 0 if
 	// unknown.
 	Goal     time.Duration
