--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -17,7 +17,7 @@
 	knownFor := g.knownFor(now)
 	versions := g.rollouts.allowedVersions(req.Service, req.Session)
 	return &dispatch.Query{
-		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, ExcludeServers: req.ExcludeServers,
+		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, OutputTokens: req.OutputTokens, Goal: req.Goal, ExcludeServers: req.ExcludeServers,
 		Versions: versions, OnlyServers: g.rollouts.trialServers(req.Service, versions), ClosedDataCentres: g.fleet().ClosedDataCentres,
 		Members: g.members(now), KnownFor: knownFor,
 		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -92,6 +92,9 @@
 const (
 	// maxDatagramBytes bounds the size of a datagram.
 	maxDatagramBytes = 32 << 10
+	// maxBacklogBytes bounds the backlog in one datagram. Servers with less work than
+	// others are left out.
+	maxBacklogBytes = maxDatagramBytes - 2<<10
 	// minBacklogInterval is the time between reports of an instance's backlog in a small
 	// deployment. It is short compared to the time that a prompt takes: instances that
 	// know of each other's work late send theirs to the same servers.
@@ -273,6 +276,7 @@
 			p.lastReported = own
 		},
 		message: func(stage sumStage, b dispatch.Backlog) *message {
+			b = b.Largest(maxBacklogBytes)
 			switch stage {
 			case groupSum:
 				return &message{Group: b}
