--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -13,16 +13,25 @@
 // request.
 func (g *Gateway) dispatchQuery(req pipeline.PlacementRequest) *dispatch.Query {
 	service := g.Table().Services[req.Service]
+	now := g.Clock.Now()
+	knownFor := g.knownFor(now)
+	versions := g.rollouts.allowedVersions(req.Service, req.Session)
 	return &dispatch.Query{
 		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, OutputTokens: req.OutputTokens, Goal: req.Goal, ExcludeServers: req.ExcludeServers,
-		Versions: g.rollouts.allowedVersions(req.Service, req.Session), ClosedDataCentres: g.fleet().ClosedDataCentres, Members: g.instanceNames(),
+		Versions: versions, OnlyServers: g.rollouts.trialServers(req.Service, versions), ClosedDataCentres: g.fleet().ClosedDataCentres,
+		Members: g.members(now), KnownFor: knownFor,
 		MaxConnections: service.MaxConnections, ColdRate: service.ColdRate,
 	}
 }
 
 // Place implements pipeline.Fleet.
 func (g *Gateway) Place(req pipeline.PlacementRequest) (*dispatch.Assignment, error) {
-	assigned, err := g.dispatcher.Place(g.follower.View.Servers.Get(), g.dispatchQuery(req), g.Clock.Now())
+	query := g.dispatchQuery(req)
+	assigned, err := g.dispatcher.Place(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	if err != nil && len(query.OnlyServers) > 0 {
+		query.OnlyServers = nil
+		assigned, err = g.dispatcher.Place(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	}
 	if err == nil {
 		g.rollouts.recordPlacement(req.Service, req.Session, assigned.Server.Version)
 	}
@@ -31,12 +40,23 @@
 
 // Predict implements pipeline.Fleet.
 func (g *Gateway) Predict(req pipeline.PlacementRequest) (dispatch.Prediction, error) {
-	return g.dispatcher.Predict(g.follower.View.Servers.Get(), g.dispatchQuery(req), g.Clock.Now())
+	query := g.dispatchQuery(req)
+	prediction, err := g.dispatcher.Predict(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	if err != nil && len(query.OnlyServers) > 0 {
+		query.OnlyServers = nil
+		prediction, err = g.dispatcher.Predict(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	}
+	return prediction, err
 }
 
 // StillEligible implements pipeline.Fleet.
 func (g *Gateway) StillEligible(assigned *dispatch.Assignment, req pipeline.PlacementRequest) bool {
-	return assigned.StillEligible(g.follower.View.Servers.Get(), g.rollouts.allowedVersions(req.Service, req.Session), g.fleet().ClosedDataCentres, g.Clock.Now())
+	servers, q, now := g.follower.View.Servers.Get(), g.dispatchQuery(req), g.Clock.Now()
+	if !assigned.StillEligible(servers, q.Versions, q.ClosedDataCentres, now) || !assigned.Send(servers, q, now) {
+		return false
+	}
+	g.rollouts.recordSent(req.Service, assigned.Server.Version)
+	return true
 }
 
 // retryBudget returns the retry budget of a service.
@@ -53,7 +73,7 @@
 
 // escalationReserve is the fraction of the retry budget that escalations to a
 // larger model leave for attempts that replace failed ones.
-const escalationReserve = 0.3
+const escalationReserve = 0.15
 
 // RecordRequest implements pipeline.Fleet.
 func (g *Gateway) RecordRequest(service string) { g.retryBudget(service).RecordRequest(g.Clock.Now()) }
@@ -64,7 +84,9 @@
 	if urgent {
 		reserve = 0
 	}
-	return g.retryBudget(service).TryRetry(g.Clock.Now(), len(g.instanceNames()), reserve)
+	now := g.Clock.Now()
+	g.index()
+	return g.retryBudget(service).TryRetry(now, g.tenure.LastingShare(g.currentSettings().RetryWindow, now), reserve)
 }
 
 // ObserveCall implements pipeline.Fleet.
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -14,16 +14,17 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/tenure"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
-	"github.com/kingcupyard/kingcupyard/internal/relay/memory"
+	"github.com/kingcupyard/kingcupyard/internal/relay/connection"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
 )
 
 // Store is the platform's store, as far as a gateway uses it.
@@ -93,10 +94,6 @@
 	Decode func(follower.Item) follower.Change
 	// NewHandler returns the HTTP handler for callers.
 	NewHandler func(a Admission, f *pipeline.Forwarder) http.Handler
-	// WrapListener wraps the listener for callers and marks its connections.
-	// ConnContext, which may be nil, adds to their contexts.
-	WrapListener func(net.Listener) net.Listener
-	ConnContext  func(context.Context, net.Conn) context.Context
 	// ReadyPath is the URL path of the readiness check.
 	ReadyPath string
 	// MetricsAddress is the address at which counters and histograms are
@@ -120,10 +117,14 @@
 	feeds      *feeds
 	billing    *billing
 	crashes    *crashes
+	rooms      *rooms
+	tenure     *tenure.Tracker
+	// calibration relates models' confidence to the quality of their answers.
+	calibration *sizing.Calibration
 	// runID distinguishes this run of the instance from earlier ones.
 	runID int64
-	// answerMemory is what backend servers' answers may take.
-	answerMemory *memory.Budget
+	// memory is what connections, requests and answers may take together.
+	memory *callMemory
 
 	// latestSettings holds the settings as last reloaded.
 	latestSettings atomic.Pointer[Settings]
@@ -170,9 +171,6 @@
 	// as the Go runtime's soft limit. The rest covers stacks, sockets and memory
 	// that the runtime has not yet returned.
 	memoryLimitShare = 0.6
-	// answerMemoryShare is the fraction of the process's memory limit that backend servers'
-	// answers may take.
-	answerMemoryShare = 0.15
 	// confirmedShare is the fraction of MaxRevokeDelay for which a confirmation
 	// of the routing table is valid. Its age counts from before it was requested,
 	// and a request is sent before it is checked, so that a small margin is
@@ -196,17 +194,20 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, LocalRoundTrip: localRoundTrip, RemoteRoundTrip: remoteRoundTrip,
 		CrossDataCentreCost: crossDataCentreCost, FailureCost: failureCost, ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack,
 	})
-	g.answerMemory = memory.New(int64(answerMemoryShare * float64(s.MemoryBytes)))
+	g.memory = newCallMemory(s)
 	g.client = attempt.New(attempt.WithClock(deps.Clock), attempt.WithPoolLimits(maxIdlePerServer, maxIdleTime, maxConnectionAge))
 	g.rollouts = newRollouts(g)
 	g.membership = &membership{gateway: g}
 	g.absences = newAbsences(g)
 	g.peers = &peers{gateway: g}
 	g.crashes = newCrashes(g)
+	g.rooms = newRooms(g)
+	g.calibration = sizing.NewCalibration()
+	g.tenure = tenure.New(s.Instance, maxViewAge(s))
 	g.runID = deps.Clock.Now().UnixNano()
 	g.billing = &billing{gateway: g, counter: tally.NewCounter(s.Instance, g.runID), copies: tally.NewCopies(), written: map[string]tally.WriteMark{}}
 	g.forwarder = pipeline.NewForwarder(g, g.client, deps.Codec, deps.Codec, pipeline.WithForwardClock(deps.Clock), pipeline.WithForwardLogger(deps.Log),
-		pipeline.WithAnswerMemory(g.answerMemory))
+		pipeline.WithAnswerMemory(g.memory.answers), pipeline.WithCalibration(g.calibration), pipeline.WithSampleShare(s.ModelSampleShare))
 	return g
 }
 
@@ -258,22 +259,23 @@
 	group.Go(func() { g.peers.run(background) })
 	group.Go(func() { g.billing.run(background) })
 	group.Go(func() { g.crashes.run(background) })
+	group.Go(func() { g.rooms.run(background) })
 	group.Go(g.peers.receive)
 	g.publishGauges()
 	g.publishSpeeds()
 	if g.MetricsAddress != "" {
-		metrics := &http.Server{Addr: g.MetricsAddress, Handler: expvar.Handler(), ReadHeaderTimeout: time.Second}
+		metrics := newInternalServer(expvar.Handler())
 		go g.serveMetrics(metrics)
 		defer metrics.Close()
 	}
-	readiness := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: time.Second}
-	group.Go(func() { g.serve(readiness, readyListener) })
-	peerServer := &http.Server{Handler: g.feeds.handler(), ReadHeaderTimeout: time.Second}
-	group.Go(func() { g.serve(peerServer, peerListener) })
+	readiness := newInternalServer(g.readinessHandler())
+	group.Go(func() { g.serve(readiness, g.bound(readyListener, maxReadyConnections)) })
+	peerServer := newInternalServer(g.feeds.handler())
+	group.Go(func() { g.serve(peerServer, g.bound(peerListener, g.maxPeerConnections())) })
 	callerServer := g.newCallerServer()
-	group.Go(func() {
-		g.serve(callerServer, g.WrapListener(netutil.LimitListener(callerListener, g.maxCallerConnections())))
-	})
+	callers := g.bound(callerListener, maxCallerConnections(g.Settings), connection.WithMemory(g.memory.requests))
+	g.publishConnections(callers)
+	group.Go(func() { g.serve(callerServer, callers) })
 	<-ctx.Done()
 	g.stop(callerServer)
 	cancel()
@@ -289,8 +291,12 @@
 // serveMetrics serves the metrics. A failure is only logged, as the instance
 // works without them.
 func (g *Gateway) serveMetrics(s *http.Server) {
-	if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		g.Log.Warn("MetricsNotServed", zap.String("Address", s.Addr), zap.Error(err))
+	l, err := net.Listen("tcp", g.MetricsAddress)
+	if err == nil {
+		err = s.Serve(g.bound(l, maxMetricsConnections))
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.Log.Warn("MetricsNotServed", zap.String("Address", g.MetricsAddress), zap.Error(err))
 	}
 }
 
@@ -344,6 +350,7 @@
 		case <-servers:
 			g.dispatcher.PruneServers(g.follower.View.Servers.Get())
 		case <-fleet:
+			g.index() // notes who has come and gone
 		case <-table:
 			g.mu.Lock()
 			g.tableChangedAt = g.Clock.Now()
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -5,17 +5,17 @@
 	"encoding/json"
 	"expvar"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
-	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/quarantine"
+	"github.com/kingcupyard/kingcupyard/internal/routing/share"
+	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
 )
 
 // peers exchanges short-lived state with the other instances in datagrams,
@@ -28,6 +28,8 @@
 	mu sync.Mutex
 	// lastReported is this instance's backlog as last sent to its reader.
 	lastReported dispatch.Backlog
+	// lastUses holds the customers' uses as last sent to it.
+	lastUses share.Uses
 }
 
 // message is one datagram. A field that is missing says nothing.
@@ -43,6 +45,16 @@
 	// and of the sender itself. Total is the backlog of the fleet.
 	Group dispatch.Backlog `json:",omitzero"`
 	Total dispatch.Backlog `json:",omitzero"`
+	// Uses, GroupUses and TotalUses are the same for the customers' uses of services, of
+	// which each holds the heaviest.
+	Uses      share.Uses `json:",omitzero"`
+	GroupUses share.Uses `json:",omitzero"`
+	TotalUses share.Uses `json:",omitzero"`
+	// Confidence, GroupConfidence and TotalConfidence are the same for the confidence that
+	// models report.
+	Confidence      sizing.Counts `json:",omitzero"`
+	GroupConfidence sizing.Counts `json:",omitzero"`
+	TotalConfidence sizing.Counts `json:",omitzero"`
 	// Tally is the sender's tally, or a part of its entries.
 	Tally *tally.Tally `json:",omitzero"`
 	// Evidence is the sender's evidence on one rollout.
@@ -66,6 +78,8 @@
 	Service  string
 	Order    int64
 	Evidence verdict.Evidence
+	// Sent counts the requests that the sender sent.
+	Sent verdict.Traffic
 }
 
 // sessionMessage says on which version a session's request ran.
@@ -144,6 +158,8 @@
 		p.mu.Unlock()
 		g.dispatcher.UpdateTotal(m.From, m.Run, m.Sequence, rest, now)
 	}
+	p.handleUses(m, now)
+	p.handleConfidence(m, now)
 	if m.Notices != nil {
 		g.dispatcher.MergeNotices(m.Notices, now)
 	}
@@ -151,7 +167,7 @@
 		p.mergeSpeeds(m, now)
 	}
 	if m.Evidence != nil {
-		g.rollouts.storePeerEvidence(m.From, *m.Evidence)
+		g.rollouts.storePeerEvidence(senderRun{m.From, m.Run}, *m.Evidence)
 	}
 	if m.Tally != nil {
 		g.billing.copies.Merge(*m.Tally)
@@ -204,7 +220,7 @@
 // run reports the backlog, the servers' notices and their speeds until the context ends.
 func (p *peers) run(ctx context.Context) {
 	g := p.gateway
-	var notices, speeds time.Time
+	var notices, speeds, uses, confidence time.Time
 	for sequence := int64(1); ; sequence++ {
 		select {
 		case <-ctx.Done():
@@ -221,6 +237,14 @@
 					speeds = now
 					p.shareSpeeds(sequence)
 				}
+				if now.Sub(confidence) >= confidenceInterval {
+					confidence = now
+					p.shareConfidence(sequence)
+				}
+				if now.Sub(uses) >= useInterval {
+					uses = now
+					p.shareUses(sequence)
+				}
 			})
 		}
 	}
@@ -235,30 +259,33 @@
 	return minBacklogInterval + time.Duration(servers)*intervalPerServer
 }
 
-// shareBacklog sends this instance's backlog to all instances in a small fleet,
-// otherwise to its reader. A reader sums up its group, exchanges the sums with
-// the other readers and sends the total to its group, so that the traffic of an
-// instance does not grow with the fleet.
+// shareBacklog passes the backlogs on, so that the traffic of an instance does not grow with
+// the fleet.
 func (p *peers) shareBacklog(sequence int64) {
-	g := p.gateway
-	local := g.dispatcher.Backlog().Largest(maxBacklogBytes)
-	instances := g.fleet().Instances
-	if len(instances) <= smallFleetSize {
-		p.broadcast(&message{Sequence: sequence, Pending: local})
-		return
-	}
-	reader, found := g.feeds.reader()
-	if !found {
-		return
-	}
-	if reader.Name != g.Settings.Instance {
-		p.mu.Lock()
-		p.lastReported = local
-		p.mu.Unlock()
-		p.send(reader.PeerAddress, &message{Sequence: sequence, Pending: local})
-		return
-	}
-	p.shareGroupSums(sequence, local, instances)
+	d := p.gateway.dispatcher
+	sumPath[dispatch.Backlog]{
+		own: func(time.Time) dispatch.Backlog { return d.Backlog() },
+		sum: func(sources []string, value dispatch.Backlog, _ time.Time) dispatch.Backlog {
+			sum := d.PeerBacklog(sources)
+			sum.Add(value)
+			return sum
+		},
+		reported: func(own dispatch.Backlog) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.lastReported = own
+		},
+		message: func(stage sumStage, b dispatch.Backlog) *message {
+			b = b.Largest(maxBacklogBytes)
+			switch stage {
+			case groupSum:
+				return &message{Group: b}
+			case fleetSum:
+				return &message{Total: b}
+			}
+			return &message{Pending: b}
+		},
+	}.share(p, sequence)
 }
 
 // shareNotices passes the recent notices of servers on, along the paths of shareBacklog.
@@ -286,30 +313,3 @@
 		}
 	}
 }
-
-// shareGroupSums is what a reader does in shareBacklog.
-func (p *peers) shareGroupSums(sequence int64, local dispatch.Backlog, instances map[string]follower.Instance) {
-	g := p.gateway
-	var members, groups []string
-	for _, name := range g.dispatcher.ActivePeers(g.Clock.Now()) {
-		if strings.HasPrefix(name, groupPrefix) {
-			groups = append(groups, name)
-		} else {
-			members = append(members, name)
-		}
-	}
-	group := g.dispatcher.PeerBacklog(members)
-	group.Add(local)
-	sent := group.Largest(maxBacklogBytes)
-	for _, other := range g.index().readers {
-		if other.Name != g.Settings.Instance {
-			p.send(other.PeerAddress, &message{Sequence: sequence, Group: sent})
-		}
-	}
-	total := g.dispatcher.PeerBacklog(groups)
-	total.Add(group)
-	total = total.Largest(maxBacklogBytes)
-	for _, name := range members {
-		p.send(instances[name].PeerAddress, &message{Sequence: sequence, Total: total})
-	}
-}
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -19,6 +20,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/relay/memory"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
+	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
 )
 
@@ -48,6 +50,8 @@
 	PromptParts         []dispatch.PromptPart
 	PromptTokens        int
 	MaxCompletionTokens int
+	// CompletionTokens is the length that the caller expects of the answer.
+	CompletionTokens int
 	// ResumeFrom is the number of the last event that the caller has received, 0
 	// for none.
 	ResumeFrom int
@@ -92,7 +96,8 @@
 	// Predict returns the wait and load that an attempt would face, without placing
 	// it.
 	Predict(req PlacementRequest) (dispatch.Prediction, error)
-	// StillEligible reports whether the assigned server may still take the request.
+	// StillEligible reports whether the assigned server may still take the request. If so,
+	// the request counts as sent.
 	StillEligible(assigned *dispatch.Assignment, req PlacementRequest) bool
 	// RecordRequest counts a request of a service towards its retry budget.
 	RecordRequest(service string)
@@ -102,6 +107,13 @@
 	TryRetry(service string, urgent bool) bool
 	// IsQuarantined reports whether a part of a prompt is known to crash servers.
 	IsQuarantined(parts []dispatch.PromptPart) bool
+	// Pricer returns the pricer of a service's room.
+	Pricer(service string) *shedding.Pricer
+	// ObserveUse takes in that a customer asks for the given work of a service.
+	ObserveUse(service, customer string, work time.Duration)
+	// ExceedsShare reports whether the customer uses more than its share of a service,
+	// and whether any customer does.
+	ExceedsShare(service, customer string) (this, any bool)
 	// LateAfter returns after which time without an event an answer is late.
 	LateAfter(predictedWait time.Duration) time.Duration
 	// ObserveAnswer records how a server answers. It is called once for an attempt, as
@@ -201,6 +213,11 @@
 	// calibration relates the confidence that models report to the quality of
 	// their answers.
 	calibration *sizing.Calibration
+	// sizes holds the usual size of each route's requests.
+	sizes *sizing.Sizes
+	// sampleShare is the fraction of the calls that go to the largest model first, whatever
+	// is known of the smaller ones.
+	sampleShare float64
 }
 
 // ForwarderOption configures a Forwarder.
@@ -221,13 +238,28 @@
 	return func(f *Forwarder) { f.memory = b }
 }
 
+// WithCalibration sets what is known of the models' confidence, which other instances may
+// share.
+func WithCalibration(c *sizing.Calibration) ForwarderOption {
+	return func(f *Forwarder) { f.calibration = c }
+}
+
+// WithSampleShare sets the fraction of the calls, from 0 to 1, that go to the largest model
+// first while there is room, so that a wrong belief about the smaller ones is found out.
+func WithSampleShare(share float64) ForwarderOption {
+	return func(f *Forwarder) { f.sampleShare = share }
+}
+
+// samples counts the calls that went to the largest model as a sample.
+var samples = expvar.NewInt("ModelSamples")
+
 // NewForwarder returns a Forwarder with the given dependencies. Without options
 // it uses the real clock, no logger, the default random source and any amount of memory.
 func NewForwarder(fleet Fleet, client ForwardClient, headers HeaderEncoder, dialect attempt.Dialect, opts ...ForwarderOption) *Forwarder {
 	f := &Forwarder{
 		fleet: fleet, client: client, headers: headers, dialect: dialect,
 		clock: clockwork.NewRealClock(), log: zap.NewNop(), random: rand.Float64,
-		calibration: sizing.NewCalibration(), memory: memory.New(math.MaxInt64),
+		calibration: sizing.NewCalibration(), sizes: sizing.NewSizes(), memory: memory.New(math.MaxInt64),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -372,8 +404,13 @@
 	if len(r.Models) == 0 {
 		return
 	}
+	ex.sizes.Observe(r.Name, sizing.Size(ex.call.PromptTokens, ex.call.CompletionTokens))
 	ex.updatePredictions()
 	ex.sizeRank = sizing.ChooseFirst(&ex.query)
+	if ex.random() < ex.sampleShare && sizing.MaySample(&ex.query) {
+		ex.sizeRank = len(r.Models) - 1
+		samples.Add(1)
+	}
 	ex.model = r.Models[ex.sizeRank]
 }
 
@@ -383,8 +420,8 @@
 	r := ex.call.Route
 	table := ex.fleet.Table()
 	ex.query = sizing.Request{
-		PromptTokens: ex.call.PromptTokens, MaxCompletionTokens: ex.call.MaxCompletionTokens, EscalationsLeft: r.MaxAttempts - ex.serverAttempts - 1,
-		TimeLeft: ex.call.ArrivedAt.Add(r.LatencyTarget).Sub(ex.clock.Now()),
+		PromptTokens: ex.call.PromptTokens, CompletionTokens: ex.call.CompletionTokens, MeanSize: ex.sizes.Mean(r.Name),
+		EscalationsLeft: r.MaxAttempts - ex.serverAttempts - 1, TimeLeft: ex.call.ArrivedAt.Add(r.LatencyTarget).Sub(ex.clock.Now()),
 	}
 	for rank, name := range r.Models {
 		m := sizing.Model{}
@@ -396,7 +433,7 @@
 		prediction, err := ex.fleet.Predict(ex.placementRequest(name, rank))
 		m.PredictedWait, m.PrefillTime, m.Blocked = prediction.Wait, prediction.PrefillTime, err != nil
 		ex.query.MeanBacklog = max(ex.query.MeanBacklog, prediction.MeanBacklog)
-		m.Confidence = ex.calibration.Profile(r.Name, rank, len(r.Models))
+		m.Confidence = ex.calibration.Profile(r.Name, r.Models, rank, ex.clock.Now())
 		ex.query.Models = append(ex.query.Models, m)
 	}
 }
@@ -413,7 +450,7 @@
 	if len(r.Models) == 0 || ex.headWritten {
 		return nil
 	}
-	ex.calibration.Observe(r.Name, ex.sizeRank, len(r.Models), h.Metadata.Confidence)
+	ex.calibration.Observe(r.Name, ex.model, h.Metadata.Confidence, ex.clock.Now())
 	if ex.sizeRank >= len(r.Models)-1 {
 		return nil
 	}
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -42,7 +42,7 @@
 }
 
 func query(parts ...PromptPart) *Query {
-	return &Query{Service: "assistant", Model: "large", SizeRank: 2, PromptParts: parts, Members: []string{"a"}, MaxConnections: 370, ColdRate: 11}
+	return &Query{Service: "assistant", Model: "large", SizeRank: 2, PromptParts: parts, Members: []string{"a"}, KnownFor: time.Minute, MaxConnections: 370, ColdRate: 11}
 }
 
 // The quotas of all instances at a cold server add up to exactly its limit, for any
@@ -85,6 +85,7 @@
 		q := query()
 		q.Members = members
 		if w, err := dispatchers[ms%instances].Place(l, q, now); err == nil {
+			is.True(w.Send(l, q, now))
 			sent = append(sent, now)
 			w.Done(Succeeded, now)
 		}
@@ -222,6 +223,28 @@
 	is.Equal(*none, NoServerError{Service: "assistant", Listed: 5, Draining: 1, Closed: 1, OtherVersion: 1, Excluded: 2})
 }
 
+// A query that names servers uses only these, also where few of many are considered.
+func TestOnlyServers(t *testing.T) {
+	for _, n := range []int{5, 3 * maxScannedServers} {
+		is := is.New(t)
+		d, l := New(testSettings("a")), listing(n, nil)
+		var q *Query
+		used := map[string]bool{}
+		for i := range 20 {
+			q = query(PromptPart{ID: fmt.Sprint(i), Tokens: 5000})
+			q.OnlyServers = []string{"s01", "s03", "gone"}
+			w, err := d.Place(l, q, epoch)
+			is.NoErr(err)
+			used[w.Server.ID] = true
+		}
+		is.Equal(used, map[string]bool{"s01": true, "s03": true})
+		q.ExcludeServers = []string{"s01", "s03"}
+		_, err := d.Place(l, q, epoch)
+		var none *NoServerError
+		is.True(errors.As(err, &none))
+	}
+}
+
 // StillEligible detects changes that happen between placing and sending.
 func TestCheckAfterChoice(t *testing.T) {
 	is := is.New(t)
