gateway: speeds go by the path that other sums go

Cause: shareSpeeds repeated the way through members, readers and members that sumPath describes.

Change: shareSpeeds is a sumPath; a stage without news sends nothing.

--- a/internal/fleet/gateway/speeds.go
+++ b/internal/fleet/gateway/speeds.go
@@ -16,50 +16,32 @@
 	Fleet speed.Report `json:",omitzero"`
 }
 
+// speedSums are sums of a kind that have lately changed.
+type speedSums struct {
+	kind   speed.Kind
+	report speed.Report
+}
+
 // shareSpeeds sends what is new of the servers' speeds.
 func (p *peers) shareSpeeds(sequence int64) {
-	g := p.gateway
-	now, speeds := g.Clock.Now(), g.dispatcher.Speeds()
-	instances := g.fleet().Instances
-	own := func() *message {
-		return speedsOf(sequence, speedsMessage{Own: speeds.Report(speed.Own, now)})
-	}
-	if len(instances) <= smallFleetSize {
-		if m := own(); m != nil {
-			p.broadcast(m)
-		}
-		return
-	}
-	reader, found := g.feeds.reader()
-	if !found {
-		return
-	}
-	if reader.Name != g.Settings.Instance {
-		if m := own(); m != nil {
-			p.send(reader.PeerAddress, m)
-		}
-		return
-	}
-	if m := speedsOf(sequence, speedsMessage{Group: speeds.Report(speed.Group, now)}); m != nil {
-		for _, other := range g.index().readers {
-			if other.Name != g.Settings.Instance {
-				p.send(other.PeerAddress, m)
+	speeds := p.gateway.dispatcher.Speeds()
+	sums := func(k speed.Kind, now time.Time) speedSums { return speedSums{k, speeds.Report(k, now)} }
+	sumPath[speedSums]{
+		own:      func(now time.Time) speedSums { return sums(speed.Own, now) },
+		sum:      func(_ []string, s speedSums, now time.Time) speedSums { return sums(s.kind+1, now) },
+		reported: func(speedSums) {},
+		message: func(_ sumStage, s speedSums) *message {
+			switch {
+			case s.report == nil:
+				return nil
+			case s.kind == speed.Group:
+				return &message{Speeds: &speedsMessage{Group: s.report}}
+			case s.kind == speed.Fleet:
+				return &message{Speeds: &speedsMessage{Fleet: s.report}}
 			}
-		}
-	}
-	if m := speedsOf(sequence, speedsMessage{Fleet: speeds.Report(speed.Fleet, now)}); m != nil {
-		for _, name := range g.dispatcher.ActivePeers(now) {
-			p.send(instances[name].PeerAddress, m) // the names of groups have no address
-		}
-	}
-}
-
-// speedsOf returns a message with the sums, or nil if there are none.
-func speedsOf(sequence int64, s speedsMessage) *message {
-	if s.Own == nil && s.Group == nil && s.Fleet == nil {
-		return nil
-	}
-	return &message{Sequence: sequence, Speeds: &s}
+			return &message{Speeds: &speedsMessage{Own: s.report}}
+		},
+	}.share(p, sequence)
 }
 
 // mergeSpeeds takes in the sums of a message.
--- a/internal/fleet/gateway/sumpath.go
+++ b/internal/fleet/gateway/sumpath.go
@@ -25,7 +25,7 @@
 	sum func(sources []string, value V, now time.Time) V
 	// reported records the own value as sent to the reader, whose sum will contain it.
 	reported func(V)
-	// message returns a message with the value of a stage.
+	// message returns a message with the value of a stage, or nil if it isn't worth one.
 	message func(stage sumStage, value V) *message
 }
 
@@ -35,15 +35,17 @@
 	now := g.Clock.Now()
 	own := s.own(now)
 	send := func(address string, stage sumStage, value V) {
-		m := s.message(stage, value)
-		m.Sequence = sequence
-		p.send(address, m)
+		if m := s.message(stage, value); m != nil {
+			m.Sequence = sequence
+			p.send(address, m)
+		}
 	}
 	instances := g.fleet().Instances
 	if len(instances) <= smallFleetSize {
-		m := s.message(ownSum, own)
-		m.Sequence = sequence
-		p.broadcast(m)
+		if m := s.message(ownSum, own); m != nil {
+			m.Sequence = sequence
+			p.broadcast(m)
+		}
 		return
 	}
 	reader, found := g.feeds.reader()
