--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -279,6 +279,7 @@
 			p.lastReported = own
 		},
 		message: func(stage sumStage, b dispatch.Backlog) *message {
+			b = b.Largest(maxBacklogBytes)
 			switch stage {
 			case groupSum:
 				return &message{Group: b.Largest(maxBacklogBytes)}
--- a/internal/routing/dispatch/choose.go
+++ b/internal/routing/dispatch/choose.go
@@ -186,18 +186,18 @@
 	}
 }
 
-// sameCostShare is the share by which costs may differ and count as the same. What is known of
-// servers isn't more exact, and instances that all prefer the one which looks best by a
-// little leave the others idle. sameCostTime is the difference that the network alone makes.
+// sameCostShare and sameCost are the share and the time by which costs may differ and count as
+// the same. What is known of servers isn't more exact, and instances that all prefer the one
+// which looks best by a little leave the others idle.
 const (
 	sameCostShare = 0.05
-	sameCostTime  = 2 * time.Millisecond
+	sameCost      = 2 * time.Millisecond
 )
 
 // compare replaces the best server by another one if that costs less. Of servers that cost
 // about the same, each has the same chance.
 func (c *choice) compare(o candidate) {
-	switch limit := max(sameCostTime, time.Duration(sameCostShare*float64(c.lowestCost))); {
+	switch limit := max(sameCost, time.Duration(sameCostShare*float64(c.lowestCost))); {
 	case c.candidates == 1 || o.cost < c.lowestCost-limit:
 		c.best, c.ties = o, 1
 	case o.cost <= c.lowestCost+limit:
@@ -288,6 +288,7 @@
 		o.wait = max(o.wait, st.longestWait(c.now))
 	}
 	o.cost = o.wait + time.Duration(st.failures.rateAt(c.now)*float64(c.settings.FailureCost))
+	o.cost += time.Duration(o.pace * float64(q.OutputTokens) * float64(outputTokenCost))
 	if s.DataCentre != c.settings.DataCentre {
 		o.cost += c.crossDataCentreCost()
 	}
@@ -311,6 +312,11 @@
 	return cost
 }
 
+// outputTokenCost is the cost of one token of the longest answer at a server of the usual pace.
+// The longer an answer, the likelier it pauses while its server reads other prompts, for longer
+// on a slow server.
+const outputTokenCost = time.Millisecond
+
 // crossGoalShare is the share of a caller's goal that an attempt may wait for longer so that it
 // stays in its data centre.
 const crossGoalShare = 0.15
