Shedding: refuse by price only where places are known to be taken

Cause: an unknown load counted as taken, so that a service that states none, or whose header isn't read, could be refused by price while its servers had free places.

Change: the price refuses only if servers have stated in the last 2 s that half of their places are taken or that requests wait, or have refused some as full. The replays and tests state loads.

--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -614,6 +614,7 @@
 	pricer, now := fx.fleet.Pricer("assistant"), fx.clock.Now().Add(-3*time.Second)
 	for range 300 {
 		now = now.Add(10 * time.Millisecond)
+		pricer.ObserveLoad(6, 1, 6, now)
 		pricer.ObserveRequest(shedding.Request{PredictedWait: wait, Priority: fx.call.Priority, Work: 50 * time.Millisecond, Value: 1}, time.Second, now)
 	}
 }
@@ -630,7 +631,9 @@
 		{"shortage", func(fx *forwardFixture) { fx.shortage(3 * time.Second) }, true},
 		{"free places", func(fx *forwardFixture) {
 			fx.shortage(3 * time.Second)
-			fx.fleet.Pricer("assistant").ObserveLoad(1, 0, 6, fx.clock.Now())
+			for range 100 {
+				fx.fleet.Pricer("assistant").ObserveLoad(1, 0, 6, fx.clock.Now())
+			}
 		}, false},
 		{"others exceed their share", func(fx *forwardFixture) { fx.shortage(3 * time.Second); fx.fleet.exceeding = "other" }, false},
 		{"over its share", func(fx *forwardFixture) { fx.shortage(3 * time.Second); fx.fleet.exceeding = "c" }, true},
--- a/internal/routing/shedding/pricer.go
+++ b/internal/routing/shedding/pricer.go
@@ -42,7 +42,7 @@
 	priorityMemory = 10 * time.Second
 	// loadMemory is how long the loads that servers state are believed.
 	loadMemory = 2 * time.Second
-	// freePlaces is the share of taken places below which servers have free ones.
+	// freePlaces is the share of taken places below which servers count as free.
 	freePlaces = 0.5
 	// minWaiting is the mean number of waiting requests at a server below which nothing
 	// waits there.
@@ -58,9 +58,9 @@
 	price [priorities]float64
 	// valueRate holds the usual value per second of work by priority, 0 if unknown.
 	valueRate [priorities]float64
-	// placesFree is set if servers state that under half of their places are taken and
-	// nothing waits.
-	placesFree bool
+	// placesTaken is set if servers have lately stated that half of their places are taken
+	// or that requests wait, or have refused some as full.
+	placesTaken bool
 	// shareExceeded is set if some customers use more than their share.
 	shareExceeded bool
 	// roomIn is the time after which the shortage is expected to have ended.
@@ -216,7 +216,7 @@
 func (p *Pricer) Room(now time.Time) Room {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	room := Room{placesFree: now.Sub(p.loadAt) <= loadMemory && p.taken < freePlaces && p.waiting < minWaiting}
+	room := Room{placesTaken: now.Sub(p.loadAt) <= loadMemory && (p.taken >= freePlaces || p.waiting >= minWaiting)}
 	level, price := 0.0, 0.0
 	for i := priorities - 1; i >= 0; i-- {
 		q := &p.queues[i]
--- a/internal/routing/shedding/replay_test.go
+++ b/internal/routing/shedding/replay_test.go
@@ -224,6 +224,7 @@
 			PredictedWait: least + r.work, TimeToTarget: r.sentAt + k.target - r.at, TimeLeft: r.sentAt + k.deadline - r.at, Priority: k.priority,
 			Work: r.work, Value: r.value, Returned: r.returned, Jitter: rnd.Float64(), Draw: rnd.Float64(),
 		}
+		pricer.ObserveLoad(64, len(servers.waiting[best]), 64, now)
 		room := pricer.Room(now)
 		pricer.ObserveRequest(request, k.target, now)
 		decision := decide(request, room)
--- a/internal/routing/shedding/shedding.go
+++ b/internal/routing/shedding/shedding.go
@@ -82,19 +82,19 @@
 
 // Decide decides on a request, given the room of its service.
 //
-// A request without hope is refused. While there is a shortage and no server has free
-// places, so is one whose answer is worth less than the work costs, with a probability
+// A request without hope is refused. While there is a shortage, and the servers' places are
+// known to be taken, so is one whose answer is worth less than the work costs, with a probability
 // that grows from 0 with the ratio of the two: instances that know the same room then
 // refuse a part of the requests of a kind, and not all or none.
 func Decide(r Request, room Room) Decision {
-	if r.Concurrent && room.placesFree {
+	if r.Concurrent && !room.placesTaken {
 		return Decision{}
 	}
 	if r.PredictedWait > r.TimeLeft {
 		return Decision{NoHope, r.retryAfter(r.PredictedWait - r.TimeLeft)}
 	}
 	price := room.level[rank(r.Priority)]
-	if price == 0 || room.placesFree {
+	if price == 0 || !room.placesTaken {
 		return Decision{}
 	}
 	if r.Draw >= maxRefusal*(1-room.relativeWorth(r)/price) {
--- a/internal/routing/shedding/shedding_test.go
+++ b/internal/routing/shedding/shedding_test.go
@@ -34,6 +34,7 @@
 	pricer, now := NewPricer(), time.Unix(1000, 0)
 	for range 400 {
 		now = now.Add(10 * time.Millisecond)
+		pricer.ObserveLoad(64, 3, 64, now)
 		for priority, wait := range waits {
 			pricer.ObserveRequest(usualRequest(priority, time.Duration(wait*float64(time.Second))), time.Second, now)
 		}
@@ -105,11 +106,19 @@
 	_, pricer := inShortage(0.1, 1, 3)
 	r, now := usualRequest(2, time.Second), time.Unix(1004, 0)
 	is.Equal(Decide(r, pricer.Room(now)).Reason, TooDear)
-	pricer.ObserveLoad(20, 0, 64, now)
+	for range 100 {
+		pricer.ObserveLoad(20, 0, 64, now)
+	}
 	is.True(pricer.Room(now).Price(2) > 0)
 	is.Equal(Decide(r, pricer.Room(now)), Decision{})
 	pricer.ObserveFull(2, now)
 	is.Equal(Decide(r, pricer.Room(now)).Reason, TooDear)
+	for range 100 {
+		now = now.Add(30 * time.Millisecond) // no server states a load for so long
+		pricer.ObserveRequest(r, 100*time.Millisecond, now)
+	}
+	is.True(pricer.Room(now).Price(2) > 0)
+	is.Equal(Decide(r, pricer.Room(now)), Decision{})
 }
 
 // A shortage is over soon after the waits are bearable again, or no requests come, and a
