--- a/internal/fleet/gateway/rooms.go
+++ b/internal/fleet/gateway/rooms.go
@@ -72,7 +72,7 @@
 }
 
 // ExceedsShare implements pipeline.Fleet.
-func (g *Gateway) ExceedsShare(service, customer string) (this, any bool) {
+func (g *Gateway) ExceedsShare(service, customer string) (this, anyone bool) {
 	return g.rooms.shares.Exceeds(service, customer)
 }
 
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -112,7 +112,7 @@
 	ObserveUse(service, customer string, work time.Duration)
 	// ExceedsShare reports whether the customer uses more than its share of a service,
 	// and whether any customer does.
-	ExceedsShare(service, customer string) (this, any bool)
+	ExceedsShare(service, customer string) (this, anyone bool)
 	// LateAfter returns after which time without an event an answer is late.
 	LateAfter(predictedWait time.Duration) time.Duration
 	// ObserveAnswer records how a server answers. It is called once for an attempt, as
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -78,7 +78,7 @@
 	return f.line
 }
 func (f *fakeFleet) ObserveUse(string, string, time.Duration) {}
-func (f *fakeFleet) ExceedsShare(_, customer string) (this, any bool) {
+func (f *fakeFleet) ExceedsShare(_, customer string) (this, anyone bool) {
 	return f.exceeding == customer, f.exceeding != ""
 }
 func (f *fakeFleet) RecordRequest(string) {}
--- a/internal/routing/share/tracker.go
+++ b/internal/routing/share/tracker.go
@@ -213,7 +213,7 @@
 
 // Exceeds reports whether the customer exceeds its share of a service, and whether any
 // customer does.
-func (t *Tracker) Exceeds(service, customer string) (this, any bool) {
+func (t *Tracker) Exceeds(service, customer string) (this, anyone bool) {
 	s := t.over.Load()
 	if len(s.services) == 0 {
 		return false, false
