--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -635,7 +635,7 @@
 	pricer, now := fx.fleet.Pricer("assistant"), fx.clock.Now().Add(-3*time.Second)
 	for range 300 {
 		now = now.Add(10 * time.Millisecond)
-		pricer.ObserveLoad(6, 1, 6, now)
+		pricer.ObserveLoad(backend.Load{Running: 6, Waiting: 1, Slots: 6}, now)
 		pricer.ObserveRequest(shedding.Request{PredictedWait: wait, Priority: fx.call.Priority, Work: 50 * time.Millisecond, Value: 1}, time.Second, now)
 	}
 }
--- a/internal/routing/shedding/replay_test.go
+++ b/internal/routing/shedding/replay_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 )
 
 // replayLoad is the load of a file below testdata.
@@ -224,7 +226,7 @@
 			PredictedWait: least + r.work, TimeToTarget: r.sentAt + k.target - r.at, TimeLeft: r.sentAt + k.deadline - r.at, Priority: k.priority,
 			Work: r.work, Value: r.value, Returned: r.returned, Jitter: rnd.Float64(), Draw: rnd.Float64(),
 		}
-		pricer.ObserveLoad(64, len(servers.waiting[best]), 64, now)
+		pricer.ObserveLoad(backend.Load{Running: 64, Waiting: len(servers.waiting[best]), Slots: 64}, now)
 		room := pricer.Room(now)
 		pricer.ObserveRequest(request, k.target, now)
 		decision := decide(request, room)
--- a/internal/routing/shedding/shedding_test.go
+++ b/internal/routing/shedding/shedding_test.go
@@ -36,7 +36,7 @@
 	pricer, now := NewPricer(), time.Unix(1000, 0)
 	for range 400 {
 		now = now.Add(10 * time.Millisecond)
-		pricer.ObserveLoad(64, 3, 64, now)
+		pricer.ObserveLoad(backend.Load{Running: 64, Waiting: 3, Slots: 64}, now)
 		for priority, wait := range waits {
 			pricer.ObserveRequest(usualRequest(priority, time.Duration(wait*float64(time.Second))), time.Second, now)
 		}
