--- a/internal/fleet/gateway/validation.go
+++ b/internal/fleet/gateway/validation.go
@@ -111,7 +111,10 @@
 // logInvalid logs a message with an invalid field, once for each sender and field.
 func (p *peers) logInvalid(from string, err error) {
 	field := document.Field(err)
-	peerCounters.Add("Invalid "+field, 1)
+	peerCounters.Add("Unreadable", 1)
+	if field != "" {
+		peerCounters.Add("Invalid "+field, 1)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	sender := from + " " + field
