--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -94,6 +94,8 @@
 	Decode func(follower.Item) follower.Change
 	// NewHandler returns the HTTP handler for callers.
 	NewHandler func(a Admission, f *pipeline.Forwarder) http.Handler
+	// WrapListener wraps the listener for callers; nil leaves it as it is.
+	WrapListener func(net.Listener) net.Listener
 	// ReadyPath is the URL path of the readiness check.
 	ReadyPath string
 	// MetricsAddress is the address at which counters and histograms are
@@ -262,7 +264,6 @@
 	group.Go(func() { g.rooms.run(background) })
 	group.Go(g.peers.receive)
 	g.publishGauges()
-	g.publishSpeeds()
 	if g.MetricsAddress != "" {
 		metrics := newInternalServer(expvar.Handler())
 		go g.serveMetrics(metrics)
@@ -273,6 +274,9 @@
 	peerServer := newInternalServer(g.feeds.handler())
 	group.Go(func() { g.serve(peerServer, g.bound(peerListener, g.maxPeerConnections())) })
 	callerServer := g.newCallerServer()
+	if g.WrapListener != nil {
+		callerListener = g.WrapListener(callerListener)
+	}
 	callers := g.bound(callerListener, maxCallerConnections(g.Settings), connection.WithMemory(g.memory.requests))
 	g.publishConnections(callers)
 	group.Go(func() { g.serve(callerServer, callers) })
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -264,7 +264,7 @@
 func (p *peers) shareBacklog(sequence int64) {
 	d := p.gateway.dispatcher
 	sumPath[dispatch.Backlog]{
-		own: func(time.Time) dispatch.Backlog { return d.Backlog() },
+		own: func(time.Time) dispatch.Backlog { return d.Backlog().Largest(maxBacklogBytes) },
 		sum: func(sources []string, value dispatch.Backlog, _ time.Time) dispatch.Backlog {
 			sum := d.PeerBacklog(sources)
 			sum.Add(value)
@@ -279,9 +279,9 @@
 			b = b.Largest(maxBacklogBytes)
 			switch stage {
 			case groupSum:
-				return &message{Group: b}
+				return &message{Group: b.Largest(maxBacklogBytes)}
 			case fleetSum:
-				return &message{Total: b}
+				return &message{Total: b.Largest(maxBacklogBytes)}
 			}
 			return &message{Pending: b}
 		},
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -22,6 +22,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/routing/shedding"
 	"github.com/kingcupyard/kingcupyard/internal/routing/sizing"
+	"github.com/kingcupyard/kingcupyard/internal/routing/turn"
 )
 
 // ForwardRequest is a call that is passed on unchanged along a route.
@@ -109,6 +110,8 @@
 	IsQuarantined(parts []dispatch.PromptPart) bool
 	// Pricer returns the pricer of a service's room.
 	Pricer(service string) *shedding.Pricer
+	// Line returns the line in which calls wait for the servers of a plain service.
+	Line(service string) *turn.Line
 	// ObserveUse takes in that a customer asks for the given work of a service.
 	ObserveUse(service, customer string, work time.Duration)
 	// ExceedsShare reports whether the customer uses more than its share of a service,
@@ -306,6 +309,8 @@
 	declinedServers []*backend.Server
 	// crashes is the number of servers that have crashed under the call.
 	crashes int
+	// foundFull is set once a server has refused the call because it was full.
+	foundFull bool
 }
 
 // responseMargin is subtracted from the time that a server gets. It leaves time to
@@ -344,6 +349,10 @@
 	if err := ex.checkQuarantine(); err != nil {
 		return err
 	}
+	ex.reportFull()
+	if err := ex.awaitTurn(ctx); err != nil {
+		return err
+	}
 	assigned, err := ex.place(ctx)
 	if err != nil {
 		return err
