pipeline: a stream waits for news when servers refuse connections in a row

At the end of a rollout the old version's servers stop all at once; since the limit on exposure moves the traffic late, many streams still run there. An instance that hadn't heard of it yet tried eight of these servers within 12 ms, and broke the stream off.

Change: from the third refused connection in a row on an attempt waits for a change of the servers, 20 ms at most, doubled with each further one (0.6 s for eight).

Test: TestOldVersionStopsAtOnce, failed before.

--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -309,6 +309,8 @@
 	declinedServers []*backend.Server
 	// crashes is the number of servers that have crashed under the call.
 	crashes int
+	// refusedDials is the number of attempts in a row whose connections were refused.
+	refusedDials int
 	// foundFull is set once a server has refused the call because it was full.
 	foundFull bool
 }
@@ -349,6 +351,7 @@
 	if err := ex.checkQuarantine(); err != nil {
 		return err
 	}
+	ex.awaitNews(ctx)
 	ex.reportFull()
 	if err := ex.awaitTurn(ctx); err != nil {
 		return err
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -40,6 +40,10 @@
 	// maxCrashesPerCall is the number of servers that may crash under a call before it
 	// is given up, since its prompt may be the cause.
 	maxCrashesPerCall = 2
+	// freeRefusedDials is the number of refused connections in a row after which an attempt
+	// waits for news of the servers, refusedDialDelay at most, doubled for each further one.
+	freeRefusedDials = 2
+	refusedDialDelay = 20 * time.Millisecond
 	// crashProbeTimeout bounds the check whether a server has crashed. It is several
 	// round trips within a region.
 	crashProbeTimeout = 100 * time.Millisecond
@@ -99,6 +103,22 @@
 	return nil
 }
 
+// awaitNews waits for a change of the servers if some have refused connections in a row: those
+// of a version that is complete stop all at once, and instances learn of that a moment later.
+func (ex *forwardExecution) awaitNews(ctx context.Context) {
+	n := ex.refusedDials - freeRefusedDials
+	if n < 0 {
+		return
+	}
+	changed := ex.fleet.Changed()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-ex.clock.After(refusedDialDelay << n):
+	}
+	ex.replan()
+}
+
 // recordTurn tells the service's line that a server has taken the call, and notes if it was
 // full.
 func (ex *forwardExecution) recordTurn(e *attempt.Error, leaving bool, took time.Duration) {
@@ -332,6 +352,11 @@
 		pricer.ObserveFirstEvent(shedding.Request{Priority: ex.call.Priority, Work: assigned.Work()}, answer.FirstEvent, ex.call.Route.LatencyTarget, now)
 	}
 	ex.recordTurn(e, answer.Metadata.Notice.Leaving, now.Sub(startedAt))
+	if e != nil && e.Kind == attempt.DialRefused {
+		ex.refusedDials++
+	} else {
+		ex.refusedDials = 0
+	}
 	ex.triedServers = append(ex.triedServers, assigned.Server.ID)
 	ex.recordResult(assigned.Server.ID, err)
 	assigned.Done(result, now)
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -354,6 +354,36 @@
 	is.Equal(fx.client.sent[1].Header.Get("Model"), fx.client.sent[0].Header.Get("Model"))
 }
 
+// TestOldVersionStopsAtOnce guards against losing streams at the end of a rollout: the servers
+// of the old version stop all at once, and refuse connections until the instance has heard of
+// it. On sauravyapaar-grown scale-1, eight of them refused a stream within 12 ms.
+func TestOldVersionStopsAtOnce(t *testing.T) {
+	is := is.New(t)
+	fx := newForwardFixture(streaming)
+	fx.forwarder.clock = &skippingClock{FakeClock: fx.clock}
+	const news = 400 * time.Millisecond
+	heardAt := fx.clock.Now().Add(news)
+	refused := fails(attempt.DialRefused, call.NotRun)
+	resumed := sends(5, 95, nil)
+	fx.client.steps = append(fx.client.steps, sends(2, 95, &attempt.Error{Kind: attempt.Reset, State: call.Ran}), func(f attempt.ForwardRequest, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+		if fx.clock.Now().Before(heardAt) {
+			return refused(f, sink)
+		}
+		return resumed(f, sink)
+	})
+	is.True(fx.run(t) == nil)
+	is.Equal(fx.out.events, []string{"1", "2", "3", "4", "5"})
+	is.True(fx.clock.Since(heardAt) < news) // and soon
+
+	// A single server that has crashed delays nothing.
+	fx = newForwardFixture(streaming)
+	fx.forwarder.clock = &skippingClock{FakeClock: fx.clock}
+	began := fx.clock.Now()
+	fx.client.steps = append(fx.client.steps, refused, resumed)
+	is.True(fx.run(t) == nil)
+	is.Equal(fx.clock.Now(), began)
+}
+
 // TestLastAttemptOpensNewConnection guards against losing a request because its last attempt
 // used a pooled connection that the server had just closed. In the Pottyround
 // scenario streams-lost, the third attempt of a resumed stream ended with a reset
