--- a/internal/fleet/gateway/fleetindex.go
+++ b/internal/fleet/gateway/fleetindex.go
@@ -19,6 +19,12 @@
 
 // index returns the index of the current view of the fleet.
 func (g *Gateway) index() *fleetIndex {
+	if i := g.latestIndex.Load(); i != nil && i.fleet == g.follower.View.Fleet.Get() {
+		return i
+	}
+	// Views are taken in one after the other, in their order.
+	g.indexMu.Lock()
+	defer g.indexMu.Unlock()
 	fleet := g.follower.View.Fleet.Get()
 	if i := g.latestIndex.Load(); i != nil && i.fleet == fleet {
 		return i
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -134,6 +134,7 @@
 
 	// latestIndex is the index of a recent view of the fleet.
 	latestIndex atomic.Pointer[fleetIndex]
+	indexMu     sync.Mutex
 
 	stopping atomic.Bool
 	// giveUpAt is when a stopping instance gives up the calls that are still in flight.
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -81,8 +81,18 @@
 	Service  string
 	Order    int64
 	Evidence verdict.Evidence
-	// Sent counts the requests that the sender sent.
+	// Sent counts the requests that the sender sent. Instances of earlier versions leave it
+	// out.
 	Sent verdict.Traffic
+	// Elapsed is how long the sender has known the order.
+	Elapsed time.Duration `json:",omitzero"`
+}
+
+// sent returns the number of requests that the sender sent: at least those that were
+// answered.
+func (m *evidenceMessage) sent() verdict.Traffic {
+	answered := m.Evidence.Traffic()
+	return verdict.Traffic{Old: max(m.Sent.Old, answered.Old), New: max(m.Sent.New, answered.New)}
 }
 
 // sessionMessage says on which version a session's request ran.
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -398,7 +398,8 @@
 		return
 	}
 	ro.progressRevision = progress.Revision
-	ro.recordedSent = verdict.Traffic{Old: progress.SentOld, New: progress.SentNew}
+	// Drivers of earlier versions record no traffic.
+	ro.recordedSent.Old, ro.recordedSent.New = max(ro.recordedSent.Old, progress.SentOld), max(ro.recordedSent.New, progress.SentNew)
 	if startedAt := now.Add(-progress.Elapsed); startedAt.Before(ro.startedAt) {
 		ro.startedAt = startedAt
 	}
@@ -498,7 +499,7 @@
 	in.Evidence.Add(ro.evidence)
 	for _, m := range r.peerEvidence[service] {
 		in.Evidence.Add(m.Evidence)
-		in.Sent.Add(m.Sent)
+		in.Sent.Add(m.sent())
 	}
 	// A new driver doesn't know what instances sent that are gone.
 	in.Sent.Old, in.Sent.New = max(in.Sent.Old, ro.recordedSent.Old), max(in.Sent.New, ro.recordedSent.New)
@@ -527,7 +528,7 @@
 	ro.evidenceChanged = false
 	evidence := verdict.Evidence{}
 	evidence.Add(ro.evidence)
-	return &evidenceMessage{service, ro.orderRevision, evidence, ro.sent}
+	return &evidenceMessage{service, ro.orderRevision, evidence, ro.sent, r.gateway.Clock.Since(ro.startedAt)}
 }
 
 // storePeerEvidence replaces the stored evidence of another instance. Evidence
@@ -535,9 +536,13 @@
 func (r *rollouts) storePeerEvidence(from senderRun, msg evidenceMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if ro := r.local[msg.Service]; ro == nil || ro.orderRevision != msg.Order {
+	ro := r.local[msg.Service]
+	if ro == nil || ro.orderRevision != msg.Order {
 		return
 	}
+	if startedAt := r.gateway.Clock.Now().Add(-min(msg.Elapsed, ro.duration)); startedAt.Before(ro.startedAt) {
+		ro.startedAt = startedAt // another instance has seen the order sooner
+	}
 	if r.peerEvidence[msg.Service] == nil {
 		r.peerEvidence[msg.Service] = map[senderRun]evidenceMessage{}
 	}
--- a/internal/fleet/gateway/validation.go
+++ b/internal/fleet/gateway/validation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -73,7 +74,7 @@
 			return false
 		}
 	}
-	return e.Service != "" && e.Order > 0
+	return e.Service != "" && e.Order > 0 && min(e.Sent.Old, e.Sent.New) >= 0 && max(e.Sent.Old, e.Sent.New) <= math.MaxInt32 && e.Elapsed >= 0
 }
 
 // feedAnswer is an answer of another instance's feed.
--- a/internal/fleet/sums/sums.go
+++ b/internal/fleet/sums/sums.go
@@ -50,11 +50,11 @@
 }
 
 // UpdateTotal stores the report of a source that has added up the values of all other
-// instances, unless a report of the same source is as new or newer.
+// instances, unless a report of the same source that still counts is as new or newer.
 func (s *Sources[V]) UpdateTotal(name string, run, sequence int64, value V, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.totalSource != name || s.total.isOlderThan(run, sequence) {
+	if s.totalSource != name || !s.counts(s.total, now) || s.total.isOlderThan(run, sequence) {
 		s.totalSource, s.total = name, &report[V]{run, sequence, now, value}
 	}
 }
--- a/internal/fleet/sums/sums_test.go
+++ b/internal/fleet/sums/sums_test.go
@@ -42,4 +42,7 @@
 	s.UpdateTotal("q", 1, 1, counts{"x": 60}, now.Add(3*time.Second)) // another reader
 	is.Equal(all(now.Add(3*time.Second)), counts{"own": 1, "x": 60})
 	is.Equal(all(now.Add(9*time.Second)), counts{"own": 1}) // all silent
+	// q has restarted after its clock was set back, so that its run seems to be an old one.
+	s.UpdateTotal("q", 0, 1, counts{"x": 70}, now.Add(9*time.Second))
+	is.Equal(all(now.Add(9*time.Second)), counts{"own": 1, "x": 70})
 }
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -140,6 +140,9 @@
 	// maxUnread is the time for which a server keeps an answer that remains unread. Past it,
 	// the server may cut the answer off.
 	maxUnread = time.Second
+	// slowCallerMemory is how long an answer that ends early is put down to a caller that was
+	// slow to take an event.
+	slowCallerMemory = 5 * time.Second
 	// maxSyncBodyBytes is the size of the largest body that is written completely
 	// before the answer is read. A larger one is written concurrently, since a
 	// server may answer before it has read everything.
@@ -458,13 +461,15 @@
 	}
 	x.conn.arm(ProgressTimeout, x.limits.FirstByte)
 	events := eventReader{src: bufio.NewReaderSize(resp.Body, readBufferSize), reserve: x.reserve}
-	started, slow := false, false
+	started := false
+	var slowAt time.Time // when the caller was last slow to take an event
 	for {
 		number, raw, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
+			slow := !slowAt.IsZero() && x.client.clock.Since(slowAt) < slowCallerMemory
 			return answer, x.fail(x.eventErrorKind(err, slow), err)
 		}
 		if number > 0 {
@@ -482,7 +487,9 @@
 		if err := sink.Event(number, raw); err != nil {
 			return answer, x.fail(CallerGone, err)
 		}
-		slow = slow || x.client.clock.Since(passedAt) >= maxUnread
+		if x.client.clock.Since(passedAt) >= maxUnread {
+			slowAt = x.client.clock.Now()
+		}
 		x.lastDelivered = answer.LastEvent
 		if comment {
 			x.conn.resume()
--- a/internal/relay/connection/connection.go
+++ b/internal/relay/connection/connection.go
@@ -261,8 +261,11 @@
 		c.account.Return(h.reserved)
 	}
 	ahead := c.framing.hasBegun()
+	lost := c.framing.state == lost && !ahead
 	c.mu.Unlock()
 	switch {
+	case lost:
+		c.Close() // what follows can't be told apart
 	case !ahead:
 	case c.listener.full.Load():
 		counters.Add("SentAhead", 1)
@@ -299,10 +302,10 @@
 }
 
 // waitsForClient reports since when the connection has waited for its client, if it does.
-func (c *Conn) waitsForClient() (since time.Time, held int64, waits bool) {
+func (c *Conn) waitsForClient() (w waiting, waits bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since, c.account.Held(), !c.closed && (!c.working || c.writing)
+	return waiting{c, c.since, c.account.Held(), c.working}, !c.closed && (!c.working || c.writing)
 }
 
 // evict closes the connection unless its request is being worked on by now, or its client
@@ -310,6 +313,7 @@
 func (c *Conn) evict(since time.Time) bool {
 	c.mu.Lock()
 	may := !c.closed && (!c.working || c.writing) && c.since.Equal(since)
+	unanswered := c.working || c.framing.hasBegun()
 	if may {
 		c.closed = true
 		c.account.Close()
@@ -318,8 +322,8 @@
 	if !may {
 		return false
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // what is unsent is given up
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && unanswered {
+		_ = tcp.SetLinger(0) // what is unsent is given up; the end of a whole answer isn't
 	}
 	if err := c.Conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		counters.Add("CloseFailed", 1)
--- a/internal/relay/connection/framing.go
+++ b/internal/relay/connection/framing.go
@@ -49,7 +49,8 @@
 	inChunk
 	inChunkEnd
 	inTrailer
-	// lost means that the length of a body can't be told; net/http closes such a connection.
+	// lost means that the length of a body can't be told. The connection is closed after the
+	// request, if net/http doesn't do so.
 	lost
 )
 
--- a/internal/relay/connection/listener.go
+++ b/internal/relay/connection/listener.go
@@ -151,18 +151,26 @@
 	conn  *Conn
 	since time.Time
 	held  int64
+	// working is set if its request is being worked on: its client is slow to read.
+	working bool
 }
 
 // stalled returns the connections that have waited for their clients for the patience of the
-// listener, the longest first.
+// listener, the longest first. A client that reads an answer has more time: it may be making
+// progress that shows only once the kernel's buffer takes more.
 func (l *Listener) stalled() []waiting {
-	limit := l.now().Add(-l.patience)
+	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all []waiting
 	for c := range l.open {
-		if since, held, waits := c.waitsForClient(); waits && !since.After(limit) {
-			all = append(all, waiting{c, since, held})
+		w, waits := c.waitsForClient()
+		patience := l.patience
+		if w.working {
+			patience = max(patience, l.writeTimeout/2)
+		}
+		if waits && now.Sub(w.since) >= patience {
+			all = append(all, w)
 		}
 	}
 	slices.SortFunc(all, func(a, b waiting) int { return a.since.Compare(b.since) })
@@ -170,13 +178,13 @@
 }
 
 // reclaim closes connections whose clients have made no progress, until they have given back
-// as many bytes.
+// as many bytes. It leaves those whose requests are being worked on.
 func (l *Listener) reclaim(bytes int64, asking *Conn) {
 	for _, w := range l.stalled() {
 		if bytes <= 0 {
 			return
 		}
-		if w.held > 0 && w.conn != asking && w.conn.evict(w.since) {
+		if w.held > 0 && !w.working && w.conn != asking && w.conn.evict(w.since) {
 			counters.Add("Reclaimed", 1)
 			bytes -= w.held
 		}
--- a/internal/relay/connection/listener_test.go
+++ b/internal/relay/connection/listener_test.go
@@ -256,3 +256,45 @@
 		})
 	}
 }
+
+// A connection whose requests can't be told apart any more is closed after the request: heads
+// that follow would not be counted.
+func TestLostFramingCloses(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 4, memory.New(1<<20))
+	client, server := fx.connect()
+	is.NoErr(fx.send(client, server, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0"+strings.Repeat(" ", 70)+"\r\n\r\n"))
+	server.EndRequest()
+	is.True(isClosed(server))
+}
+
+// A connection that gives way after a whole answer keeps what the kernel still has to send.
+func TestEvictionKeepsTheEndOfAnAnswer(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	clock := clockwork.NewFakeClock()
+	l := NewListener(inner, 1, WithClock(clock), WithMemory(memory.New(1<<20)))
+	defer l.Close()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	server := accepted.(*Conn)
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	_, err = server.Read(make([]byte, 4<<10))
+	is.NoErr(err)
+	is.True(server.BeginWork())
+	answer := make([]byte, 48<<10) // fits into the kernel's buffers
+	_, err = server.Write(answer)
+	is.NoErr(err)
+	server.EndWork()
+	server.EndRequest()
+	clock.Advance(time.Minute)
+	is.True(l.evictOne())
+	got, err := io.ReadAll(client)
+	is.NoErr(err)
+	is.Equal(len(got), len(answer))
+}
--- a/internal/relay/memory/memory.go
+++ b/internal/relay/memory/memory.go
@@ -35,9 +35,14 @@
 	if b.whole != nil {
 		shared = b.whole
 	}
-	if shared.used.Add(n) > b.limit {
-		shared.used.Add(-n)
-		return false
+	for {
+		used := shared.used.Load()
+		if used+n > b.limit {
+			return false
+		}
+		if shared.used.CompareAndSwap(used, used+n) {
+			break
+		}
 	}
 	if b.whole != nil {
 		b.used.Add(n)
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -352,7 +352,6 @@
 		return err
 	}
 	ex.awaitNews(ctx)
-	ex.reportFull()
 	if err := ex.awaitTurn(ctx); err != nil {
 		return err
 	}
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -96,7 +96,7 @@
 	switch {
 	case errors.As(err, &refused):
 		sheds.Add("Full", 1)
-		return &call.Refusal{Reason: call.ReasonOverloaded, State: ex.state, Detail: err.Error(), RetryAfter: refused.RetryAfter}
+		return &call.Refusal{Reason: call.ReasonOverloaded, State: ex.state, Detail: err.Error(), RetryAfter: shedding.RetryAfter(refused.RetryAfter, c.Deadline.Sub(ex.clock.Now()), ex.random())}
 	case err != nil:
 		return &call.Refusal{Reason: call.ReasonCallerGone, State: ex.state, Detail: err.Error()}
 	}
@@ -131,6 +131,7 @@
 	case e.Kind == attempt.Refused503 && !leaving:
 		ex.foundFull = true
 	}
+	ex.reportFull()
 }
 
 // reportFull tells the service's line that its servers are full, once no server is left that
@@ -351,7 +352,6 @@
 		assigned.RecordFirstEvent(answer.FirstEvent)
 		pricer.ObserveFirstEvent(shedding.Request{Priority: ex.call.Priority, Work: assigned.Work()}, answer.FirstEvent, ex.call.Route.LatencyTarget, now)
 	}
-	ex.recordTurn(e, answer.Metadata.Notice.Leaving, now.Sub(startedAt))
 	if e != nil && e.Kind == attempt.DialRefused {
 		ex.refusedDials++
 	} else {
@@ -359,6 +359,7 @@
 	}
 	ex.triedServers = append(ex.triedServers, assigned.Server.ID)
 	ex.recordResult(assigned.Server.ID, err)
+	ex.recordTurn(e, answer.Metadata.Notice.Leaving, now.Sub(startedAt))
 	assigned.Done(result, now)
 	ex.fleet.ObserveAttempt(AttemptOutcome{PromptParts: ex.call.PromptParts, Begun: begun, Crashed: ex.findCrashes(ctx, assigned.Server, begun, e)})
 	if ex.crashes >= maxCrashesPerCall {
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// Traffic returns the number of answers of each version.
+func (e Evidence) Traffic() Traffic {
+	var t Traffic
+	for _, pair := range e {
+		t.Add(Traffic{pair.Old.Answers, pair.New.Answers})
+	}
+	return t
+}
+
 // newAnswers returns the number of answers of the new version.
 func (e Evidence) newAnswers() int {
 	n := 0
--- a/internal/routing/allowance/allowance.go
+++ b/internal/routing/allowance/allowance.go
@@ -37,7 +37,10 @@
 type RetryBudget struct {
 	settings Settings
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// start is the time of the first event, from which buckets are numbered. Differences
+	// of times don't follow jumps of the time of day.
+	start    time.Time
 	requests window
 	retries  window
 }
@@ -53,8 +56,12 @@
 // New returns a RetryBudget that has counted nothing yet.
 func New(s Settings) *RetryBudget { return &RetryBudget{settings: s} }
 
+// bucketAt returns the number of the bucket of a time. The caller holds mu.
 func (b *RetryBudget) bucketAt(now time.Time) int64 {
-	return now.UnixNano() / int64(max(1, b.settings.Window/bucketCount))
+	if b.start.IsZero() {
+		b.start = now
+	}
+	return bucketCount + 1 + int64(now.Sub(b.start)/max(1, b.settings.Window/bucketCount))
 }
 
 func (w *window) advance(bucket int64) {
--- a/internal/routing/dispatch/peers.go
+++ b/internal/routing/dispatch/peers.go
@@ -195,7 +195,7 @@
 	o := d.others
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.totalSource != name || o.total.isOlderThan(run, sequence) {
+	if o.totalSource != name || o.total == nil || now.Sub(o.total.at) >= peerReportTTL || o.total.isOlderThan(run, sequence) {
 		o.totalSource, o.total = name, &peerReport{run, sequence, now, pending}
 	}
 }
--- a/internal/routing/share/share.go
+++ b/internal/routing/share/share.go
@@ -56,12 +56,20 @@
 // MaxReported is the number of uses in a report.
 const MaxReported = 48
 
-// Heaviest returns the MaxReported heaviest uses.
+// Heaviest returns up to MaxReported uses, the heaviest of each service.
 func (u Uses) Heaviest() Uses {
 	if len(u) <= MaxReported {
 		return u
 	}
 	keys := slices.SortedFunc(maps.Keys(u), func(a, b string) int { return cmp.Or(cmp.Compare(u[b], u[a]), cmp.Compare(a, b)) })
+	// The heaviest of each service come first, so that one service doesn't displace another.
+	ranks, next := make(map[string]int, len(u)), map[string]int{}
+	for _, key := range keys {
+		service := key[:serviceKeyLength]
+		ranks[key] = next[service]
+		next[service]++
+	}
+	slices.SortStableFunc(keys, func(a, b string) int { return cmp.Compare(ranks[a], ranks[b]) })
 	heaviest := make(Uses, MaxReported)
 	for _, key := range keys[:MaxReported] {
 		heaviest[key] = u[key]
--- a/internal/routing/share/share_test.go
+++ b/internal/routing/share/share_test.go
@@ -187,3 +187,21 @@
 	tracker.Refresh(now.Add(reportTTL))
 	is.Equal(tracker.Exceeding(), 0)
 }
+
+// A service with little work keeps its shares beside one with many heavy customers.
+func TestLightServiceKeepsItsShares(t *testing.T) {
+	is := is.New(t)
+	uses := Uses{}
+	for i := range 60 {
+		uses[Key("heavy", fmt.Sprint(i))] = int64(1000 + i)
+	}
+	for i := range 5 {
+		uses[Key("light", fmt.Sprint(i))] = int64(1 + i)
+	}
+	heaviest := uses.Heaviest()
+	is.Equal(len(heaviest), MaxReported)
+	for i := range 5 {
+		is.Equal(heaviest[Key("light", fmt.Sprint(i))], int64(1+i))
+	}
+	is.Equal(heaviest[Key("heavy", "59")], int64(1059))
+}
--- a/internal/routing/share/tracker.go
+++ b/internal/routing/share/tracker.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/sums"
 )
 
 const (
@@ -22,21 +24,22 @@
 	// forgetFraction the usual fraction below which that is.
 	forgetBelow    = 0.5
 	forgetFraction = 0.0001
+	// decayInterval is the time between updates of all own uses.
+	decayInterval = 50 * time.Millisecond
+	// maxUse is the largest use that is believed of a report, in milliseconds per second.
+	maxUse = 1e9
 	// maxOwn bounds the uses that an instance keeps of its own requests.
 	maxOwn = 4096
 )
 
 // Tracker follows the uses of all customers. It is safe for concurrent use.
 type Tracker struct {
+	others *sums.Sources[Uses]
+
 	mu sync.Mutex
 	// own holds this instance's uses, as of ownAt.
 	own   map[string]float64
 	ownAt time.Time
-	// reports holds the latest report of each source, total that of a source that has
-	// added up all others.
-	reports     map[string]*report
-	total       *report
-	totalSource string
 	// usual holds the usual fractions, as of usualAt, learnt from learningSince on.
 	usual                  map[string]float64
 	usualAt, learningSince time.Time
@@ -50,22 +53,9 @@
 	services  map[string]bool
 }
 
-// report is the report of one source. run and sequence order those of one source.
-type report struct {
-	run, sequence int64
-	at            time.Time
-	uses          Uses
-}
-
-func (r *report) isOlderThan(run, sequence int64) bool {
-	return r == nil || run > r.run || run == r.run && sequence > r.sequence
-}
-
-func (r *report) isExpired(now time.Time) bool { return r == nil || now.Sub(r.at) >= reportTTL }
-
 // NewTracker returns a Tracker that knows of no use.
 func NewTracker() *Tracker {
-	t := &Tracker{own: map[string]float64{}, reports: map[string]*report{}, usual: map[string]float64{}}
+	t := &Tracker{others: sums.New[Uses](reportTTL), own: map[string]float64{}, usual: map[string]float64{}}
 	t.over.Store(&state{})
 	return t
 }
@@ -84,7 +74,7 @@
 // decay brings the own uses up to date. The caller holds mu.
 func (t *Tracker) decay(now time.Time) {
 	elapsed := now.Sub(t.ownAt)
-	if elapsed <= 0 {
+	if elapsed < decayInterval {
 		return
 	}
 	t.ownAt = now
@@ -116,39 +106,25 @@
 
 // UpdateSource stores a report, unless the stored one of that source is as new or newer.
 func (t *Tracker) UpdateSource(name string, run, sequence int64, uses Uses, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.reports[name].isOlderThan(run, sequence) {
-		t.reports[name] = &report{run, sequence, now, valid(uses)}
-	}
+	t.others.Update(name, run, sequence, valid(uses), now)
 }
 
 // UpdateTotal stores the report of a source that has added up the uses of all other
 // instances, unless a report of the same source is as new or newer.
 func (t *Tracker) UpdateTotal(name string, run, sequence int64, uses Uses, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.totalSource != name || t.total.isOlderThan(run, sequence) {
-		t.totalSource, t.total = name, &report{run, sequence, now, valid(uses)}
-	}
+	t.others.UpdateTotal(name, run, sequence, valid(uses), now)
 }
 
 // valid returns the uses without those that no instance of this version reports.
 func valid(uses Uses) Uses {
-	maps.DeleteFunc(uses, func(key string, use int64) bool { return use < 0 || len(key) != 2*serviceKeyLength })
+	maps.DeleteFunc(uses, func(key string, use int64) bool { return use < 0 || use > maxUse || len(key) != 2*serviceKeyLength })
 	return uses.Heaviest()
 }
 
 // Sum returns the heaviest uses of the named sources and of more.
 func (t *Tracker) Sum(names []string, more Uses, now time.Time) Uses {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	sum := maps.Clone(more)
-	for _, name := range names {
-		if r := t.reports[name]; !r.isExpired(now) {
-			sum.Add(r.uses)
-		}
-	}
+	t.others.AddNamed(sum, names, now)
 	return sum.Heaviest()
 }
 
@@ -158,14 +134,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	uses := maps.Clone(t.ownUses(now))
-	maps.DeleteFunc(t.reports, func(_ string, r *report) bool { return r.isExpired(now) })
-	if !t.total.isExpired(now) {
-		uses.Add(t.total.uses)
-	} else {
-		for _, r := range t.reports {
-			uses.Add(r.uses)
-		}
-	}
+	t.others.AddAll(uses, now)
 	fractions := uses.Fractions()
 	t.learn(fractions, now)
 	next := &state{services: map[string]bool{}}
--- a/internal/routing/shedding/shedding.go
+++ b/internal/routing/shedding/shedding.go
@@ -129,9 +129,15 @@
 // valueRate returns the value of the request's answer per second of work.
 func (r *Request) valueRate() float64 { return r.Value / max(minWork, r.Work).Seconds() }
 
-// retryAfter returns the time after which there is room, bounded by what the caller
-// accepts, with jitter so that callers do not retry at the same moment.
+// retryAfter returns the time after which the caller may come back if there is room then.
 func (r *Request) retryAfter(room time.Duration) time.Duration {
-	wait := max(minRetryAfter, min(room, time.Duration(maxRetryShare*float64(r.TimeLeft))))
-	return wait/2 + time.Duration(r.Jitter*float64(wait)/2)
+	return RetryAfter(room, r.TimeLeft, r.Jitter)
+}
+
+// RetryAfter returns the time after which a caller may come back if there is room after the
+// given time, bounded by what callers with so much time left accept. jitter, from 0 to 1,
+// spreads callers that are refused at the same moment.
+func RetryAfter(room, timeLeft time.Duration, jitter float64) time.Duration {
+	wait := max(minRetryAfter, min(room, time.Duration(maxRetryShare*float64(timeLeft))))
+	return wait/2 + time.Duration(jitter*float64(wait)/2)
 }
--- a/internal/routing/speed/speed.go
+++ b/internal/routing/speed/speed.go
@@ -41,6 +41,8 @@
 	maxReported = 300
 	// maxServers bounds the servers of a source.
 	maxServers = 8192
+	// dropInterval is the time between searches for what is to be dropped.
+	dropInterval = 2 * time.Second
 	// negligible is the weight at which a sum is dropped.
 	negligible = 0.02
 )
@@ -71,6 +73,8 @@
 	sources                     map[sourceKey]*source
 	// latest holds the latest statement of each server to this instance.
 	latest map[string]statement
+	// droppedAt is when drop last searched.
+	droppedAt time.Time
 	// cursors holds for each kind of report the last server that it had.
 	cursors [Fleet + 1]string
 }
@@ -265,6 +269,10 @@
 // drop drops the sources that have been silent for long and the sums that have faded. The
 // caller holds mu.
 func (e *Estimates) drop(now time.Time) {
+	if age := now.Sub(e.droppedAt); age >= 0 && age < dropInterval {
+		return
+	}
+	e.droppedAt = now
 	for key, s := range e.sources {
 		s.sums.drop(now)
 		if now.Sub(s.at) >= sourceTTL {
--- a/internal/routing/turn/line.go
+++ b/internal/routing/turn/line.go
@@ -85,10 +85,10 @@
 func (l *Line) enter(c *Call) (<-chan error, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.queue.IsOpen() {
+	now := l.clock.Now()
+	if l.queue.IsOpen(now) {
 		return nil, time.Time{}
 	}
-	now := l.clock.Now()
 	turn := make(chan error, 1)
 	l.turns[c] = turn
 	if last := l.queue.Add(c, now); last != nil {
@@ -116,7 +116,7 @@
 		}
 		l.end(next, nil)
 	}
-	at := l.queue.NextAt()
+	at := l.queue.WakeAt(now)
 	if last := l.queue.lastTurn(c); last.Before(at) {
 		return last.Add(time.Millisecond)
 	}
--- a/internal/routing/turn/turn.go
+++ b/internal/routing/turn/turn.go
@@ -49,6 +49,8 @@
 	// quiet is the time without a refusal after which late calls go too. Until then they
 	// would take the places of others.
 	quiet = 2 * time.Second
+	// intervalMemory is the time without a refusal after which the interval is forgotten.
+	intervalMemory = 5 * quiet
 	// maxWaitShare is the share of the time to the deadline that a call waits at most.
 	maxWaitShare = 0.6
 	// MaxWaiting is the number of calls that may wait for a service.
@@ -81,13 +83,24 @@
 		q.took = took
 	}
 	q.took += time.Duration(tookWeight * float64(took-q.took))
-	if q.interval = time.Duration(takenFactor * float64(q.interval)); q.interval < minInterval {
-		q.interval = 0
+	if q.interval = time.Duration(takenFactor * float64(q.interval)); q.interval >= minInterval {
+		return
+	}
+	if q.interval = 0; len(q.waiting) > 0 {
+		q.interval = minInterval // those that wait don't go all at once
 	}
 }
 
-// IsOpen reports whether the servers take all calls, and none waits.
-func (q *Queue) IsOpen() bool { return q.interval == 0 && len(q.waiting) == 0 }
+// IsOpen reports whether the servers take all calls, as far as is known, and none waits.
+func (q *Queue) IsOpen(now time.Time) bool {
+	if len(q.waiting) > 0 {
+		return false
+	}
+	if now.Sub(q.fullAt) >= intervalMemory {
+		q.interval = 0
+	}
+	return q.interval == 0
+}
 
 // Add adds a call. It returns the one that is to be refused if too many wait, or nil.
 func (q *Queue) Add(c *Call, now time.Time) *Call {
@@ -110,14 +123,30 @@
 	return true
 }
 
-// IsHopeless reports whether a call can't be answered before its deadline any more, or has
-// waited so long that its caller had better try another instance.
-func (q *Queue) IsHopeless(c *Call, now time.Time) bool { return now.After(q.lastTurn(c)) }
+// IsHopeless reports whether a call won't have its turn before its deadline, or that comes so
+// late that its caller had better try another instance.
+func (q *Queue) IsHopeless(c *Call, now time.Time) bool {
+	ahead := 0
+	for _, other := range q.waiting {
+		if other != c && compare(other, c, q.took, now) < 0 {
+			ahead++
+		}
+	}
+	return now.Add(q.interval * time.Duration(ahead)).After(q.lastTurn(c))
+}
 
-// lastTurn returns until when a call waits.
+// lastTurn returns until when a call waits. One that is late goes once no server is full, for
+// which it waits no longer than quiet.
 func (q *Queue) lastTurn(c *Call) time.Time {
 	end := c.ArrivedAt.Add(time.Duration(maxWaitShare * float64(c.Deadline.Sub(c.ArrivedAt))))
 	if last := c.Deadline.Add(-q.took); last.Before(end) {
+		end = last
+	}
+	lateFrom := c.Target.Add(-q.took)
+	if lateFrom.Before(c.ArrivedAt) {
+		lateFrom = c.ArrivedAt
+	}
+	if last := lateFrom.Add(quiet); last.Before(end) {
 		return last
 	}
 	return end
@@ -140,5 +169,14 @@
 // NextAt returns when the next call may go.
 func (q *Queue) NextAt() time.Time { return q.nextAt }
 
+// WakeAt returns when to look for the next call. While all that wait are late, that is when no
+// server has been full for quiet.
+func (q *Queue) WakeAt(now time.Time) time.Time {
+	if at := q.fullAt.Add(quiet); len(q.waiting) > 0 && at.After(q.nextAt) && !slices.ContainsFunc(q.waiting, func(c *Call) bool { return lateness(c, now.Add(q.took)) == 0 }) {
+		return at
+	}
+	return q.nextAt
+}
+
 // RetryAfter returns after what time the calls that wait now will have gone.
 func (q *Queue) RetryAfter() time.Duration { return q.interval * time.Duration(1+len(q.waiting)) }
