Rollouts: a call goes to the new version when the old one's servers refuse connections

The old servers stop as a rollout is complete, at 26.09 s; an instance's view is up to a second behind (27.07 s), and until then all further attempts went to the old version.

Change: after two refused connections in a row a call goes to the new version, if the rollout has come to its ramp. In a trial it doesn't.

Test: TestOldVersionMayHaveStopped.

--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -16,6 +16,9 @@
 	now := g.Clock.Now()
 	knownFor := g.knownFor(now)
 	versions := g.rollouts.allowedVersions(req.Service, req.Session)
+	if req.Refused && g.rollouts.mayBeComplete(req.Service) {
+		versions = dispatch.VersionConstraint{Only: g.fleet().Rollouts[req.Service].Target}
+	}
 	return &dispatch.Query{
 		Service: req.Service, Model: req.Model, SizeRank: req.SizeRank, PromptParts: req.PromptParts, OutputTokens: req.OutputTokens, Goal: req.Goal, ExcludeServers: req.ExcludeServers,
 		Versions: versions, OnlyServers: g.rollouts.trialServers(req.Service, versions), ClosedDataCentres: g.fleet().ClosedDataCentres,
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -723,3 +723,31 @@
 	is.Equal(steps, 2)
 	is.Equal(panics.Get("Test").String(), "2")
 }
+
+// At the end of a rollout a call to which servers of the old version refuse connections goes to
+// the new one, before the instance has heard that the rollout is complete.
+func TestOldVersionMayHaveStopped(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(clockwork.NewFakeClock())
+	old := backend.Server{ID: "s1", Version: "v1", DataCentre: "gulberg", Address: "10.0.0.1:80"}
+	servers := []backend.Server{old, {ID: "s2", Version: "v2", DataCentre: "gulberg", Address: "10.0.0.2:80"}}
+	g.follower.View.Table.Publish(&route.Table{})
+	versionOf := func(state follower.RolloutState, share float64, refused bool) string {
+		fleet := fleetWithRollout(state, share)
+		publish(g, fleet, servers...)
+		g.rollouts.syncOrders(fleet)
+		for i := 0; ; i++ {
+			if s := fmt.Sprint(i); !isInShare(s, share) {
+				assigned, err := g.Place(pipeline.PlacementRequest{Service: "assistant", Session: s, Refused: refused})
+				is.NoErr(err)
+				return assigned.Server.Version
+			}
+		}
+	}
+	is.Equal(versionOf(follower.RolloutActive, 0.4, false), "v1")
+	is.Equal(versionOf(follower.RolloutActive, 0.4, true), "v2")
+	is.Equal(versionOf(follower.RolloutActive, 0.1, true), "v1") // a trial isn't near its end
+	is.Equal(versionOf(follower.RolloutReverted, 0, true), "v1")
+	servers = []backend.Server{old}
+	is.Equal(versionOf(follower.RolloutActive, 0.4, true), "v1")
+}
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -167,6 +167,22 @@
 	return dispatch.VersionConstraint{Except: progress.Target}
 }
 
+// mayBeComplete reports whether a rollout may be complete although this instance hasn't heard
+// of it: the servers of the old version stop at that moment.
+func (r *rollouts) mayBeComplete(service string) bool {
+	progress, recorded := r.gateway.fleet().Rollouts[service]
+	if !recorded || progress.State != follower.RolloutActive || r.readyServers(service, progress.Target) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ro := r.local[service]
+	if ro == nil || ro.orderRevision != progress.Order || ro.distrusted {
+		return false
+	}
+	return !verdict.IsTrial(progress.Share) || verdict.IsEnding(max(progress.Elapsed, r.gateway.Clock.Since(ro.startedAt)), ro.duration)
+}
+
 // usesNewVersion reports whether a session runs on the target of a rollout in
 // progress. Sessions are selected by the hash of their names, so that all
 // instances agree and a growing share moves no session back to the old version.
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -144,6 +144,9 @@
 	// Session identifies requests that should run on the same version.
 	Session        string
 	ExcludeServers []string
+	// Refused is set if several servers have refused connections in a row, so that those of
+	// a version may have stopped.
+	Refused bool
 }
 
 // AnswerObservation tells how a server answers one attempt.
@@ -406,7 +409,10 @@
 func (c *ForwardRequest) splitHash() uint64 { return xxhash.Sum64String(c.session()) }
 
 func (ex *forwardExecution) placementRequest(model string, rank int) PlacementRequest {
-	return PlacementRequest{Service: ex.service, Model: model, SizeRank: rank, PromptParts: ex.call.PromptParts, OutputTokens: ex.call.MaxCompletionTokens, Goal: ex.call.Route.LatencyTarget, Session: ex.call.session(), ExcludeServers: ex.failedServers}
+	return PlacementRequest{
+		Service: ex.service, Model: model, SizeRank: rank, PromptParts: ex.call.PromptParts, OutputTokens: ex.call.MaxCompletionTokens, Goal: ex.call.Route.LatencyTarget,
+		Session: ex.call.session(), ExcludeServers: ex.failedServers, Refused: ex.refusedDials >= freeRefusedDials,
+	}
 }
 
 // chooseModel chooses the model for the first attempt if the route lists models.
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -285,6 +285,11 @@
 	return elapsed.Seconds() >= secondTrialFrom*duration.Seconds()
 }
 
+// IsEnding reports whether a rollout has come to its ramp, after which it is complete.
+func IsEnding(elapsed, duration time.Duration) bool {
+	return elapsed.Seconds() >= latestRamp*duration.Seconds()
+}
+
 // TrialServers returns the number of servers among which the trial's requests are
 // divided, so that a server of the new version has the load of one of the old: a version
 // may be bad only under load.
