Tidy after rereading: one fall-back, one growing buffer

Change: askDispatcher; memory.Grow and memory.Reserver, which replaces attempt.Memory; one cut, in message; a table of what is reported beside the backlog; states written out; two comments corrected. No behaviour changes, and no test is touched.

--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/routing/allowance"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -27,14 +28,20 @@
 	}
 }
 
-// Place implements pipeline.Fleet.
-func (g *Gateway) Place(req pipeline.PlacementRequest) (*dispatch.Assignment, error) {
+// askDispatcher asks about a request, if need be about servers besides those of a trial.
+func askDispatcher[T any](g *Gateway, req pipeline.PlacementRequest, ask func(*backend.Listing, *dispatch.Query, time.Time) (T, error)) (T, error) {
 	query := g.dispatchQuery(req)
-	assigned, err := g.dispatcher.Place(g.follower.View.Servers.Get(), query, g.Clock.Now())
+	answer, err := ask(g.follower.View.Servers.Get(), query, g.Clock.Now())
 	if err != nil && len(query.OnlyServers) > 0 {
 		query.OnlyServers = nil
-		assigned, err = g.dispatcher.Place(g.follower.View.Servers.Get(), query, g.Clock.Now())
+		answer, err = ask(g.follower.View.Servers.Get(), query, g.Clock.Now())
 	}
+	return answer, err
+}
+
+// Place implements pipeline.Fleet.
+func (g *Gateway) Place(req pipeline.PlacementRequest) (*dispatch.Assignment, error) {
+	assigned, err := askDispatcher(g, req, g.dispatcher.Place)
 	if err == nil {
 		g.rollouts.recordPlacement(req.Service, req.Session, assigned.Server.Version)
 	}
@@ -43,13 +50,7 @@
 
 // Predict implements pipeline.Fleet.
 func (g *Gateway) Predict(req pipeline.PlacementRequest) (dispatch.Prediction, error) {
-	query := g.dispatchQuery(req)
-	prediction, err := g.dispatcher.Predict(g.follower.View.Servers.Get(), query, g.Clock.Now())
-	if err != nil && len(query.OnlyServers) > 0 {
-		query.OnlyServers = nil
-		prediction, err = g.dispatcher.Predict(g.follower.View.Servers.Get(), query, g.Clock.Now())
-	}
-	return prediction, err
+	return askDispatcher(g, req, g.dispatcher.Predict)
 }
 
 // StillEligible implements pipeline.Fleet.
--- a/internal/fleet/gateway/peers.go
+++ b/internal/fleet/gateway/peers.go
@@ -230,10 +230,20 @@
 	}
 }
 
-// run reports the backlog, the servers' notices and their speeds until the context ends.
+// run reports the backlog and, less often, what else instances tell each other, until the
+// context ends.
 func (p *peers) run(ctx context.Context) {
 	g := p.gateway
-	var notices, speeds, uses, confidence time.Time
+	others := []struct {
+		interval time.Duration
+		share    func(sequence int64)
+		at       time.Time
+	}{
+		{interval: noticeInterval, share: func(int64) { p.shareNotices() }},
+		{interval: speedInterval, share: p.shareSpeeds},
+		{interval: confidenceInterval, share: p.shareConfidence},
+		{interval: useInterval, share: p.shareUses},
+	}
 	for sequence := int64(1); ; sequence++ {
 		select {
 		case <-ctx.Done():
@@ -242,21 +252,11 @@
 			g.protect("Share", func() {
 				now := g.Clock.Now()
 				p.shareBacklog(sequence)
-				if now.Sub(notices) >= noticeInterval {
-					notices = now
-					p.shareNotices()
-				}
-				if now.Sub(speeds) >= speedInterval {
-					speeds = now
-					p.shareSpeeds(sequence)
-				}
-				if now.Sub(confidence) >= confidenceInterval {
-					confidence = now
-					p.shareConfidence(sequence)
-				}
-				if now.Sub(uses) >= useInterval {
-					uses = now
-					p.shareUses(sequence)
+				for i := range others {
+					if o := &others[i]; now.Sub(o.at) >= o.interval {
+						o.at = now
+						o.share(sequence)
+					}
 				}
 			})
 		}
@@ -292,9 +292,9 @@
 			b = b.Largest(maxBacklogBytes)
 			switch stage {
 			case groupSum:
-				return &message{Group: b.Largest(maxBacklogBytes)}
+				return &message{Group: b}
 			case fleetSum:
-				return &message{Total: b.Largest(maxBacklogBytes)}
+				return &message{Total: b}
 			}
 			return &message{Pending: b}
 		},
--- a/internal/fleet/gateway/rooms.go
+++ b/internal/fleet/gateway/rooms.go
@@ -17,7 +17,8 @@
 // value of a second of work, 0 while there is room for all requests.
 var roomGauges = expvar.NewMap("Room")
 
-// shareGauges holds the number of customers that exceed their share of a service.
+// shareGauges holds the number of customers that exceed their share of a service, and that of
+// calls that wait in line.
 var shareGauges = expvar.NewMap("Shares")
 
 // roomInterval is the time between updates of the gauges.
--- a/internal/relay/attempt/exchange.go
+++ b/internal/relay/attempt/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/relay/memory"
 )
 
 // exchange is the state of one request and its answer on one connection.
@@ -26,7 +27,7 @@
 	// beforeWrite, if not nil, is called right before the first byte is written.
 	beforeWrite func() error
 	// memory is shared with other answers; nil if it isn't bounded.
-	memory Memory
+	memory memory.Reserver
 	// headReserved is set once the memory for a large head is reserved.
 	headReserved bool
 	// lastDelivered is the number of the last token or event passed to the sink.
--- a/internal/relay/attempt/forward.go
+++ b/internal/relay/attempt/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
+	"github.com/kingcupyard/kingcupyard/internal/relay/memory"
 )
 
 // ForwardRequest holds the parameters of one attempt to forward a call
@@ -36,8 +37,9 @@
 	AllowReuse bool
 	Limits     Limits
 	Dialect    Dialect
-	// Memory grants the memory that the answer takes; nil grants any amount.
-	Memory Memory
+	// Memory grants the memory that an answer takes which isn't small; nil grants any amount.
+	// It stays taken beyond the attempt, since the answer is used beyond it.
+	Memory memory.Reserver
 	// BeforeWrite is as in ChatRequest.
 	BeforeWrite func() error
 	// HeadArrived is called with the head of the answer, before the rest is read. It may
@@ -48,15 +50,6 @@
 	ConfirmTimeout func(Stall) bool
 }
 
-// Memory is the memory that answers in progress share. A small answer takes none of it.
-type Memory interface {
-	// Reserve reports whether there are as many bytes left, and takes them. They stay
-	// taken beyond the attempt, since its answer does.
-	Reserve(bytes int) bool
-	// Return gives back a part of what was reserved.
-	Return(bytes int)
-}
-
 // Dialect decodes the headers with which a kind of backend server describes its
 // answer and itself.
 type Dialect interface {
@@ -381,7 +374,7 @@
 			return nil, x.fail(AnswerTooLarge, errAnswerTooLarge)
 		}
 		if len(body) == cap(body) {
-			larger, ok := x.growBody(body, limit+1)
+			larger, ok := memory.Grow(x.memory, body, limit+1, smallBodyBytes)
 			if !ok {
 				return nil, x.fail(OutOfMemory, errNoMemory)
 			}
@@ -398,25 +391,6 @@
 	}
 }
 
-// growBody returns a body in a buffer of twice the size, or of most bytes if that is less.
-// The old buffer is reserved until the new one is filled. It reports whether there is enough
-// memory.
-func (x *exchange) growBody(body []byte, most int) ([]byte, bool) {
-	reserved := 0
-	if cap(body) > smallBodyBytes {
-		reserved = cap(body)
-	}
-	size := min(2*cap(body), most)
-	if size > smallBodyBytes && !x.reserve(size) {
-		return nil, false
-	}
-	larger := append(make([]byte, 0, size), body...)
-	if x.memory != nil {
-		x.memory.Return(reserved)
-	}
-	return larger, true
-}
-
 // bodyErrorKind classifies a failure to read a body.
 func (x *exchange) bodyErrorKind(err error) Kind {
 	switch {
--- a/internal/relay/connection/connection.go
+++ b/internal/relay/connection/connection.go
@@ -152,7 +152,8 @@
 	return 0
 }
 
-// Write implements net.Conn. It fails if the client takes nothing for the write timeout.
+// Write implements net.Conn. It fails if the client doesn't take the next writeBytes within the
+// write timeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
 	for {
--- a/internal/relay/connection/framing.go
+++ b/internal/relay/connection/framing.go
@@ -82,8 +82,9 @@
 			if f.left > 0 {
 				return
 			}
-			f.state++ // of a chunk, its end
-			if f.state == inChunkSize {
+			if f.state == inChunk {
+				f.state = inChunkEnd
+			} else {
 				f.state = inHead
 			}
 		default:
--- a/internal/relay/memory/memory.go
+++ b/internal/relay/memory/memory.go
@@ -82,6 +82,30 @@
 	a.budget.giveBack(int64(bytes))
 }
 
+// Reserver is something that reserves bytes and gives them back, as an Account does.
+type Reserver interface {
+	// Reserve takes bytes, and reports whether there were as many left.
+	Reserve(bytes int) bool
+	// Return gives back a part of what was reserved.
+	Return(bytes int)
+}
+
+// Grow returns body in a buffer of twice the size, or of most bytes if that is less; most is
+// larger than the buffer. It reserves the new buffer with r, which may be nil, and returns the
+// old one once its bytes are copied; buffers of up to free bytes aren't reserved. It reports
+// whether there was enough memory.
+func Grow(r Reserver, body []byte, most, free int) ([]byte, bool) {
+	size := min(2*cap(body), most)
+	if r != nil && size > free && !r.Reserve(size) {
+		return nil, false
+	}
+	larger := append(make([]byte, 0, size), body...)
+	if r != nil && cap(body) > free {
+		r.Return(cap(body))
+	}
+	return larger, true
+}
+
 // Close gives back everything that was reserved.
 func (a *Account) Close() {
 	a.budget.giveBack(a.held)
