--- a/review/_two/main.go
+++ b/review/_two/standin/main.go
@@ -1,4 +1,4 @@
-// Command _two runs the scripted cases of the second review: it starts instances with the
+// Command standin runs the scripted cases of the second review: it starts instances with the
 // command of the deploy file before stand-ins of the store, of workers and of clients, on
 // loopback addresses, and judges what clients and workers have seen. It exits with 1 if the
 // rule was broken, 0 if it held, and 2 if the case couldn't run.
@@ -29,7 +29,7 @@
 
 func run(args []string) int {
 	if len(args) != 3 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: two CASE PROGRAM RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE PROGRAM RECORD")
 		return exitNotRun
 	}
 	w, err := newWorld(args[1], args[2])
