--- a/internal/relay/answer/head.go
+++ b/internal/relay/answer/head.go
@@ -8,16 +8,18 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
 	// statusLineStart is how a status line begins, up to the version's second digit.
 	statusLineStart = "HTTP/1."
-	// maxStart bounds what is kept of a line.
-	maxStart     = len("HTTP/1.1 200 ")
-	minStatus    = 100
-	maxStatus    = 599
-	statusDigits = 3
+	minStatus       = 100
+	maxStatus       = 599
+	statusDigits    = 3
+	// maxLineStart bounds what is kept of a line.
+	maxLineStart = 64
 )
 
 // Head checks the head of an answer, and those of the informational answers before it. The
@@ -26,9 +28,13 @@
 	// inFields is set after the status line.
 	inFields bool
 	complete bool
-	// line is the beginning of the current line, at most maxStart bytes.
-	line   []byte
-	status int
+	status   int
+
+	// lineStart holds the first kept bytes of the current line.
+	lineStart [maxLineStart]byte
+	kept      int
+	// afterColon is set behind the name of a field, afterCR behind a CR.
+	afterColon, afterCR bool
 }
 
 // HeadError reports a head that breaks the rules of HTTP.
@@ -42,6 +48,15 @@
 	return fmt.Sprintf("the line %q of an answer's head: %s", e.Line, e.Problem)
 }
 
+// What may be wrong with a line.
+const (
+	badVersion  = "it must begin with a version of HTTP/1"
+	badStatus   = "the status must be a number from 100 to 599"
+	badProtocol = "no other protocol was asked for"
+	badName     = "it must begin with a field's name and a colon"
+	badControl  = "it has a control byte"
+)
+
 // Scan checks the next bytes of a connection. It ignores those after the head. The error is a
 // *HeadError.
 func (h *Head) Scan(p []byte) error {
@@ -49,52 +64,86 @@
 		if h.complete {
 			return nil
 		}
+		problem := ""
 		if b == '\n' {
-			if err := h.endLine(); err != nil {
-				return err
-			}
-			continue
+			problem = h.endLine()
+		} else {
+			problem = h.extendLine(b)
 		}
-		if len(h.line) < maxStart {
-			h.line = append(h.line, b)
+		if problem != "" {
+			return &HeadError{Line: string(h.lineStart[:h.kept]), Problem: problem}
 		}
 	}
 	return nil
 }
 
-// endLine checks a line.
-func (h *Head) endLine() error {
-	line := strings.TrimSuffix(string(h.line), "\r")
-	h.line = h.line[:0]
+// extendLine takes in a byte of a line. It returns what is wrong, or "".
+func (h *Head) extendLine(b byte) (problem string) {
+	if h.inFields && !h.afterColon {
+		problem = h.extendName(b)
+	} else if h.afterCR || b != '\r' && b != '\t' && isControl(b) {
+		problem = badControl
+	}
+	if h.afterCR = b == '\r'; !h.afterCR && h.kept < maxLineStart {
+		h.lineStart[h.kept] = b
+		h.kept++
+	}
+	return problem
+}
+
+// extendName takes in a byte of a field's name or of the blank line. It returns what is wrong,
+// or "". A line that continues a field begins with a blank, and is obsolete.
+func (h *Head) extendName(b byte) (problem string) {
+	switch {
+	case h.afterCR:
+		return badName
+	case b == '\r' && h.kept == 0:
+		return "" // the blank line's
+	case b == ':' && h.kept > 0:
+		h.afterColon = true
+		return ""
+	case !httpguts.IsTokenRune(rune(b)):
+		return badName
+	}
+	return ""
+}
+
+// endLine checks the line that ends. It returns what is wrong, or "".
+func (h *Head) endLine() (problem string) {
 	switch {
 	case !h.inFields:
-		status, problem := parseStatusLine(line)
-		if problem != "" {
-			return &HeadError{Line: line, Problem: problem}
-		}
-		h.status, h.inFields = status, true
-	case line == "":
+		h.status, problem = parseStatusLine(string(h.lineStart[:h.kept]))
+		h.inFields = true
+	case h.kept == 0:
 		h.inFields = false
 		h.complete = h.status >= http.StatusOK
+	case !h.afterColon:
+		problem = badName
 	}
-	return nil
+	if problem == "" {
+		h.kept, h.afterColon, h.afterCR = 0, false, false
+	}
+	return problem
 }
 
-// parseStatusLine parses the beginning of a status line. It returns what is wrong with it, or "".
+// parseStatusLine parses the beginning of a status line. It returns what is wrong, or "".
 func parseStatusLine(line string) (status int, problem string) {
 	rest, ok := strings.CutPrefix(line, statusLineStart)
 	if !ok || len(rest) < 2 || !isDigit(rest[0]) || rest[1] != ' ' {
-		return 0, "it must begin with a version of HTTP/1"
+		return 0, badVersion
 	}
 	digits, _, _ := strings.Cut(rest[2:], " ")
 	status, err := strconv.Atoi(digits)
 	switch {
 	case err != nil || len(digits) != statusDigits || status < minStatus || status > maxStatus:
-		return 0, "the status must be a number from 100 to 599"
+		return 0, badStatus
 	case status == http.StatusSwitchingProtocols:
-		return 0, "no other protocol was asked for"
+		return 0, badProtocol
 	}
 	return status, ""
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// isControl reports whether b is a control character of ASCII.
+func isControl(b byte) bool { return b < ' ' || b == 0x7f }
