--- a/internal/fleet/gateway/absences.go
+++ b/internal/fleet/gateway/absences.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -12,6 +11,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/absence"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/relay/answer"
 )
 
 // absences removes the announcements of instances that are gone. In a large fleet an
@@ -39,7 +39,7 @@
 	return &absences{
 		gateway: g, detector: absence.New(g.Settings.Instance, absence.DefaultSettings), checked: map[string]bool{},
 		// A pooled connection may have gone silent, which says nothing about its instance.
-		client: &http.Client{Timeout: presenceTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}},
+		client: &http.Client{Timeout: presenceTimeout, Transport: answer.NewTransport(&http.Transport{DisableKeepAlives: true})},
 	}
 }
 
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -22,6 +22,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/document"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/platform/transfer"
+	"github.com/kingcupyard/kingcupyard/internal/relay/answer"
 )
 
 // feeds limits the number of instances that read the store. The others follow
@@ -63,9 +64,9 @@
 // newFeedClient returns the HTTP client that reads the feeds of readers.
 func newFeedClient() *http.Client {
 	dialer := net.Dialer{Timeout: feedDialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: answer.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
-	}}
+	})}
 }
 
 // upstream implements follower.WithUpstream. It returns the feed of this
--- a/internal/fleet/gateway/feeds_test.go
+++ b/internal/fleet/gateway/feeds_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/standin/site"
+	"github.com/kingcupyard/kingcupyard/internal/standin/verbatim"
 )
 
 // The answer of a feed may take longer than its timeout while it arrives. On pottyround-
@@ -67,3 +68,26 @@
 	is.True(time.Since(startedAt) < follower.DefaultSettings.MaxFeedAge) // in time to leave the reader
 	is.NoErr(next())
 }
+
+// What is at an instance's address and answers with a head that breaks the rules of HTTP is no
+// instance: it is not present and has no feed.
+func TestMalformedHeadOfInstance(t *testing.T) {
+	const body = "\r\nContent-Length: 16\r\n\r\n{\"Revision\": 9}\n"
+	for _, c := range []struct {
+		name, head      string
+		present, hasFed bool
+	}{
+		{"sound", "HTTP/1.1 200 OK", true, true},
+		{"a status of 000", "HTTP/1.1 000 Unknown", false, false},
+		{"a name with a blank", "HTTP/1.1 200 OK\r\nSome Note: 1", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address := verbatim.Serve(t, c.head+body)
+			g := newTestGateway(clockwork.NewRealClock())
+			is.Equal(g.absences.isPresent(t.Context(), address), c.present)
+			_, err := (&remoteFeed{g.feeds, address}).Next(t.Context(), follower.Position{Revision: 1}, follower.DefaultSettings.FeedWait)
+			is.Equal(err == nil, c.hasFed)
+		})
+	}
+}
--- a/internal/platform/request/request.go
+++ b/internal/platform/request/request.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/answer"
 )
 
 // Limits of a client.
@@ -88,9 +90,28 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	dial := c.http.Dial
+	c.http.Dial = func(address string) (net.Conn, error) {
+		nc, err := dial(address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{answer.NewConn(nc)}, nil
+	}
 	return c
 }
 
+// conn checks the heads of answers. A request is written completely before its answer is read.
+type conn struct {
+	*answer.Conn
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.ExpectHead()
+	return c.Conn.Write(p)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupyard/kingcupyard/internal/relay/answer"
 )
 
 // Time limits and sizes of one call.
@@ -38,7 +40,7 @@
 	sharedBy  atomic.Int64
 	budget    *budget
 	hold      *hold
-	transport *http.Transport
+	transport *answer.Transport
 	counters  *counters
 }
 
@@ -87,13 +89,13 @@
 	c.budget = newBudget(c.limits.ShareOf(members), c.clock, c.rng)
 	c.hold = &hold{clock: c.clock, rng: c.rng}
 	c.counters = newCounters()
-	c.transport = &http.Transport{
+	c.transport = answer.NewTransport(&http.Transport{
 		DialContext:           c.dial,
 		MaxIdleConnsPerHost:   idlePerHost,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: c.timeout,
 		DisableCompression:    true,
-	}
+	})
 	return c
 }
 
--- a/internal/platform/store/client_test.go
+++ b/internal/platform/store/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	standin "github.com/kingcupyard/kingcupyard/internal/standin/store"
+	"github.com/kingcupyard/kingcupyard/internal/standin/verbatim"
 )
 
 // start returns a client and the stand-in that it calls.
@@ -190,3 +191,21 @@
 	h.succeeded()
 	is.True(h.open(Statistics))
 }
+
+// An answer whose head breaks the rules of HTTP is none: the call may have taken effect.
+func TestMalformedHead(t *testing.T) {
+	for _, c := range []struct {
+		head  string
+		sound bool
+	}{
+		{"HTTP/1.1 200 OK", true}, {"HTTP/1.1 000 Unknown", false}, {"HTTP/1.1 200 OK\r\nSome Note: 1", false},
+	} {
+		is := is.New(t)
+		client := New(verbatim.Serve(t, c.head+"\r\nContent-Length: 2\r\n\r\n{}"))
+		_, _, err := client.Create(t.Context(), Ledger, "a/1", nil)
+		is.Equal(err == nil, c.sound)
+		var e *UnavailableError
+		is.Equal(errors.As(err, &e) && e.MayHaveTakenEffect, !c.sound)
+		client.Close()
+	}
+}
