--- a/internal/relay/answer/head.go
+++ b/internal/relay/answer/head.go
@@ -18,6 +18,9 @@
 	minStatus       = 100
 	maxStatus       = 599
 	statusDigits    = 3
+	// transferEncoding is the field that announces chunks. A parser that doesn't expect it
+	// in an old answer takes their sizes for a part of the body.
+	transferEncoding = "Transfer-Encoding"
 	// maxLineStart bounds what is kept of a line.
 	maxLineStart = 64
 )
@@ -29,6 +32,8 @@
 	inFields bool
 	complete bool
 	status   int
+	// old is set if the version is HTTP/1.0.
+	old bool
 
 	// lineStart holds the first kept bytes of the current line.
 	lineStart [maxLineStart]byte
@@ -54,6 +59,7 @@
 	badStatus   = "the status must be a number from 100 to 599"
 	badProtocol = "no other protocol was asked for"
 	badName     = "it must begin with a field's name and a colon"
+	badEncoding = "HTTP/1.0 has no transfer encodings"
 	badControl  = "it has a control byte"
 )
 
@@ -71,7 +77,7 @@
 			problem = h.extendLine(b)
 		}
 		if problem != "" {
-			return &HeadError{Line: string(h.lineStart[:h.kept]), Problem: problem}
+			return &HeadError{Line: h.keptLine(), Problem: problem}
 		}
 	}
 	return nil
@@ -101,6 +107,9 @@
 		return "" // the blank line's
 	case b == ':' && h.kept > 0:
 		h.afterColon = true
+		if h.old && strings.EqualFold(h.keptLine(), transferEncoding) {
+			return badEncoding
+		}
 		return ""
 	case !httpguts.IsTokenRune(rune(b)):
 		return badName
@@ -108,11 +117,14 @@
 	return ""
 }
 
+// keptLine returns the beginning of the current line.
+func (h *Head) keptLine() string { return string(h.lineStart[:h.kept]) }
+
 // endLine checks the line that ends. It returns what is wrong, or "".
 func (h *Head) endLine() (problem string) {
 	switch {
 	case !h.inFields:
-		h.status, problem = parseStatusLine(string(h.lineStart[:h.kept]))
+		h.status, h.old, problem = parseStatusLine(h.keptLine())
 		h.inFields = true
 	case h.kept == 0:
 		h.inFields = false
@@ -127,20 +139,20 @@
 }
 
 // parseStatusLine parses the beginning of a status line. It returns what is wrong, or "".
-func parseStatusLine(line string) (status int, problem string) {
+func parseStatusLine(line string) (status int, old bool, problem string) {
 	rest, ok := strings.CutPrefix(line, statusLineStart)
 	if !ok || len(rest) < 2 || !isDigit(rest[0]) || rest[1] != ' ' {
-		return 0, badVersion
+		return 0, false, badVersion
 	}
 	digits, _, _ := strings.Cut(rest[2:], " ")
 	status, err := strconv.Atoi(digits)
 	switch {
 	case err != nil || len(digits) != statusDigits || status < minStatus || status > maxStatus:
-		return 0, badStatus
+		return 0, false, badStatus
 	case status == http.StatusSwitchingProtocols:
-		return 0, badProtocol
+		return 0, false, badProtocol
 	}
-	return status, ""
+	return status, rest[0] == '0', ""
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
