--- a/internal/relay/answer/head.go
+++ b/internal/relay/answer/head.go
@@ -4,6 +4,7 @@
 package answer
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -19,140 +20,142 @@
 	maxStatus       = 599
 	statusDigits    = 3
 	// transferEncoding is the field that announces chunks. A parser that doesn't expect it
-	// in an old answer takes their sizes for a part of the body.
+	// in an answer of HTTP/1.0 takes their sizes for a part of the body.
 	transferEncoding = "Transfer-Encoding"
 	// maxLineStart bounds what is kept of a line.
 	maxLineStart = 64
 )
 
-// Head checks the head of an answer, and those of the informational answers before it. The
-// zero value expects a status line.
-type Head struct {
-	// inFields is set after the status line.
-	inFields bool
-	complete bool
-	status   int
-	// old is set if the version is HTTP/1.0.
-	old bool
-
-	// lineStart holds the first kept bytes of the current line.
-	lineStart [maxLineStart]byte
-	kept      int
-	// afterColon is set behind the name of a field, afterCR behind a CR.
-	afterColon, afterCR bool
-}
-
 // HeadError reports a head that breaks the rules of HTTP.
 type HeadError struct {
 	// Line is the beginning of the line that is wrong.
-	Line    string
-	Problem string
+	Line string
+	Err  error
 }
 
 func (e *HeadError) Error() string {
-	return fmt.Sprintf("the line %q of an answer's head: %s", e.Line, e.Problem)
+	return fmt.Sprintf("the line %q in the head of an answer: %v", e.Line, e.Err)
 }
 
-// What may be wrong with a line.
-const (
-	badVersion  = "it must begin with a version of HTTP/1"
-	badStatus   = "the status must be a number from 100 to 599"
-	badProtocol = "no other protocol was asked for"
-	badName     = "it must begin with a field's name and a colon"
-	badEncoding = "HTTP/1.0 has no transfer encodings"
-	badControl  = "it has a control byte"
+func (e *HeadError) Unwrap() error { return e.Err }
+
+var (
+	errVersion  = errors.New("it must begin with a version of HTTP/1")
+	errStatus   = errors.New("the status must be a number from 100 to 599")
+	errProtocol = errors.New("no other protocol was asked for")
+	errName     = errors.New("it must begin with a field's name and a colon")
+	errEncoding = errors.New("HTTP/1.0 has no transfer encodings")
+	errControl  = errors.New("it has a control byte")
 )
 
-// Scan checks the next bytes of a connection. It ignores those after the head. The error is a
+// HeadChecker checks the head of an answer, and those of the informational answers before it.
+// The zero value expects a status line.
+type HeadChecker struct {
+	// inFields is set after the status line, complete after the head of the final answer.
+	inFields, complete bool
+	status             int
+	// old is set if the version is HTTP/1.0.
+	old bool
+
+	// lineStart holds the first kept bytes of the current line.
+	lineStart [maxLineStart]byte
+	kept      int
+	// afterColon is set after the name of a field, afterCR after a CR.
+	afterColon, afterCR bool
+}
+
+// Check checks the next bytes of a connection. It ignores those after the head. The error is a
 // *HeadError.
-func (h *Head) Scan(p []byte) error {
+func (h *HeadChecker) Check(p []byte) error {
 	for _, b := range p {
 		if h.complete {
 			return nil
 		}
-		problem := ""
+		var err error
 		if b == '\n' {
-			problem = h.endLine()
+			err = h.endLine()
 		} else {
-			problem = h.extendLine(b)
+			err = h.extendLine(b)
 		}
-		if problem != "" {
-			return &HeadError{Line: h.keptLine(), Problem: problem}
+		if err != nil {
+			return &HeadError{Line: h.keptLine(), Err: err}
 		}
 	}
 	return nil
 }
 
-// extendLine takes in a byte of a line. It returns what is wrong, or "".
-func (h *Head) extendLine(b byte) (problem string) {
+// keptLine returns the beginning of the current line.
+func (h *HeadChecker) keptLine() string { return string(h.lineStart[:h.kept]) }
+
+// extendLine takes in a byte of a line.
+func (h *HeadChecker) extendLine(b byte) error {
+	var err error
 	if h.inFields && !h.afterColon {
-		problem = h.extendName(b)
+		err = h.extendName(b)
 	} else if h.afterCR || b != '\r' && b != '\t' && isControl(b) {
-		problem = badControl
+		err = errControl
 	}
 	if h.afterCR = b == '\r'; !h.afterCR && h.kept < maxLineStart {
 		h.lineStart[h.kept] = b
 		h.kept++
 	}
-	return problem
+	return err
 }
 
-// extendName takes in a byte of a field's name or of the blank line. It returns what is wrong,
-// or "". A line that continues a field begins with a blank, and is obsolete.
-func (h *Head) extendName(b byte) (problem string) {
+// extendName takes in a byte of a field's name or of the blank line. A line that continues the
+// field before it, which is obsolete, begins with a blank and is an error.
+func (h *HeadChecker) extendName(b byte) error {
 	switch {
 	case h.afterCR:
-		return badName
+		return errName
 	case b == '\r' && h.kept == 0:
-		return "" // the blank line's
+		return nil // the blank line's
 	case b == ':' && h.kept > 0:
 		h.afterColon = true
 		if h.old && strings.EqualFold(h.keptLine(), transferEncoding) {
-			return badEncoding
+			return errEncoding
 		}
-		return ""
+		return nil
 	case !httpguts.IsTokenRune(rune(b)):
-		return badName
+		return errName
 	}
-	return ""
+	return nil
 }
 
-// keptLine returns the beginning of the current line.
-func (h *Head) keptLine() string { return string(h.lineStart[:h.kept]) }
-
-// endLine checks the line that ends. It returns what is wrong, or "".
-func (h *Head) endLine() (problem string) {
+// endLine checks the line that ends.
+func (h *HeadChecker) endLine() error {
 	switch {
 	case !h.inFields:
-		h.status, h.old, problem = parseStatusLine(h.keptLine())
+		if err := h.parseStatusLine(); err != nil {
+			return err
+		}
 		h.inFields = true
 	case h.kept == 0:
 		h.inFields = false
 		h.complete = h.status >= http.StatusOK
 	case !h.afterColon:
-		problem = badName
+		return errName
 	}
-	if problem == "" {
-		h.kept, h.afterColon, h.afterCR = 0, false, false
-	}
-	return problem
+	h.kept, h.afterColon, h.afterCR = 0, false, false
+	return nil
 }
 
-// parseStatusLine parses the beginning of a status line. It returns what is wrong, or "".
-func parseStatusLine(line string) (status int, old bool, problem string) {
-	rest, ok := strings.CutPrefix(line, statusLineStart)
+// parseStatusLine sets the version and the status.
+func (h *HeadChecker) parseStatusLine() error {
+	rest, ok := strings.CutPrefix(h.keptLine(), statusLineStart)
 	if !ok || len(rest) < 2 || !isDigit(rest[0]) || rest[1] != ' ' {
-		return 0, false, badVersion
+		return errVersion
 	}
 	digits, _, _ := strings.Cut(rest[2:], " ")
 	status, err := strconv.Atoi(digits)
 	switch {
 	case err != nil || len(digits) != statusDigits || status < minStatus || status > maxStatus:
-		return 0, false, badStatus
+		return errStatus
 	case status == http.StatusSwitchingProtocols:
-		return 0, false, badProtocol
+		return errProtocol
 	}
-	return status, rest[0] == '0', ""
+	h.status, h.old = status, rest[0] == '0'
+	return nil
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/internal/relay/answer/head_test.go
+++ b/internal/relay/answer/head_test.go
@@ -11,8 +11,8 @@
 	"github.com/kingcupyard/kingcupyard/internal/standin/script"
 )
 
-// TestHead scans each text as a whole and cut in two anywhere.
-func TestHead(t *testing.T) {
+// TestHeadChecker checks each text as a whole and cut in two anywhere.
+func TestHeadChecker(t *testing.T) {
 	script.Run(t, "testdata/heads.txt", func(t *testing.T, lines []string) {
 		is := is.New(t)
 		is.Equal(len(lines), 2)
@@ -24,13 +24,13 @@
 	})
 }
 
-// verdict scans the parts of a text.
+// verdict checks the parts of a text.
 func verdict(parts ...string) string {
-	var h Head
+	var h HeadChecker
 	for _, p := range parts {
 		var e *HeadError
-		if err := h.Scan([]byte(p)); errors.As(err, &e) {
-			return e.Problem
+		if err := h.Check([]byte(p)); errors.As(err, &e) {
+			return e.Err.Error()
 		}
 	}
 	if h.complete {
@@ -39,9 +39,9 @@
 	return "incomplete"
 }
 
-// FuzzHead checks that no text makes Scan fail otherwise than with a HeadError, and that the
+// FuzzHeadChecker checks that no text makes Check fail otherwise than with a HeadError, and that the
 // verdict doesn't depend on how the text arrives.
-func FuzzHead(f *testing.F) {
+func FuzzHeadChecker(f *testing.F) {
 	f.Add("HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", 3)
 	f.Fuzz(func(t *testing.T, text string, cut int) {
 		cut = max(0, min(cut, len(text)))
--- a/internal/relay/answer/transport.go
+++ b/internal/relay/answer/transport.go
@@ -13,18 +13,18 @@
 type Conn struct {
 	net.Conn
 	mu   sync.Mutex
-	head Head
+	head HeadChecker
 }
 
 // NewConn returns a Conn that checks nothing before ExpectHead.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, head: Head{complete: true}} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, head: HeadChecker{complete: true}} }
 
 // ExpectHead makes the connection check the head that comes next. It is called before a request
 // is written.
 func (c *Conn) ExpectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = Head{}
+	c.head = HeadChecker{}
 }
 
 // Read implements net.Conn. It returns nothing of the bytes that come with a malformed head.
@@ -32,7 +32,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if headErr := c.head.Scan(p[:n]); headErr != nil {
+	if headErr := c.head.Check(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
--- a/internal/relay/answer/transport_test.go
+++ b/internal/relay/answer/transport_test.go
@@ -41,7 +41,7 @@
 	_, err := get()
 	var e *HeadError
 	is.True(errors.As(err, &e))
-	is.Equal(e.Problem, badStatus)
+	is.True(errors.Is(err, errStatus))
 }
 
 // An answer that arrives while a large request is being written is checked once: what is
--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -48,7 +48,7 @@
 	// upload is nil if the request was written before its answer is read.
 	upload *upload
 	// head checks the head of the answer.
-	head answer.Head
+	head answer.HeadChecker
 	// headLimit bounds what is read until the head of the answer is complete; nil otherwise.
 	headLimit *headLimit
 	// readErr is the last error of the network connection. The HTTP libraries
@@ -92,12 +92,12 @@
 // expectHead makes the connection check the head that comes next, the beginning of which may be
 // in the read buffer. An error that is found later is returned by Read.
 func (c *conn) expectHead() error {
-	c.head = answer.Head{}
+	c.head = answer.HeadChecker{}
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
 		return err
 	}
-	return c.head.Scan(buffered)
+	return c.head.Check(buffered)
 }
 
 // headLimit bounds what is read of a head.
@@ -151,7 +151,7 @@
 		c.lastActiveAt = now
 		c.mu.Unlock()
 	}
-	if headErr := c.head.Scan(p[:n]); headErr != nil {
+	if headErr := c.head.Check(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	if errors.Is(err, io.EOF) {
