--- a/internal/relay/attempt/attempt.go
+++ b/internal/relay/attempt/attempt.go
@@ -5,7 +5,8 @@
 // The client dials and pools its own connections and uses fasthttp and net/http
 // only to encode and decode messages. Cancelling an attempt therefore closes
 // exactly the connection that the attempt uses, and when a connection stalls, the
-// idle connections that probably share its fault are removed from the pool.
+// idle connections that probably share its fault are removed from the pool. The heads
+// of answers are checked before they are decoded.
 package attempt
 
 import (
--- a/internal/relay/attempt/fake_test.go
+++ b/internal/relay/attempt/fake_test.go
@@ -187,11 +187,12 @@
 	return word != "part" && word != "unframed"
 }
 
+// line returns a header line, or nothing for an empty one. \x01 stands for that byte.
 func line(header string) string {
 	if header == "" {
 		return ""
 	}
-	return header + "\r\n"
+	return strings.ReplaceAll(header, `\x01`, "\x01") + "\r\n"
 }
 
 func (s *scriptedConn) read() bool {
