--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -132,8 +132,8 @@
 
 var errHeadTooLarge = errors.New("the head of the answer is too large")
 
-// Read records when bytes arrive and the error of the network, if any. It returns nothing of a
-// head that breaks the rules of HTTP.
+// Read records when bytes arrive and the error of the network, if any. It fails if a head breaks
+// the rules of HTTP.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headLimit != nil {
 		var err error
