attempt: one function sends a request

The write of an upload had the three steps of the write of a small request once more.

Change: conn.send serves both. Behaviour is the same.

Result: the tests of attempt pass under the race detector.

--- a/internal/relay/attempt/conn.go
+++ b/internal/relay/attempt/conn.go
@@ -170,6 +170,20 @@
 	return n, err
 }
 
+// requestWriter is a request that can encode itself.
+type requestWriter interface {
+	Write(w *bufio.Writer) error
+}
+
+// send writes a request.
+func (c *conn) send(req requestWriter) error {
+	w := bufio.NewWriter(c)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // arm starts the watchdog: the connection is closed with kind as the cause after
 // limit, unless it is armed again or disarmed before.
 func (c *conn) arm(kind Kind, limit time.Duration) {
--- a/internal/relay/attempt/exchange.go
+++ b/internal/relay/attempt/exchange.go
@@ -1,7 +1,6 @@
 package attempt
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"strconv"
@@ -110,11 +109,6 @@
 	return nil
 }
 
-// requestWriter is a request that can encode itself.
-type requestWriter interface {
-	Write(w *bufio.Writer) error
-}
-
 // writeRequest writes the request and arms the first byte timeout. The run state
 // is advanced before the first byte is written; if then no byte leaves, the
 // attempt's own state goes back to NotRun.
@@ -122,11 +116,7 @@
 	if err := x.prepareWrite(); err != nil {
 		return err
 	}
-	w := bufio.NewWriter(x.conn)
-	err := req.Write(w)
-	if err == nil {
-		err = w.Flush()
-	}
+	err := x.conn.send(req)
 	if err == nil {
 		x.conn.arm(FirstByteTimeout, x.limits.FirstByte)
 		return nil
--- a/internal/relay/attempt/upload.go
+++ b/internal/relay/attempt/upload.go
@@ -1,7 +1,6 @@
 package attempt
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"os"
@@ -22,10 +21,7 @@
 	c.upload = u
 	go func() {
 		defer close(u.ended)
-		w := bufio.NewWriter(c)
-		if u.err = req.Write(w); u.err == nil {
-			u.err = w.Flush()
-		}
+		u.err = c.send(req)
 	}()
 }
 
