--- a/internal/fleet/gateway/forwarding.go
+++ b/internal/fleet/gateway/forwarding.go
@@ -117,10 +117,21 @@
 func (g *Gateway) ObserveAttempt(o pipeline.AttemptOutcome) { g.crashes.observe(o) }
 
 // LateAfter implements pipeline.Fleet.
-func (g *Gateway) LateAfter(predictedWait time.Duration) time.Duration {
+func (g *Gateway) LateAfter(o pipeline.AnswerObservation, predictedWait time.Duration) time.Duration {
+	if after, known := g.rollouts.lateAfter(o); known {
+		return after
+	}
 	return max(minSlowLatency, slowFactor*predictedWait)
 }
 
+// roundTrip returns the usual round-trip time to a server.
+func (g *Gateway) roundTrip(s *backend.Server) time.Duration {
+	if s.DataCentre == g.Settings.DataCentre {
+		return localRoundTrip
+	}
+	return remoteRoundTrip
+}
+
 // ObserveAnswer implements pipeline.Fleet.
 func (g *Gateway) ObserveAnswer(o pipeline.AnswerObservation) { g.rollouts.observe(o) }
 
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -535,7 +535,7 @@
 	g.rollouts.syncOrders(fleet)
 	observe := func(version string, late bool, pace time.Duration) {
 		g.ObserveAnswer(pipeline.AnswerObservation{
-			Server: &backend.Server{Service: "assistant", Version: version}, Route: "r", Model: "large", Late: late, Pace: pace,
+			Server: &backend.Server{Service: "assistant", Version: version}, Route: "r", Model: "large", Stream: true, Late: late, Pace: pace,
 		})
 	}
 	for range 40 {
@@ -554,8 +554,50 @@
 		Old: verdict.Counts{Answers: 81, Paced: 81, SlowPaced: 1}, New: verdict.Counts{Answers: 9, Slow: 4, Paced: 5, SlowPaced: 4},
 	})
 	is.True(verdict.IsRegression(evidence))
-	is.Equal(g.LateAfter(20*time.Millisecond), minSlowLatency)
-	is.Equal(g.LateAfter(time.Second), slowFactor*time.Second)
+	stream := pipeline.AnswerObservation{Server: &backend.Server{Service: "assistant", Version: "v2"}, Route: "r", Model: "large", Stream: true}
+	is.Equal(g.LateAfter(stream, 20*time.Millisecond), minSlowLatency)
+	is.Equal(g.LateAfter(stream, time.Second), slowFactor*time.Second)
+}
+
+// Answers of a plain service were compared with a fixed time and with a prediction that had
+// learned how slow the new version was. They are compared with the usual ones of the other
+// versions on the same route.
+func TestSlowAnswersAreComparedWithUsualOnes(t *testing.T) {
+	is := is.New(t)
+	const work = 15 * time.Millisecond
+	g := newTestGateway(clockwork.NewFakeClock())
+	fleet := fleetWithRollout(follower.RolloutActive, 0.15)
+	publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
+	g.rollouts.syncOrders(fleet)
+	answer := func(version, dataCentre, route string, took time.Duration) {
+		o := pipeline.AnswerObservation{Server: &backend.Server{Service: "assistant", Version: version, DataCentre: dataCentre}, Route: route}
+		late := g.LateAfter(o, took) // the prediction is right
+		o.Late, o.Took = took > late, min(took, late)
+		g.ObserveAnswer(o)
+	}
+	for range minUsualSamples {
+		answer("v1", "gulberg", "book", work+localRoundTrip)
+		answer("v1", "johar", "report", 20*work+remoteRoundTrip)
+	}
+	for range 10 {
+		answer("v1", "gulberg", "book", work+localRoundTrip)
+		answer("v2", "johar", "book", work+remoteRoundTrip) // farther away, not slower
+		answer("v2", "johar", "book", 4*work+remoteRoundTrip)
+		answer("v2", "johar", "report", 20*work+remoteRoundTrip)
+	}
+	in, _ := g.rollouts.decisionInput("assistant")
+	is.Equal(in.Evidence, verdict.Evidence{
+		"book":   {Old: verdict.Counts{Answers: 20}, New: verdict.Counts{Answers: 20, Slow: 10}},
+		"report": {Old: verdict.Counts{Answers: 10}, New: verdict.Counts{Answers: 10}},
+	})
+	is.True(verdict.IsRegression(in.Evidence))
+
+	// All answers take longer, as in a burst: what is usual follows.
+	for range 100 {
+		answer("v1", "gulberg", "book", 4*work)
+	}
+	slow := pipeline.AnswerObservation{Server: &backend.Server{Service: "assistant", Version: "v2", DataCentre: "gulberg"}, Route: "book"}
+	is.True(g.LateAfter(slow, 0) > 8*work)
 }
 
 // In the second half of a rollout sessions in progress take part in the trial, so that
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -33,9 +33,8 @@
 	peerEvidence map[string]map[senderRun]evidenceMessage
 	// pins holds the version that each session last ran on.
 	pins map[string]pin
-	// paces holds the usual pace of each service's models, from the versions that
-	// aren't the target of a rollout.
-	paces   map[paceKey]*pace
+	// usual holds the usual times of the versions that aren't the target of a rollout.
+	usual   usualTimes
 	driving driving
 }
 
@@ -99,46 +98,24 @@
 	progressRecordsPerRollout = 8
 	// maxPins bounds the number of sessions whose version is remembered.
 	maxPins = 20000
-	// An answer is slow if its first event takes more than slowFactor times the
-	// prediction and more than minSlowLatency. Its pace is slow if its events come
-	// slowPaceFactor times slower than the other versions' and more than minSlowPace
-	// apart. The prediction has learned how slow a server is and what waits there, the
-	// usual pace hasn't.
+	// A stream is slow if its first event takes more than slowFactor times the prediction
+	// and more than minSlowLatency. Its pace is slow if its events come slowPaceFactor times
+	// slower than usual and more than minSlowPace apart. The prediction has learned how slow
+	// a server is and what waits there, the usual pace hasn't.
 	slowFactor     = 4
 	minSlowLatency = 250 * time.Millisecond
 	slowPaceFactor = 2.5
 	minSlowPace    = 40 * time.Millisecond
+	// An answer without events is slow if it takes slowAnswerFactor times as long as usual
+	// and minSlowDelay longer. While its usual time isn't known, it is slow as the first
+	// event of a stream is.
+	slowAnswerFactor = 2.5
+	minSlowDelay     = 20 * time.Millisecond
 )
 
-type paceKey struct{ service, model string }
-
-// pace is the usual time between two events: the exponential of a moving average of its
-// logarithm, which single long pauses hardly change.
-type pace struct {
-	logSeconds float64
-	samples    int
-}
-
-const (
-	// paceWeight is the weight of a sample. Until there are minPaceSamples, no answer is
-	// slow by its pace.
-	paceWeight     = 0.05
-	minPaceSamples = 10
-)
-
-func (p *pace) observe(d time.Duration) {
-	p.samples++
-	p.logSeconds += max(paceWeight, 1/float64(p.samples)) * (math.Log(d.Seconds()) - p.logSeconds)
-}
-
-// isSlow reports whether a pace is much slower than the usual one.
-func (p *pace) isSlow(d time.Duration) bool {
-	return p.samples >= minPaceSamples && d > minSlowPace && d.Seconds() > slowPaceFactor*math.Exp(p.logSeconds)
-}
-
 // newRollouts returns the rollouts of a gateway, without evidence or pins.
 func newRollouts(g *Gateway) *rollouts {
-	return &rollouts{gateway: g, local: map[string]*localRollout{}, peerEvidence: map[string]map[senderRun]evidenceMessage{}, pins: map[string]pin{}, paces: map[paceKey]*pace{}}
+	return &rollouts{gateway: g, local: map[string]*localRollout{}, peerEvidence: map[string]map[senderRun]evidenceMessage{}, pins: map[string]pin{}, usual: usualTimes{}}
 }
 
 // allowedVersions returns the versions that a request of a session may run on.
@@ -325,17 +302,31 @@
 	return ofVersion, others
 }
 
-// observe adds an answer to the evidence on its service's rollout and to the usual pace.
+// lateAfter returns how long after its request was sent an answer without events is late,
+// which the usual time of the other versions tells: that of the server's own answers would
+// hide how slow its version is.
+func (r *rollouts) lateAfter(o pipeline.AnswerObservation) (time.Duration, bool) {
+	if o.Stream {
+		return 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual, known := r.usual.of(o).get()
+	return r.gateway.roundTrip(o.Server) + max(time.Duration(slowAnswerFactor*float64(usual)), usual+minSlowDelay), known
+}
+
+// isSlowPace reports whether a time between events is much longer than the usual one.
+func isSlowPace(pace time.Duration, usual *usualTime) bool {
+	d, known := usual.get()
+	return known && pace > minSlowPace && float64(pace) > slowPaceFactor*float64(d)
+}
+
+// observe adds an answer to the evidence on its service's rollout and to the usual times.
 func (r *rollouts) observe(o pipeline.AnswerObservation) {
 	server := o.Server
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.local[server.Service]
-	usual := r.paces[paceKey{server.Service, o.Model}]
-	if usual == nil {
-		usual = &pace{}
-		r.paces[paceKey{server.Service, o.Model}] = usual
-	}
 	counts := verdict.Counts{Answers: 1}
 	switch {
 	case o.Failed:
@@ -343,14 +334,20 @@
 	case o.Late:
 		counts.Slow = 1
 	}
+	usual := r.usual.of(o)
 	if o.Pace > 0 {
 		counts.Paced = 1
-		if usual.isSlow(o.Pace) {
+		if isSlowPace(o.Pace, usual) {
 			counts.SlowPaced = 1
 		}
 	}
-	if o.Pace > 0 && (ro == nil || ro.ended || server.Version != ro.target) {
-		usual.observe(o.Pace)
+	if ro == nil || ro.ended || server.Version != ro.target {
+		switch {
+		case o.Pace > 0:
+			usual.observe(o.Pace)
+		case o.Took > 0 && !o.Stream:
+			usual.observe(o.Took - r.gateway.roundTrip(server))
+		}
 	}
 	if ro == nil {
 		return
--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -117,8 +117,9 @@
 	// ExceedsShare reports whether the customer uses more than its share of a service,
 	// and whether any customer does.
 	ExceedsShare(service, customer string) (this, anyone bool)
-	// LateAfter returns after which time without an event an answer is late.
-	LateAfter(predictedWait time.Duration) time.Duration
+	// LateAfter returns how long after its request was sent an answer is late. Of the
+	// observation only what is known before the answer is set.
+	LateAfter(o AnswerObservation, predictedWait time.Duration) time.Duration
 	// ObserveAnswer records how a server answers. It is called once for an attempt, as
 	// soon as that can be told.
 	ObserveAnswer(o AnswerObservation)
@@ -154,11 +155,16 @@
 	Server *backend.Server
 	Route  string
 	Model  string
+	// Stream is set if the answer consists of events.
+	Stream bool
 	// Failed is set if the server answered with an error status of its own.
 	Failed bool
 	// Late is set if LateAfter has passed before the first event of the answer, or
-	// before its head if it has no event.
+	// before its end if it has no events.
 	Late bool
+	// Took is the time until then, how long that has taken so far if the answer is late,
+	// or 0 if the server failed.
+	Took time.Duration
 	// Pace is the usual time between the first events; 0 if there are too few.
 	Pace time.Duration
 }
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -192,7 +192,7 @@
 	if ex.totalAttempts == 0 {
 		ex.queueTime = startedAt.Sub(ex.call.ArrivedAt)
 	}
-	observer := newAnswerObserver(ex.Forwarder, AnswerObservation{Server: assigned.Server, Route: r.Name, Model: ex.model}, assigned.PredictedWait)
+	observer := newAnswerObserver(ex.Forwarder, AnswerObservation{Server: assigned.Server, Route: r.Name, Model: ex.model, Stream: r.Kind == route.Streaming}, assigned.PredictedWait)
 	sink := &eventSink{forwardExecution: ex, assignment: assigned, startedAt: startedAt, observer: observer}
 	stall := ex.newStallPolicy(assigned)
 	metadata := AttemptMetadata{
@@ -203,13 +203,19 @@
 		RequestID: ex.call.ID, Method: ex.call.Method, URI: ex.call.URI, Host: ex.call.Host, Body: ex.call.Body,
 		Header: ex.headers.Header(ex.call.Header, metadata), Stream: r.Kind == route.Streaming, ResumeFrom: ex.lastEvent,
 		AllowReuse: ex.mayReuseConnection(assigned.Server.ID), Limits: ex.limits(assigned, startedAt), Dialect: ex.dialect, Memory: ex.memory,
-		BeforeWrite:    func() error { return ex.recheck(assigned) },
+		BeforeWrite: func() error {
+			if err := ex.recheck(assigned); err != nil {
+				return err
+			}
+			observer.sent()
+			return nil
+		},
 		HeadArrived:    func(h attempt.Head) { ex.recordNotice(assigned, h.Metadata, startedAt) },
 		ConfirmTimeout: func(s attempt.Stall) bool { return stall.confirmTimeout(ctx, s) },
 	}, sink)
 	var e *attempt.Error
 	failed := errors.As(err, &e) && (e.Kind == attempt.Status || e.Kind == attempt.UnprovenRefusal) && assignmentResult(e) == dispatch.ServerFailed
-	observer.ended(answer.FirstEvent > 0, failed)
+	observer.ended(answer.FirstEvent > 0, failed, err == nil)
 	ex.recordOutcome(ctx, assigned, answer, sink.firstSeen, err, startedAt)
 	return answer, err
 }
--- a/internal/relay/pipeline/forward_observation.go
+++ b/internal/relay/pipeline/forward_observation.go
@@ -20,28 +20,37 @@
 	clock clockwork.Clock
 	timer clockwork.Timer
 
+	lateAfter time.Duration
+
 	mu          sync.Mutex
 	observation AnswerObservation
 	reported    bool
+	sentAt      time.Time
 	begun       bool
 	gaps        []time.Duration
 	lastEventAt time.Time
 }
 
-// newAnswerObserver returns an observer of an attempt that starts now. The caller must
-// call ended.
+// newAnswerObserver returns an observer of an attempt. The caller must call ended.
 func newAnswerObserver(f *Forwarder, o AnswerObservation, predictedWait time.Duration) *answerObserver {
-	a := &answerObserver{fleet: f.fleet, clock: f.clock, observation: o}
-	a.timer = f.clock.AfterFunc(f.fleet.LateAfter(predictedWait), a.late)
-	return a
+	return &answerObserver{fleet: f.fleet, clock: f.clock, observation: o, lateAfter: f.fleet.LateAfter(o, predictedWait)}
+}
+
+// sent must be called when the request is about to be sent: opening a connection is no part
+// of the answer's time.
+func (a *answerObserver) sent() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sentAt = a.clock.Now()
+	a.timer = a.clock.AfterFunc(a.lateAfter, a.late)
 }
 
-// late reports an answer that hasn't begun in time.
+// late reports an answer that hasn't begun in time, or without events hasn't ended.
 func (a *answerObserver) late() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.begun {
-		a.observation.Late = true
+		a.observation.Late, a.observation.Took = true, a.lateAfter
 		a.report()
 	}
 }
@@ -55,6 +64,7 @@
 	case !a.begun:
 		a.begun = true
 		a.timer.Stop()
+		a.observation.Took = now.Sub(a.sentAt)
 	case len(a.gaps) < paceGaps:
 		a.gaps = append(a.gaps, now.Sub(a.lastEventAt))
 	}
@@ -67,12 +77,18 @@
 }
 
 // ended reports the attempt at its end, unless it was reported before. answered is set if
-// the server answered, failed if it did so with an error status of its own.
-func (a *answerObserver) ended(answered, failed bool) {
-	a.timer.Stop()
+// the server answered, failed if it did so with an error status of its own, whole if the
+// answer was a success.
+func (a *answerObserver) ended(answered, failed, whole bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.timer != nil {
+		a.timer.Stop()
+	}
 	a.observation.Failed = failed
+	if took := a.clock.Since(a.sentAt); whole && !a.begun {
+		a.observation.Late, a.observation.Took = took > a.lateAfter, took
+	}
 	if answered || failed {
 		a.report()
 	}
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -100,7 +100,7 @@
 func (f *fakeFleet) IsQuarantined(parts []dispatch.PromptPart) bool {
 	return slices.ContainsFunc(parts, func(p dispatch.PromptPart) bool { return f.quarantined[p.ID] })
 }
-func (f *fakeFleet) LateAfter(time.Duration) time.Duration { return lateAfter }
+func (f *fakeFleet) LateAfter(AnswerObservation, time.Duration) time.Duration { return lateAfter }
 func (f *fakeFleet) ObserveAnswer(o AnswerObservation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -563,12 +563,13 @@
 }
 
 // Each attempt is observed once, as soon as its answer is late, has its first few events
-// or has ended.
+// or has ended. One that is given up while its server is silent counts as late.
 func TestAnswersAreObservedEarly(t *testing.T) {
-	const pace = 20 * time.Millisecond
+	const pace, took = 20 * time.Millisecond, 30 * time.Millisecond
 	type step func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error)
 	events := func(n int) step {
 		return func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+			fx.clock.Advance(took)
 			for i := 1; i <= n; i++ {
 				if err := sink.Event(i, nil); err != nil {
 					return attempt.ForwardAnswer{}, err
@@ -578,27 +579,51 @@
 			return attempt.ForwardAnswer{FirstEvent: time.Millisecond, LastEvent: n}, nil
 		}
 	}
+	silence := func(fx *forwardFixture) {
+		fx.clock.Advance(lateAfter)
+		for len(fx.fleet.observations()) == 0 {
+			time.Sleep(time.Millisecond) // the timer runs on a goroutine of its own
+		}
+	}
+	whole := func(after time.Duration) step {
+		return func(fx *forwardFixture, _ attempt.EventSink) (attempt.ForwardAnswer, error) {
+			fx.clock.Advance(after)
+			return attempt.ForwardAnswer{FirstEvent: time.Millisecond}, nil
+		}
+	}
+	fails := func(kind attempt.Kind) step {
+		return func(fx *forwardFixture, _ attempt.EventSink) (attempt.ForwardAnswer, error) {
+			fx.clock.Advance(took)
+			return attempt.ForwardAnswer{FirstEvent: time.Millisecond}, &attempt.Error{Kind: kind, State: call.Ran, Status: http.StatusInternalServerError}
+		}
+	}
 	for _, c := range []struct {
 		name string
+		kind route.Kind
 		step step
 		want AnswerObservation
 	}{
-		{"paced", events(paceGaps + 3), AnswerObservation{Route: "r", Pace: pace}},
-		{"too short for a pace", events(paceGaps), AnswerObservation{Route: "r"}},
-		{"late", func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
-			fx.clock.Advance(lateAfter)
-			for len(fx.fleet.observations()) == 0 {
-				time.Sleep(time.Millisecond) // the timer runs on a goroutine of its own
-			}
+		{"paced", route.Streaming, events(paceGaps + 3), AnswerObservation{Took: took, Pace: pace}},
+		{"too short for a pace", route.Streaming, events(paceGaps), AnswerObservation{Took: took}},
+		{"late", route.Streaming, func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+			silence(fx)
 			return events(paceGaps+1)(fx, sink)
-		}, AnswerObservation{Route: "r", Late: true}},
-		{"failed", func(*forwardFixture, attempt.EventSink) (attempt.ForwardAnswer, error) {
-			return attempt.ForwardAnswer{Head: attempt.Head{Status: http.StatusInternalServerError}}, &attempt.Error{Kind: attempt.Status, State: call.Ran, Status: http.StatusInternalServerError}
-		}, AnswerObservation{Route: "r", Failed: true}},
+		}, AnswerObservation{Late: true, Took: lateAfter}},
+		{"failed", route.Streaming, fails(attempt.Status), AnswerObservation{Failed: true}},
+		{"whole", route.Unsafe, whole(took), AnswerObservation{Took: took}},
+		{"whole and late", route.Unsafe, func(fx *forwardFixture, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
+			silence(fx)
+			return whole(took)(fx, sink)
+		}, AnswerObservation{Late: true, Took: lateAfter}},
+		{"given up", route.Safe, func(fx *forwardFixture, _ attempt.EventSink) (attempt.ForwardAnswer, error) {
+			silence(fx)
+			return attempt.ForwardAnswer{}, &attempt.Error{Kind: attempt.FirstByteTimeout, State: call.MayHaveRun}
+		}, AnswerObservation{Late: true, Took: lateAfter}},
+		{"not run", route.Safe, fails(attempt.Refused503), AnswerObservation{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			fx := newForwardFixture(func(r *route.Route) { r.Kind, r.MaxAttempts = route.Streaming, 1 })
+			fx := newForwardFixture(func(r *route.Route) { r.Kind, r.MaxAttempts = c.kind, 1 })
 			fx.client.steps = append(fx.client.steps, func(_ attempt.ForwardRequest, sink attempt.EventSink) (attempt.ForwardAnswer, error) {
 				return c.step(fx, sink)
 			})
@@ -606,6 +631,7 @@
 			is.Equal(len(fx.fleet.answers), 1)
 			got := fx.fleet.answers[0]
 			got.Server = nil
+			c.want.Route, c.want.Stream = "r", c.kind == route.Streaming
 			is.Equal(got, c.want)
 		})
 	}
