--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -349,7 +349,7 @@
 			usual.observe(o.Took - r.gateway.roundTrip(server))
 		}
 	}
-	if ro == nil {
+	if ro == nil || o.Repeat {
 		return
 	}
 	comparison := verdict.Comparison{Old: counts}
--- a/internal/relay/pipeline/forward_observation.go
+++ b/internal/relay/pipeline/forward_observation.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// hasReported reports whether the attempt's answer was observed.
+func (a *answerObserver) hasReported() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reported
+}
+
 // report reports the observation once. The caller holds mu.
 func (a *answerObserver) report() {
 	if !a.reported {
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -637,6 +637,21 @@
 	}
 }
 
+// A request that makes its servers fail does so in each attempt. Counted by attempts, the
+// failures of few requests looked certain, and a good version was reverted.
+func TestFurtherAttemptsAreRepeats(t *testing.T) {
+	is := is.New(t)
+	fx := newForwardFixture(func(*route.Route) {})
+	fx.client.steps = append(fx.client.steps, fails(attempt.DialRefused, call.NotRun), answers(http.StatusInternalServerError))
+	_ = fx.forwarder.Run(t.Context(), fx.call, fx.out) // the error status is delivered
+	observed := fx.fleet.observations()
+	is.Equal(len(observed), 3) // the refused connection says nothing
+	for i, o := range observed {
+		is.True(o.Failed)
+		is.Equal(o.Repeat, i > 0)
+	}
+}
+
 // A further attempt at the same server opens a new connection: the server may repeat its
 // answer to the attempt before on the old one.
 func TestSameServerGetsNewConnection(t *testing.T) {
