--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -109,8 +109,8 @@
 	// An answer without events is slow if it takes slowAnswerFactor times as long as usual
 	// and minSlowDelay longer. While its usual time isn't known, it is slow as the first
 	// event of a stream is.
-	slowAnswerFactor = 2.5
-	minSlowDelay     = 20 * time.Millisecond
+	slowAnswerFactor = 2
+	minSlowDelay     = 10 * time.Millisecond
 )
 
 // newRollouts returns the rollouts of a gateway, without evidence or pins.
--- a/internal/fleet/gateway/usualtimes.go
+++ b/internal/fleet/gateway/usualtimes.go
@@ -11,7 +11,7 @@
 	// usualTimeWeight is the weight of a sample. A usual time is not known until there are
 	// minUsualSamples.
 	usualTimeWeight = 0.05
-	minUsualSamples = 10
+	minUsualSamples = 4
 	// minAnswerTime is the shortest time that is told apart from none.
 	minAnswerTime = time.Millisecond
 	// maxUsualTimes bounds the number of usual times that are kept.
