--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -363,6 +363,9 @@
 	// the first half of the rollout.
 	minTrialShare   = 0.15
 	firstTrialShare = 0.5
+	// minShareStep is the factor by which the share of a trial rises at least, as each rise
+	// is written to the store.
+	minShareStep = 1.25
 	// minRateTime is the time after which the rate of requests is known.
 	minRateTime = 2 * time.Second
 )
@@ -494,7 +497,8 @@
 
 // trialShare returns the share of the trial. In the first half of the rollout few requests
 // take part. Then as many servers of the new version as possible get the usual load of a
-// server, as soon as the trial's budget lasts until the ramp.
+// server. If the trial's budget doesn't last until the ramp for one, as in a service of few
+// servers, that one gets what the budget bears.
 func (in *DecisionInput) trialShare() float64 {
 	if in.Elapsed < minRateTime || in.OldServers == 0 {
 		return in.Share
@@ -510,10 +514,13 @@
 	}
 	servers := max(1, math.Floor(maxTrialShare*float64(in.OldServers)))
 	affordable := (budget - float64(in.Sent.New)) / max(1, in.requests(latestRamp-in.progress()))
-	if affordable < one {
+	if affordable >= one {
+		return one * min(servers, math.Floor(affordable/one))
+	}
+	if affordable < minShareStep*in.Share {
 		return in.Share
 	}
-	return one * min(servers, math.Floor(affordable/one))
+	return affordable
 }
 
 // Rate estimates the rate of a service's requests. It belongs to one goroutine.
