--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -42,8 +42,9 @@
 	// ResetsEarly answers with a part of a body without length before it has read the
 	// request, and resets the connection.
 	ResetsEarly
-	// recites is the behaviour that Recite sets.
+	// recites and recitesEarly are the behaviours that Recite and ReciteEarly set.
 	recites
+	recitesEarly
 )
 
 // SwollenBytes is what a server that Swells sends of a body.
@@ -186,6 +187,13 @@
 	s.how, s.text = recites, text
 }
 
+// ReciteEarly is Recite for a server that answers before it has read the request, and resets the
+// connection.
+func (s *Server) ReciteEarly(text string) {
+	s.Recite(text)
+	s.Behave(recitesEarly)
+}
+
 // Notify changes what the server says about itself.
 func (s *Server) Notify(n Notice) {
 	s.mu.Lock()
@@ -230,7 +238,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var body []byte
-	if s.behaviour() != ResetsEarly {
+	if !s.behaviour().isEarly() {
 		var err error
 		if body, err = io.ReadAll(r.Body); err != nil {
 			return // the caller broke off
@@ -305,12 +313,15 @@
 // doesn't allow them.
 func (b Behaviour) isRaw() bool {
 	switch b {
-	case CutsHead, Swells, SwellsHead, ResetsEarly, recites:
+	case CutsHead, Swells, SwellsHead, ResetsEarly, recites, recitesEarly:
 		return true
 	}
 	return false
 }
 
+// isEarly reports whether a server answers before it has read the request.
+func (b Behaviour) isEarly() bool { return b == ResetsEarly || b == recitesEarly }
+
 // answerRaw writes an answer to the connection itself, and closes it.
 func answerRaw(w http.ResponseWriter, r *http.Request, how Behaviour, text string) {
 	c := hijack(w)
@@ -323,8 +334,11 @@
 		write(rawHead + "Content-Length: 1")
 	case recites:
 		write(text)
-	case ResetsEarly:
-		write(earlyAnswer)
+	case ResetsEarly, recitesEarly:
+		if how == ResetsEarly {
+			text = earlyAnswer
+		}
+		write(text)
 		time.Sleep(earlyPause)
 		reset(c)
 	default:
