--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -367,7 +367,9 @@
 	comparison := verdict.Comparison{Old: counts}
 	if server.Version == ro.target {
 		comparison = verdict.Comparison{New: counts}
-		ro.addServer(server.ID, counts)
+		if ro.evidence[o.Route].IsTelling() {
+			ro.addServer(server.ID, counts)
+		}
 	}
 	ro.evidence.Add(verdict.Evidence{o.Route: comparison})
 	ro.evidenceChanged = true
--- a/internal/release/verdict/fault.go
+++ b/internal/release/verdict/fault.go
@@ -26,14 +26,14 @@
 )
 
 // FindFault returns what is at fault if the evidence shows that the new version is worse. It
-// takes the counts of the new version by server, over all routes; ready is the number of
-// servers that accept work.
+// takes the counts of the new version by server, over all routes that tell the versions apart;
+// ready is the number of servers that accept work.
 func FindFault(e Evidence, servers map[string]Counts, ready int) Fault {
 	worst, others := splitWorst(servers)
 	if worst.Answers == 0 || ready < 2 {
 		return VersionFault
 	}
-	sum := e.sum()
+	sum := e.telling().sum()
 	switch {
 	case likelihoodRatio(others, sum.New, sum.Old) > minVersionEvidence:
 		return VersionFault
@@ -54,22 +54,52 @@
 	return worst, others
 }
 
-// likelihoodRatio returns the logarithm of how much likelier the counts are at the rate of
-// bad answers in a than at that in b.
+// likelihoodRatio returns the logarithm of how much likelier the outcomes in c are at the rates
+// of failed, slow and good answers in a than at those in b.
 func likelihoodRatio(c, a, b Counts) float64 {
-	bad, good := float64(c.bad()), float64(c.Answers-c.bad())
-	rateA, rateB := badRate(a), badRate(b)
-	return bad*math.Log(rateA/rateB) + good*math.Log((1-rateA)/(1-rateB))
+	ratio, ratesA, ratesB := 0.0, a.rates(), b.rates()
+	for i, n := range c.outcomes() {
+		ratio += float64(n) * math.Log(ratesA[i]/ratesB[i])
+	}
+	return ratio
+}
+
+// outcomes returns the numbers of failed, slow and good answers.
+func (c Counts) outcomes() [3]int {
+	failed := min(c.Failed, c.Answers)
+	slow := min(c.Slow+c.SlowPaced, c.Answers-failed)
+	return [3]int{failed, slow, c.Answers - failed - slow}
 }
 
-// badRate estimates the rate of bad answers, between 0 and 1 exclusive.
-func badRate(c Counts) float64 { return (float64(c.bad()) + 0.5) / (float64(c.Answers) + 1) }
+// rates estimates the rates of the outcomes, all above 0.
+func (c Counts) rates() [3]float64 {
+	var rates [3]float64
+	for i, n := range c.outcomes() {
+		rates[i] = (float64(n) + 0.5) / (float64(c.Answers) + 1.5)
+	}
+	return rates
+}
 
 // withoutServer returns the evidence without the server with most bad answers, over all
 // routes together.
 func withoutServer(e Evidence, servers map[string]Counts) Evidence {
 	_, others := splitWorst(servers)
-	return Evidence{"": {Old: e.sum().Old, New: others}}
+	return Evidence{"": {Old: e.telling().sum().Old, New: others}}
+}
+
+// IsTelling reports whether answers on the route tell the versions apart: not if those of the
+// old one are mostly bad.
+func (p Comparison) IsTelling() bool { return 2*p.Old.bad() <= p.Old.Answers }
+
+// telling returns the evidence of the routes that tell the versions apart.
+func (e Evidence) telling() Evidence {
+	telling := Evidence{}
+	for route, pair := range e {
+		if pair.IsTelling() {
+			telling[route] = pair
+		}
+	}
+	return telling
 }
 
 // sum returns the counts over all routes.
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -420,7 +420,7 @@
 	MaxExposure  float64
 	BaseExposure float64
 	Evidence     Evidence
-	// Servers holds the new version's counts by server, over all routes.
+	// Servers holds the new version's counts by server, over all routes that are telling.
 	Servers map[string]Counts
 	Sent    Traffic
 	// PerSecond is the rate of requests to expect, rather too high than too low.
