--- a/internal/relay/pipeline/forward.go
+++ b/internal/relay/pipeline/forward.go
@@ -157,8 +157,8 @@
 	Model  string
 	// Stream is set if the answer consists of events.
 	Stream bool
-	// Repeat is set if an answer to an earlier attempt of the call was observed. A request
-	// that makes servers fail does so each time, whatever their version.
+	// Repeat is set if an earlier attempt of the call was observed as failed or late. A
+	// request that makes servers fail does so each time, whatever their version.
 	Repeat bool
 	// Failed is set if the server answered with an error status of its own.
 	Failed bool
@@ -321,8 +321,8 @@
 	declinedServers []*backend.Server
 	// crashes is the number of servers that have crashed under the call.
 	crashes int
-	// observed is set once an answer to the call was observed.
-	observed bool
+	// answeredBadly is set once an attempt was observed as failed or late.
+	answeredBadly bool
 	// refusedDials is the number of attempts in a row whose connections were refused.
 	refusedDials int
 	// foundFull is set once a server has refused the call because it was full.
--- a/internal/relay/pipeline/forward_attempt.go
+++ b/internal/relay/pipeline/forward_attempt.go
@@ -192,7 +192,7 @@
 	if ex.totalAttempts == 0 {
 		ex.queueTime = startedAt.Sub(ex.call.ArrivedAt)
 	}
-	observer := newAnswerObserver(ex.Forwarder, AnswerObservation{Server: assigned.Server, Route: r.Name, Model: ex.model, Stream: r.Kind == route.Streaming, Repeat: ex.observed}, assigned.PredictedWait)
+	observer := newAnswerObserver(ex.Forwarder, AnswerObservation{Server: assigned.Server, Route: r.Name, Model: ex.model, Stream: r.Kind == route.Streaming, Repeat: ex.answeredBadly}, assigned.PredictedWait)
 	sink := &eventSink{forwardExecution: ex, assignment: assigned, startedAt: startedAt, observer: observer}
 	stall := ex.newStallPolicy(assigned)
 	metadata := AttemptMetadata{
@@ -216,7 +216,7 @@
 	var e *attempt.Error
 	failed := errors.As(err, &e) && (e.Kind == attempt.Status || e.Kind == attempt.UnprovenRefusal) && assignmentResult(e) == dispatch.ServerFailed
 	observer.ended(answer.FirstEvent > 0, failed, err == nil)
-	ex.observed = ex.observed || observer.hasReported()
+	ex.answeredBadly = ex.answeredBadly || observer.reportedBad()
 	ex.recordOutcome(ctx, assigned, answer, sink.firstSeen, err, startedAt)
 	return answer, err
 }
--- a/internal/relay/pipeline/forward_observation.go
+++ b/internal/relay/pipeline/forward_observation.go
@@ -94,11 +94,11 @@
 	}
 }
 
-// hasReported reports whether the attempt's answer was observed.
-func (a *answerObserver) hasReported() bool {
+// reportedBad reports whether the attempt was reported as failed or late.
+func (a *answerObserver) reportedBad() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.reported
+	return a.reported && (a.observation.Failed || a.observation.Late)
 }
 
 // report reports the observation once. The caller holds mu.
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -652,6 +652,19 @@
 	}
 }
 
+// An attempt after an answer that was declined for a larger model's is no repeat. Taken for
+// one, most answers of the larger model were no evidence.
+func TestEscalationIsNoRepeat(t *testing.T) {
+	is := is.New(t)
+	fx := newForwardFixture(streaming)
+	fx.client.steps = append(fx.client.steps, sends(3, 2, nil))
+	is.True(fx.run(t) == nil)
+	observed := fx.fleet.observations()
+	is.Equal(len(observed), 2)
+	is.Equal(observed[1].Model, "large")
+	is.True(!observed[1].Repeat)
+}
+
 // A further attempt at the same server opens a new connection: the server may repeat its
 // answer to the attempt before on the old one.
 func TestSameServerGetsNewConnection(t *testing.T) {
