--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -323,13 +323,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	usual, known := r.usual.of(o).get()
+	usual, known := r.usual.of(o).get(minAnswerSamples)
 	return r.gateway.roundTrip(o.Server) + max(time.Duration(slowAnswerFactor*float64(usual)), usual+minSlowDelay), known
 }
 
 // isSlowPace reports whether a time between events is much longer than the usual one.
 func isSlowPace(pace time.Duration, usual *usualTime) bool {
-	d, known := usual.get()
+	d, known := usual.get(minPaceSamples)
 	return known && pace > minSlowPace && float64(pace) > slowPaceFactor*float64(d)
 }
 
@@ -367,7 +367,8 @@
 	comparison := verdict.Comparison{Old: counts}
 	if server.Version == ro.target {
 		comparison = verdict.Comparison{New: counts}
-		if ro.evidence[o.Route].IsTelling() {
+		// Few streams say nothing about a server: their models and lengths differ.
+		if !o.Stream && ro.evidence[o.Route].IsTelling() {
 			ro.addServer(server.ID, counts)
 		}
 	}
--- a/internal/fleet/gateway/usualtimes.go
+++ b/internal/fleet/gateway/usualtimes.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// usualTimeWeight is the weight of a sample. A usual time is not known until there are
-	// minUsualSamples.
-	usualTimeWeight = 0.05
-	minUsualSamples = 4
+	// usualTimeWeight is the weight of a sample. A usual pace is not known until there are
+	// minPaceSamples, the usual time of whole answers until there are minAnswerSamples.
+	usualTimeWeight  = 0.05
+	minPaceSamples   = 10
+	minAnswerSamples = 4
 	// minAnswerTime is the shortest time that is told apart from none.
 	minAnswerTime = time.Millisecond
 	// maxUsualTimes bounds the number of usual times that are kept.
@@ -30,9 +31,9 @@
 	u.logSeconds += max(usualTimeWeight, 1/float64(u.samples)) * (math.Log(max(minAnswerTime, d).Seconds()) - u.logSeconds)
 }
 
-// get returns the usual time and whether it is known.
-func (u *usualTime) get() (usual time.Duration, known bool) {
-	return time.Duration(math.Exp(u.logSeconds) * float64(time.Second)), u.samples >= minUsualSamples
+// get returns the usual time, and whether it is known from so many samples.
+func (u *usualTime) get(minSamples int) (usual time.Duration, known bool) {
+	return time.Duration(math.Exp(u.logSeconds) * float64(time.Second)), u.samples >= minSamples
 }
 
 // usualTimeKey identifies what is usual: the pace of a model's streams, or the time of a
--- a/internal/release/verdict/fault.go
+++ b/internal/release/verdict/fault.go
@@ -55,7 +55,7 @@
 }
 
 // likelihoodRatio returns the logarithm of how much likelier the outcomes in c are at the rates
-// of failed, slow and good answers in a than at those in b.
+// of failed, slow and other answers in a than at those in b.
 func likelihoodRatio(c, a, b Counts) float64 {
 	ratio, ratesA, ratesB := 0.0, a.rates(), b.rates()
 	for i, n := range c.outcomes() {
@@ -64,10 +64,10 @@
 	return ratio
 }
 
-// outcomes returns the numbers of failed, slow and good answers.
+// outcomes returns the numbers of failed, slow and other answers.
 func (c Counts) outcomes() [3]int {
 	failed := min(c.Failed, c.Answers)
-	slow := min(c.Slow+c.SlowPaced, c.Answers-failed)
+	slow := min(c.Slow, c.Answers-failed)
 	return [3]int{failed, slow, c.Answers - failed - slow}
 }
 
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -42,7 +42,7 @@
 }
 
 // bad returns the number of answers that failed or were slow.
-func (c Counts) bad() int { return min(c.Answers, c.Failed+c.Slow+c.SlowPaced) }
+func (c Counts) bad() int { return min(c.Answers, c.Failed+c.Slow) }
 
 // Comparison holds the counts of the old and the new version.
 type Comparison struct{ Old, New Counts }
@@ -420,7 +420,8 @@
 	MaxExposure  float64
 	BaseExposure float64
 	Evidence     Evidence
-	// Servers holds the new version's counts by server, over all routes that are telling.
+	// Servers holds the new version's counts by server, over all routes that are telling. It
+	// is empty if the answers of servers can't be compared.
 	Servers map[string]Counts
 	Sent    Traffic
 	// PerSecond is the rate of requests to expect, rather too high than too low.
