--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -65,9 +65,10 @@
 	// the watch has yet to bring the record that it wrote.
 	nextDecisionAt time.Time
 	// distrusted reports that this instance's own evidence shows a regression
-	// of the target, retrial that its server may be at fault.
+	// of the target.
 	distrusted bool
-	retrial    bool
+	// retrial reports that the servers of the trial may be at fault for such a regression.
+	retrial bool
 	// evidenceChanged reports that there is evidence that was not yet sent.
 	evidenceChanged bool
 	// ended reports that the rollout is complete or reverted.
--- a/internal/release/verdict/verdict.go
+++ b/internal/release/verdict/verdict.go
@@ -82,8 +82,10 @@
 	// minBad is the number of bad answers below which a rate is not evaluated.
 	// A single crashing server causes two or three bad answers.
 	minBad = 4
-	// minSuspect is the number of bad answers below which a version isn't suspect.
-	minSuspect = 3
+	// minSuspect is the number of bad answers below which a version isn't suspect, minUnlikely
+	// that below which no chance is computed.
+	minSuspect  = 3
+	minUnlikely = 2
 	// zScore is the width of the confidence bounds in standard deviations. The
 	// one-sided error probability is about 1 in 100.
 	zScore = 2.3
@@ -107,9 +109,6 @@
 	// marginChance is the chance of equal versions below which a difference beyond a margin is
 	// certain. It counts that the old version's rate is an estimate too.
 	marginChance = 0.003
-	// maxExactSteps bounds the work for an exact chance. Beyond it, the normal distribution
-	// is close.
-	maxExactSteps = 100000
 	// failedMargin, slowMargin and paceMargin are the tolerated differences between
 	// the rates of the two versions. slowMargin is larger because load also makes
 	// answers begin late; it hardly changes their pace.
@@ -126,6 +125,7 @@
 			return exceeds(bad, n, oldBad, oldN, margin) || bad >= minBad && isUnlikely(bad, n, oldBad, oldN, certainChance)
 		},
 		slow:         exceeds,
+		minFailed:    minBad,
 		failedChance: certainChance,
 	})
 }
@@ -138,6 +138,7 @@
 			return isHigher(bad, n, oldBad, oldN, margin) || isUnlikely(bad, n, oldBad, oldN, suspectChance)
 		},
 		slow:         isHigher,
+		minFailed:    minUnlikely,
 		failedChance: suspectChance,
 		slowChance:   suspectChance,
 	})
@@ -153,6 +154,7 @@
 		slow: func(bad, n, oldBad, oldN int, _ float64) bool {
 			return bad >= minSuspect && float64(bad)/float64(n)-float64(oldBad)/float64(max(1, oldN)) > minDifference && isUnlikely(bad, n, oldBad, oldN, doubtChance)
 		},
+		minFailed:    minUnlikely,
 		failedChance: doubtChance,
 		slowChance:   doubtChance,
 	})
@@ -161,8 +163,10 @@
 // criterion holds what compares the rates of failures, and those of slow answers.
 type criterion struct {
 	failed, slow rateComparison
-	// failedChance and slowChance are the chances of equal versions below which an excess
-	// over all routes together is worse; 0 tests none.
+	// minFailed is the number of failures, and failedChance and slowChance are the chances of
+	// equal versions, from which and below which an excess over all routes together is worse.
+	// A chance of 0 tests none.
+	minFailed                int
 	failedChance, slowChance float64
 }
 
@@ -182,75 +186,11 @@
 		slowPaced.add(pair.New.SlowPaced, pair.New.Paced, pair.Old.SlowPaced, pair.Old.Paced)
 	}
 	return all.isWorse(c) ||
-		failed.isUnlikely(2, minFailedDifference, c.failedChance) ||
+		failed.isUnlikely(c.minFailed, minFailedDifference, c.failedChance) ||
 		slow.isUnlikely(minSuspect, minDifference, c.slowChance) ||
 		slowPaced.isUnlikely(minSuspect, minDifference, c.slowChance)
 }
 
-// excess compares the bad answers of both versions over several routes, each with its own
-// rate. In the sum of all routes, those whose answers are never bad hide those that are.
-type excess struct {
-	bad, n   int
-	expected float64 // of bad, if the versions are equal
-	shares   []routeShare
-}
-
-// routeShare is the number of bad answers on a route, and the new version's share of all.
-type routeShare struct {
-	bad   int
-	share float64
-}
-
-// add adds a route. One on which the old version's answers are mostly bad says nothing.
-func (x *excess) add(bad, n, oldBad, oldN int) {
-	if n == 0 || oldN == 0 || 2*oldBad > oldN {
-		return
-	}
-	share := float64(n) / float64(n+oldN)
-	x.bad, x.n = x.bad+bad, x.n+n
-	x.expected += share * float64(bad+oldBad)
-	x.shares = append(x.shares, routeShare{bad + oldBad, share})
-}
-
-// isUnlikely reports whether equal versions would show at least so many bad answers of the
-// new one with less than the given chance. There have to be minBad of them, and more than
-// expected by the given fraction of its answers.
-func (x *excess) isUnlikely(minBad int, difference, chance float64) bool {
-	if chance == 0 || x.bad < minBad || float64(x.bad)-x.expected < difference*float64(x.n) {
-		return false
-	}
-	return x.chance() < chance
-}
-
-// chance returns the chance that equal versions show at least so many bad answers of the new
-// one, out of those of both on each route.
-func (x *excess) chance() float64 {
-	total, variance := 0, 0.0
-	for _, r := range x.shares {
-		total += r.bad
-		variance += float64(r.bad) * r.share * (1 - r.share)
-	}
-	if total*x.bad > maxExactSteps {
-		return 0.5 * math.Erfc((float64(x.bad)-0.5-x.expected)/math.Sqrt(2*variance))
-	}
-	// fewer[k] is the chance that k of the bad answers so far are the new version's.
-	fewer := make([]float64, x.bad)
-	fewer[0] = 1
-	for _, r := range x.shares {
-		for range r.bad {
-			for k := len(fewer) - 1; k > 0; k-- {
-				fewer[k] += r.share * (fewer[k-1] - fewer[k])
-			}
-			fewer[0] *= 1 - r.share
-		}
-	}
-	rest := 1.0
-	for _, p := range fewer {
-		rest -= p
-	}
-	return rest
-}
-
 // rateComparison reports whether the rate bad/n is more than margin above oldBad/oldN.
 type rateComparison func(bad, n, oldBad, oldN int, margin float64) bool
 
@@ -266,7 +206,7 @@
 // answers of the new one, out of those of both, with less than the given chance. It is
 // exact for small numbers. One bad answer says nothing.
 func isUnlikely(bad, n, oldBad, oldN int, chance float64) bool {
-	if bad < 2 || oldN == 0 || float64(bad)/float64(n)-float64(oldBad)/float64(oldN) < minFailedDifference {
+	if bad < minUnlikely || oldN == 0 || float64(bad)/float64(n)-float64(oldBad)/float64(oldN) < minFailedDifference {
 		return false
 	}
 	share := float64(n) / float64(n+oldN)
