--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 set -eu
 top=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$top/target/review-3"
-cd "$top/review/_three"
+cd "$top/review/_three/standin"
 go build -buildvcs=false -o "$top/target/review-3/rig" .
