standin/site: the store comes back from a copy

Copy and Restore do what the users' news of the store says: what was written since the copy is gone, leases too, revisions are given out again, a watch from one that the store doesn't have gets 410, and the Store-Era header, in all answers, rises by one. WriteAgain writes what the operator and the backend servers wrote since. A 412 lists the current entries, as the protocol says; it had no body, which the client took for no answer.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -52,6 +52,13 @@
 	changed    chan struct{}
 	fault      Fault
 	calls      map[string]int
+	// era is one more than the number of times that the store has come back from a copy.
+	// statedEra replaces it in the answers, if set.
+	era       int
+	statedEra *string
+	// sources holds the last value of each entry that the operator or a backend server has
+	// written, nil for one that it has ended.
+	sources map[string]*string
 }
 
 type lease struct {
@@ -61,7 +68,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{
+		revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), calls: map[string]int{},
+		era: 1, sources: map[string]*string{},
+	}
 }
 
 // Set writes an entry as the operator or a backend server does.
@@ -77,13 +87,16 @@
 func (s *Store) SetRaw(key string, raw []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(key, base64.StdEncoding.EncodeToString(raw), 0)
+	value := base64.StdEncoding.EncodeToString(raw)
+	s.sources[key] = &value
+	s.put(key, value, 0)
 }
 
 // Remove ends an entry.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sources[key] = nil
 	s.remove(key)
 }
 
@@ -152,6 +165,9 @@
 	s.mu.Lock()
 	fault := s.fault
 	s.calls[r.URL.Path]++
+	if era := s.eraHeader(); era != "" {
+		w.Header().Set("Store-Era", era)
+	}
 	s.mu.Unlock()
 	s.serveWith(fault, w, r)
 }
@@ -210,8 +226,11 @@
 	return n
 }
 
-func reply(w http.ResponseWriter, v any) {
+func reply(w http.ResponseWriter, v any) { replyWith(w, http.StatusOK, v) }
+
+func replyWith(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(v); err != nil {
 		return // the caller is gone
 	}
@@ -260,7 +279,7 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.lostBefore {
+		if after < s.lostBefore || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -311,12 +330,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	met, current := true, []item{}
 	for _, c := range txn.ExpectedRev {
-		if s.items[c.Key].Revision != c.Revision {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return
+		it, ok := s.items[c.Key]
+		met = met && it.Revision == c.Revision
+		if ok {
+			current = append(current, it)
 		}
 	}
+	if !met {
+		replyWith(w, http.StatusPreconditionFailed, map[string]any{"Items": current})
+		return
+	}
 	for _, p := range txn.Writes {
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
 			w.WriteHeader(http.StatusNotFound)
@@ -342,12 +367,21 @@
 	defer s.mu.Unlock()
 	s.nextLease++
 	id, ttl := s.nextLease, time.Duration(in.TtlMs)*time.Millisecond
-	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() {
+	s.open(id, ttl)
+	reply(w, map[string]any{"Lease": id, "TtlMs": in.TtlMs})
+}
+
+// open opens a lease.
+func (s *Store) open(id int64, ttl time.Duration) {
+	l := &lease{ttl: ttl}
+	l.timer = time.AfterFunc(ttl, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.end(id)
-	})}
-	reply(w, map[string]any{"Lease": id, "TtlMs": in.TtlMs})
+		if s.leases[id] == l {
+			s.end(id)
+		}
+	})
+	s.leases[id] = l
 }
 
 func (s *Store) keep(w http.ResponseWriter, id int64) {
