--- a/cmd/kingcupyard/gateway.go
+++ b/cmd/kingcupyard/gateway.go
@@ -70,7 +70,7 @@
 func newGateway(settings gateway.Settings, log *zap.Logger) *gateway.Gateway {
 	clock := clockwork.NewRealClock()
 	return gateway.New(gateway.Dependencies{
-		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Codec: platform.Codec{}, Decode: platform.Decode,
+		Settings: settings, Store: platform.NewStore(settings.StoreAddress, platform.WithStoreLogger(log)), Codec: platform.Codec{}, Decode: platform.Decode,
 		NewHandler: func(a gateway.Admission, f *pipeline.Forwarder) http.Handler {
 			return &platform.Handler{Admission: a, Forwarder: f, Clock: clock, Log: log}
 		},
--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -8,6 +8,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // applyBatch applies a batch of changes and publishes what changed. A complete
@@ -17,6 +18,7 @@
 func (f *Follower) applyBatch(b Batch, storeReachable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observeEra(b.Revision)
 	if storeReachable {
 		f.recordContact()
 	}
@@ -42,7 +44,7 @@
 		changed = true
 	}
 	f.history.add(b)
-	if b.Whole || b.Revision > f.revision {
+	if b.Whole || b.Revision.After(f.revision) {
 		f.revision = b.Revision
 	}
 	if b.Whole {
@@ -53,6 +55,18 @@
 	}
 }
 
+// observeEra notes the era of a revision that this instance has heard of. The caller holds mu.
+func (f *Follower) observeEra(at revision.Revision) {
+	if at.Era <= f.era {
+		return
+	}
+	if f.revision.IsKnown() || f.tableRevision.IsKnown() {
+		counters.Add("EraBegun", 1)
+		f.log.Warn("StoreEraBegun", zap.Int64("Era", at.Era), zap.Int64("Before", f.era), zap.Stringer("Revision", at), zap.Stringer("Applied", f.revision), zap.Stringer("Table", f.tableRevision))
+	}
+	f.era = at.Era
+}
+
 // maxLoggedEntries bounds the invalid entries that are told apart in the log.
 const maxLoggedEntries = 1000
 
@@ -68,7 +82,7 @@
 		return
 	}
 	f.invalid[c.Key] = reason
-	f.log.Warn("EntryInvalid", zap.String("Key", c.Key), zap.Int64("Revision", c.Revision), zap.Error(c.Err))
+	f.log.Warn("EntryInvalid", zap.String("Key", c.Key), zap.Stringer("Revision", c.Revision), zap.Error(c.Err))
 }
 
 // IsComplete reports whether the View has had a routing table and the servers that there
@@ -76,20 +90,20 @@
 func (f *Follower) IsComplete() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.complete = f.complete || f.firstTable > 0 && f.revision >= f.firstTable
+	f.complete = f.complete || f.firstTable.IsKnown() && !f.revision.Before(f.firstTable)
 	return f.complete
 }
 
 // removeMissing removes servers and fleet entries that a complete batch doesn't
 // contain.
-func (f *Follower) removeMissing(changes []Change, revision int64, now time.Time) {
+func (f *Follower) removeMissing(changes []Change, at revision.Revision, now time.Time) {
 	var listed []backend.Server
 	for _, c := range changes {
 		if s, ok := c.Subject.(backend.Server); ok {
 			listed = append(listed, s)
 		}
 	}
-	f.servers.Replace(listed, revision, f.graceUntil, now)
+	f.servers.Replace(listed, at.Number, f.graceUntil, now)
 	fleet := f.fleet.clone()
 	fleet.keepOnly(changes)
 	f.publishFleet(fleet)
@@ -122,11 +136,11 @@
 				instances++
 				continue
 			}
-			f.log.Info("FleetChanged", zap.String("Key", c.Key), zap.Int64("Revision", c.Revision), zap.String("Subject", fmt.Sprintf("%+v", c.Subject)))
+			f.log.Info("FleetChanged", zap.String("Key", c.Key), zap.Stringer("Revision", c.Revision), zap.String("Subject", fmt.Sprintf("%+v", c.Subject)))
 		}
 	}
 	if instances > 0 {
-		f.log.Info("InstancesChanged", zap.Int("Changes", instances), zap.Int("Instances", len(fleet.Instances)), zap.Int64("Revision", changes[len(changes)-1].Revision))
+		f.log.Info("InstancesChanged", zap.Int("Changes", instances), zap.Int("Instances", len(fleet.Instances)), zap.Stringer("Revision", changes[len(changes)-1].Revision))
 	}
 	if fleetChanged {
 		f.publishFleet(*fleet)
@@ -134,20 +148,20 @@
 	return listingChanged
 }
 
-func (f *Follower) announceServer(s backend.Server, revision int64) bool {
+func (f *Follower) announceServer(s backend.Server, at revision.Revision) bool {
 	changed := f.servers.Announce(s, f.clock.Now())
 	if changed {
 		f.log.Info("ServerAnnounced", zap.String("Server", s.ID), zap.String("State", string(s.State)), zap.String("Version", s.Version),
-			zap.Duration("ColdLeft", s.ColdLeft), zap.Int64("Sequence", s.Sequence), zap.Int64("Revision", revision))
+			zap.Duration("ColdLeft", s.ColdLeft), zap.Int64("Sequence", s.Sequence), zap.Stringer("Revision", at))
 	}
 	return changed
 }
 
-func (f *Follower) removeServer(s ServerRemoved, revision int64) bool {
+func (f *Follower) removeServer(s ServerRemoved, at revision.Revision) bool {
 	now := f.clock.Now()
-	changed := f.servers.Remove(s.ID, revision, f.graceUntil, now)
+	changed := f.servers.Remove(s.ID, at.Number, f.graceUntil, now)
 	if changed {
-		f.log.Info("ServerGone", zap.String("Server", s.ID), zap.Int64("Revision", revision), zap.Bool("Lapsed", now.Before(f.graceUntil)))
+		f.log.Info("ServerGone", zap.String("Server", s.ID), zap.Stringer("Revision", at), zap.Bool("Lapsed", now.Before(f.graceUntil)))
 	}
 	return changed
 }
@@ -158,18 +172,22 @@
 }
 
 // applyTable applies a routing table if it is newer than the current one.
-func (f *Follower) applyTable(t *route.Table, revision int64) {
-	if t == nil || revision <= f.tableRevision {
+func (f *Follower) applyTable(t *route.Table, at revision.Revision) {
+	if t == nil || !at.After(f.tableRevision) {
 		return
 	}
-	f.tableRevision = revision
+	f.tableRevision = at
+	if t.Version < f.tableVersion {
+		// The copy that the store came back from lacks the table in force.
+		f.log.Warn("OlderTableIgnored", zap.Int64("Version", t.Version), zap.Int64("InForce", f.tableVersion), zap.Stringer("Revision", at))
+	}
 	if t.Version <= f.tableVersion {
 		return
 	}
 	f.tableVersion = t.Version
-	if f.firstTable == 0 {
-		f.firstTable = revision
+	if !f.firstTable.IsKnown() {
+		f.firstTable = at
 	}
 	f.View.Table.Publish(t)
-	f.log.Info("TableInForce", zap.Int64("Version", t.Version), zap.Int64("Revision", revision), zap.Int("Routes", len(t.Routes)))
+	f.log.Info("TableInForce", zap.Int64("Version", t.Version), zap.Stringer("Revision", at), zap.Int("Routes", len(t.Routes)))
 }
--- a/internal/fleet/follower/confirm.go
+++ b/internal/fleet/follower/confirm.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // confirmLoop reads the routing table's entry from the store every
@@ -37,7 +39,7 @@
 	interval := f.confirmInterval()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision < 0 && f.tableRevision == 0 && f.ownFailures == 0 {
+	if !f.revision.IsKnown() && !f.tableRevision.IsKnown() && f.ownFailures == 0 {
 		return interval
 	}
 	return f.tableSoughtAt.Add(interval).Sub(f.clock.Now())
@@ -62,18 +64,18 @@
 func (f *Follower) confirm(ctx context.Context) error {
 	requestedAt := f.bootClock.Elapsed()
 	if f.isTableLarge() {
-		revision, err := f.store.Revision(ctx)
-		if err != nil || f.confirmUnchanged(revision, requestedAt) {
+		at, err := f.store.Revision(ctx)
+		if err != nil || f.confirmUnchanged(at, requestedAt) {
 			return err
 		}
-		if f.awaitWatch(ctx, revision) && f.confirmUnchanged(revision, requestedAt) {
+		if f.awaitWatch(ctx, at) && f.confirmUnchanged(at, requestedAt) {
 			return nil
 		}
 		requestedAt = f.bootClock.Elapsed()
 	}
-	item, revision, err := f.store.Confirm(ctx)
+	item, at, err := f.store.Confirm(ctx)
 	if err == nil {
-		f.applyConfirmation(item, revision, requestedAt)
+		f.applyConfirmation(item, at, requestedAt)
 	}
 	return err
 }
@@ -90,11 +92,11 @@
 
 // recordTableRead records that the table's entry was read, if there is one, by a load that
 // was requested at requestedAt on the boot clock.
-func (f *Follower) recordTableRead(revision int64, requestedAt time.Duration) {
+func (f *Follower) recordTableRead(at revision.Revision, requestedAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tableReadAt = max(f.tableReadAt, revision)
-	if f.tableRevision > 0 {
+	f.tableReadAt = revision.Latest(f.tableReadAt, at)
+	if f.tableRevision.IsKnown() {
 		f.recordConfirmation(requestedAt)
 	}
 }
@@ -108,12 +110,12 @@
 // table's entry would transfer it a second time over the same link. awaitWatch waits for
 // as long as the answer arrives, up to MaxWatchLag between two parts of it, and not at all
 // if the watch couldn't confirm the table.
-func (f *Follower) awaitWatch(ctx context.Context, revision int64) bool {
+func (f *Follower) awaitWatch(ctx context.Context, at revision.Revision) bool {
 	for startedAt := f.clock.Now(); ; {
 		advanced := f.history.nextAdvance()
 		f.mu.Lock()
-		delivered := f.revision >= revision
-		mayConfirm := !f.loading && !f.reload && f.tableReadAt >= f.tableGap
+		delivered := !f.revision.Before(at)
+		mayConfirm := !f.loading && !f.reload && !f.tableReadAt.Before(f.tableGap)
 		lag := f.clock.Since(startedAt)
 		if f.progressAt.After(startedAt) {
 			lag = f.clock.Since(f.progressAt)
@@ -138,12 +140,13 @@
 // confirmUnchanged confirms the routing table if the follower has applied all changes
 // up to the store's revision, the table's among them. The revision was requested at
 // requestedAt on the boot clock. It reports whether the table is confirmed.
-func (f *Follower) confirmUnchanged(revision int64, requestedAt time.Duration) bool {
-	f.recordView(revision, requestedAt)
+func (f *Follower) confirmUnchanged(at revision.Revision, requestedAt time.Duration) bool {
+	f.recordView(at, requestedAt)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observeEra(at)
 	f.recordContact()
-	if f.tableRevision == 0 || f.revision < revision || f.tableReadAt < f.tableGap {
+	if !f.tableRevision.IsKnown() || f.revision.Before(at) || f.tableReadAt.Before(f.tableGap) {
 		return false
 	}
 	f.recordConfirmation(requestedAt)
@@ -152,27 +155,33 @@
 
 // applyConfirmation applies a read of the routing table's entry that was
 // requested at requestedAt on the boot clock. If the store's revision is newer
-// than the follower's, the watch gets MaxWatchLag to catch up.
-func (f *Follower) applyConfirmation(item Item, revision int64, requestedAt time.Duration) {
-	f.recordView(revision, requestedAt)
+// than the follower's, the watch gets MaxWatchLag to catch up; a watch from a revision of
+// an earlier era can't.
+func (f *Follower) applyConfirmation(item Item, at revision.Revision, requestedAt time.Duration) {
+	f.recordView(at, requestedAt)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observeEra(at)
 	f.recordContact()
-	if item.Revision == 0 {
+	if !item.Revision.IsKnown() {
 		return // the store has no routing table yet
 	}
-	f.tableReadAt = max(f.tableReadAt, revision)
-	if item.Revision > f.tableRevision {
+	f.tableReadAt = revision.Latest(f.tableReadAt, at)
+	if item.Revision.After(f.tableRevision) {
 		c := f.decode(item)
 		f.logInvalid(c)
 		f.applyChanges([]Change{c})
 		f.history.setTable(item)
 	}
-	if f.tableRevision >= item.Revision {
+	if !f.tableRevision.Before(item.Revision) {
 		f.recordConfirmation(requestedAt)
 	}
-	if f.revision >= 0 && f.revision < revision {
-		f.clock.AfterFunc(f.settings.MaxWatchLag, func() { f.restartLaggingWatch(revision) })
+	if f.revision.IsKnown() && f.revision.Before(at) {
+		lag := f.settings.MaxWatchLag
+		if f.revision.Era != at.Era {
+			lag = 0
+		}
+		f.clock.AfterFunc(lag, func() { f.restartLaggingWatch(at) })
 	}
 }
 
@@ -181,12 +190,12 @@
 // hang on a connection that no longer delivers anything, or can be busy with an
 // answer that holds every version of a large entry. The state holds one version of
 // each.
-func (f *Follower) restartLaggingWatch(revision int64) {
+func (f *Follower) restartLaggingWatch(at revision.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision >= 0 && f.revision < revision && f.stopWatch != nil && !f.reload && !f.loading {
+	if f.revision.IsKnown() && f.revision.Before(at) && f.stopWatch != nil && !f.reload && !f.loading {
 		counters.Add("WatchLagged", 1)
-		f.log.Info("WatchRenewed", zap.Int64("Revision", f.revision), zap.Int64("Store", revision))
+		f.log.Info("WatchRenewed", zap.Stringer("Revision", f.revision), zap.Stringer("Store", at))
 		f.reload = true
 		f.stopWatch()
 	}
@@ -200,10 +209,10 @@
 
 // recordView records that the View is complete as of a time on the boot clock, if all
 // changes up to a revision are applied. The store's revision was no higher at that time.
-func (f *Follower) recordView(revision int64, at time.Duration) {
+func (f *Follower) recordView(rev revision.Revision, at time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= 0 || f.revision < revision {
+	if !rev.IsKnown() || f.revision.Before(rev) {
 		return
 	}
 	if !f.viewed || at > f.viewedAt {
@@ -227,9 +236,9 @@
 	return f.bootClock.Elapsed() - f.confirmedAt, f.confirmed
 }
 
-// Revision returns the store revision up to which all changes are applied; it is below 0
+// Revision returns the store revision up to which all changes are applied; it is unknown
 // if nothing has been loaded.
-func (f *Follower) Revision() int64 {
+func (f *Follower) Revision() revision.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.revision
@@ -240,5 +249,5 @@
 func (f *Follower) ContactAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.clock.Since(f.lastContactAt), f.revision >= 0
+	return f.clock.Since(f.lastContactAt), f.revision.IsKnown()
 }
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -11,42 +10,43 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // Item is one version of a store entry, or its deletion if Gone is set.
 type Item struct {
 	Key      string
-	Value    []byte `json:",omitempty"`
-	Revision int64
-	Gone     bool `json:",omitempty"`
+	Value    []byte
+	Revision revision.Revision
+	Gone     bool
 }
 
 // Batch is a set of changes, or the complete state, up to one store revision.
 type Batch struct {
 	Items []Item
 	// Revision is the store revision up to which Items is complete.
-	Revision int64
+	Revision revision.Revision
 	// Whole is set if Items holds the complete state instead of changes.
 	Whole bool
 	// Table is the revision of the routing table's entry that the sending
-	// instance has confirmed, 0 if it has confirmed none. Age is how old that
+	// instance has confirmed, unknown if it has confirmed none. Age is how old that
 	// confirmation was when the instance answered.
-	Table int64
+	Table revision.Revision
 	Age   time.Duration
 	// ViewAge is how old the sending instance's state was when it answered; 0 if it
-	// doesn't know. Instances of earlier versions leave it out.
-	ViewAge time.Duration `json:",omitzero"`
+	// doesn't know, as in instances of earlier versions.
+	ViewAge time.Duration
 	// TableDiff is the newest routing table if it is too large for Items.
-	TableDiff *TableDiff `json:",omitzero"`
+	TableDiff *TableDiff
 }
 
 // Position is what the reader of a feed has.
 type Position struct {
-	// Revision is the store revision up to which it has all changes, -1 if none.
-	Revision int64
-	// Table is the revision of its routing table, 0 if it has none or can't take
+	// Revision is the store revision up to which it has all changes, unknown if none.
+	Revision revision.Revision
+	// Table is the revision of its routing table, unknown if it has none or can't take
 	// differences.
-	Table int64
+	Table revision.Revision
 }
 
 // Feed reads the store's changes from another instance.
@@ -54,7 +54,7 @@
 	// Next returns the changes after a position, without versions of entries that
 	// newer ones have replaced. It waits up to wait for the first change. A large
 	// routing table is sent as a difference, or left out, which the batch's Table then
-	// shows, unless the complete state after -1 is requested.
+	// shows, unless the complete state is requested by an unknown revision.
 	Next(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 	// Reject reports that the feed's data is too old to use.
 	Reject()
@@ -76,8 +76,8 @@
 	mu       sync.Mutex
 	items    map[string]Item
 	changes  []Item
-	base     int64 // changes holds the newest changes after this revision
-	revision int64
+	base     revision.Revision // changes holds the newest changes after this revision
+	revision revision.Revision
 	// tableKey is the key of the routing table's entry, once it is known, and tables
 	// holds its latest versions, the newest last.
 	tableKey string
@@ -87,20 +87,20 @@
 }
 
 func newHistory() *history {
-	return &history{items: map[string]Item{}, revision: -1, advanced: make(chan struct{})}
+	return &history{items: map[string]Item{}, advanced: make(chan struct{})}
 }
 
 func (h *history) add(b Batch) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	items := b.Items
-	if b.Whole && h.revision < 0 {
+	if b.Whole && !h.revision.IsKnown() {
 		h.base = b.Revision
 	} else if b.Whole {
 		items = h.missingFrom(b)
 	}
 	for _, item := range items {
-		if old, ok := h.items[item.Key]; ok && item.Revision < old.Revision {
+		if old, ok := h.items[item.Key]; ok && item.Revision.Before(old.Revision) {
 			continue
 		}
 		if item.Gone {
@@ -108,15 +108,15 @@
 		} else {
 			h.items[item.Key] = item
 		}
-		if h.revision >= 0 {
+		if h.revision.IsKnown() {
 			h.changes = append(slices.DeleteFunc(h.changes, func(old Item) bool { return old.Key == item.Key }), item)
 		}
 	}
 	if over := len(h.changes) - maxHistoryItems; over > 0 {
-		h.base = max(h.base, h.changes[over-1].Revision)
+		h.base = revision.Latest(h.base, h.changes[over-1].Revision)
 		h.changes = append([]Item(nil), h.changes[over:]...)
 	}
-	if b.Whole || b.Revision > h.revision {
+	if b.Whole || b.Revision.After(h.revision) {
 		h.revision = b.Revision
 		h.wake()
 	}
@@ -133,14 +133,14 @@
 	}
 	for key, old := range h.items {
 		switch {
-		case present[key] || old.Revision > whole.Revision:
+		case present[key] || old.Revision.After(whole.Revision):
 		case key == h.tableKey:
 			items = append(items, old)
 		default:
 			items = append(items, Item{Key: key, Revision: whole.Revision, Gone: true})
 		}
 	}
-	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(items, func(a, b Item) int { return a.Revision.Compare(b.Revision) })
 	return items
 }
 
@@ -149,7 +149,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.tableKey = item.Key
-	if item.Revision <= h.items[item.Key].Revision {
+	if !item.Revision.After(h.items[item.Key].Revision) {
 		return
 	}
 	h.items[item.Key] = item
@@ -186,7 +186,7 @@
 func (h *history) tableDiff(after Position) (*TableDiff, error) {
 	h.mu.Lock()
 	newest, base := h.items[h.tableKey], Item{}
-	if after.Revision < 0 || after.Table == 0 || newest.Revision <= after.Table || len(newest.Value) <= maxFeedTableBytes {
+	if !after.Revision.IsKnown() || !after.Table.IsKnown() || !newest.Revision.After(after.Table) || len(newest.Value) <= maxFeedTableBytes {
 		h.mu.Unlock()
 		return nil, nil
 	}
@@ -202,16 +202,16 @@
 // since returns the changes after a revision, or the complete state if changes
 // doesn't reach back that far, and a channel that is closed at the next new
 // revision or table. For a revision newer than the history's own the batch is empty. Only
-// the complete state after -1 includes a routing table of more than
+// the complete state after an unknown revision includes a routing table of more than
 // maxFeedTableBytes.
-func (h *history) since(after int64) (Batch, <-chan struct{}) {
+func (h *history) since(after revision.Revision) (Batch, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := Batch{Revision: h.revision}
 	isOmitted := func(item Item) bool {
-		return after >= 0 && item.Key == h.tableKey && len(item.Value) > maxFeedTableBytes
+		return after.IsKnown() && item.Key == h.tableKey && len(item.Value) > maxFeedTableBytes
 	}
-	if after < h.base {
+	if after.Before(h.base) {
 		b.Whole = true
 		for _, item := range h.items {
 			if !isOmitted(item) {
@@ -221,7 +221,7 @@
 		return b, h.advanced
 	}
 	for _, item := range h.changes {
-		if item.Revision > after && item.Revision <= h.revision && !isOmitted(item) {
+		if item.Revision.After(after) && !item.Revision.After(h.revision) && !isOmitted(item) {
 			b.Items = append(b.Items, item)
 		}
 	}
@@ -242,8 +242,8 @@
 
 // ErrTooFarBehind reports that the feed no longer has all changes after the
 // requested revision and that the complete state is too large to send instead.
-// An instance that can't reach the store requests the changes after -1, which
-// always returns the complete state.
+// An instance that can't reach the store requests the changes after an unknown
+// revision, which always returns the complete state.
 var ErrTooFarBehind = errors.New("the feed has not kept all changes that are asked for")
 
 func (b *Batch) size() int {
@@ -265,10 +265,10 @@
 	for waited := false; ; {
 		viewedAt := f.lastView()
 		b, changed := f.history.since(after.Revision)
-		if b.Revision < 0 {
+		if !b.Revision.IsKnown() {
 			return Batch{}, ErrNotSynced
 		}
-		if b.Whole && after.Revision >= 0 && b.size() > maxFullBatchBytes {
+		if b.Whole && after.Revision.IsKnown() && b.size() > maxFullBatchBytes {
 			return Batch{}, ErrTooFarBehind
 		}
 		diff, err := f.history.tableDiff(after)
@@ -318,7 +318,7 @@
 // batch should have included, had it not been too large, is read from the store by
 // confirmLoop. The caller holds mu.
 func (f *Follower) recordFeedTable(b Batch) {
-	if b.Revision >= b.Table {
+	if !b.Revision.Before(b.Table) {
 		f.feedTable = b.Table
 	}
 }
@@ -328,7 +328,7 @@
 func (f *Follower) isTableOmitted() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.feedTable > f.tableRevision
+	return f.feedTable.After(f.tableRevision)
 }
 
 // isTable reports whether a change holds a routing table.
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -15,6 +15,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/board"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/platform/transfer"
 )
 
@@ -99,25 +100,27 @@
 	mu            sync.Mutex
 	servers       *backend.Directory
 	fleet         Fleet
-	tableRevision int64 // store revision of the routing table's entry
-	tableVersion  int64 // version of the current table
+	tableRevision revision.Revision // store revision of the routing table's entry
+	tableVersion  int64             // version of the current table
 	// tableReadAt is the store revision at which the table's entry was last read from
 	// the store. tableGap is the revision up to which changes were applied that may lack
 	// a change of the table: those of a feed, and a loaded state.
-	tableReadAt int64
-	tableGap    int64
+	tableReadAt revision.Revision
+	tableGap    revision.Revision
+	// era is the latest era of the store that this instance knows of.
+	era int64
 	// invalid holds, by key, why entries can't be decoded.
 	invalid map[string]string
 	// firstTable is the revision of the first routing table, complete whether IsComplete
 	// has found all changes up to it applied.
-	firstTable int64
+	firstTable revision.Revision
 	complete   bool
 	// feedTable is the revision of the routing table up to which a feed has sent
 	// all other changes.
-	feedTable int64
+	feedTable revision.Revision
 	// revision is the store revision up to which all changes are applied. It
-	// is below 0 before the first load and after a lost history.
-	revision int64
+	// is unknown before the first load and after a lost history.
+	revision revision.Revision
 	// confirmedAt is the boot clock's time when the last successful read of the
 	// table's entry was requested. It is valid if confirmed is set.
 	confirmedAt time.Duration
@@ -184,7 +187,7 @@
 func New(store Store, decode func(Item) Change, opts ...Option) *Follower {
 	f := &Follower{
 		settings: DefaultSettings, store: store, decode: decode, upstream: func() Feed { return nil },
-		clock: clockwork.NewRealClock(), bootClock: systemBootClock{}, log: zap.NewNop(), revision: -1, history: newHistory(),
+		clock: clockwork.NewRealClock(), bootClock: systemBootClock{}, log: zap.NewNop(), history: newHistory(),
 		invalid:     map[string]string{},
 		watchWanted: make(chan struct{}, 1),
 	}
@@ -206,7 +209,7 @@
 		defer func() {
 			if cause := recover(); cause != nil {
 				counters.Add("DecodePanicked", 1)
-				f.log.Error("EntryNotDecoded", zap.String("Key", item.Key), zap.Int64("Revision", item.Revision), zap.String("Cause", fmt.Sprint(cause)), zap.ByteString("Stack", debug.Stack()))
+				f.log.Error("EntryNotDecoded", zap.String("Key", item.Key), zap.Stringer("Revision", item.Revision), zap.String("Cause", fmt.Sprint(cause)), zap.ByteString("Stack", debug.Stack()))
 				c = Change{Key: item.Key, Revision: item.Revision}
 			}
 		}()
@@ -271,7 +274,7 @@
 // currentFeed returns the feed to read now, or nil to read the store.
 func (f *Follower) currentFeed() Feed {
 	f.mu.Lock()
-	useStore := f.revision < 0 || f.clock.Now().Before(f.feedBackoffUntil)
+	useStore := !f.revision.IsKnown() || f.clock.Now().Before(f.feedBackoffUntil)
 	f.mu.Unlock()
 	if useStore {
 		return nil
@@ -291,7 +294,7 @@
 // next call a load.
 func (f *Follower) readStore(ctx context.Context) error {
 	f.mu.Lock()
-	revision, load, withTable := f.revision, f.revision < 0 || f.reload, f.tableRevision == 0
+	position, load, withTable := f.revision, !f.revision.IsKnown() || f.reload, !f.tableRevision.IsKnown()
 	f.reload, f.loading = false, load
 	ctx, f.stopWatch = context.WithCancel(ctx)
 	f.mu.Unlock()
@@ -311,10 +314,10 @@
 		}
 		return err
 	}
-	items, at, err := f.store.Watch(ctx, revision, f.settings.WatchWait)
+	items, at, err := f.store.Watch(ctx, position, f.settings.WatchWait)
 	if isHistoryLost(err) {
 		counters.Add("HistoryLost", 1)
-		f.log.Warn("StoreHistoryLost", zap.Int64("After", revision))
+		f.log.Warn("StoreHistoryLost", zap.Stringer("After", position))
 		f.resetRevision()
 		return nil
 	}
@@ -370,7 +373,7 @@
 func (f *Follower) resetRevision() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = -1
+	f.revision = revision.Revision{}
 }
 
 // readFeed makes one call to another instance's feed and applies the result. It
@@ -386,14 +389,14 @@
 	defer cancel()
 	batch, err := feed.Next(feedCtx, position, f.settings.FeedWait)
 	if errors.Is(err, ErrTooFarBehind) && f.IsCutOff() {
-		batch, err = feed.Next(feedCtx, Position{Revision: -1}, f.settings.FeedWait)
+		batch, err = feed.Next(feedCtx, Position{}, f.settings.FeedWait)
 	}
 	if err != nil {
 		f.recordFeedFailure(err)
 		return false
 	}
 	f.expandTable(&batch)
-	f.applyBatch(batch, batch.Table > 0 && batch.Age < f.settings.MaxFeedAge)
+	f.applyBatch(batch, batch.Table.IsKnown() && batch.Age < f.settings.MaxFeedAge)
 	if batch.ViewAge > 0 {
 		f.recordView(batch.Revision, requestedAt-batch.ViewAge)
 	}
@@ -401,11 +404,11 @@
 	defer f.mu.Unlock()
 	f.recordFeedTable(batch)
 	f.tableGap = f.revision
-	if batch.Table > 0 && batch.Table == f.tableRevision {
+	if batch.Table.IsKnown() && batch.Table == f.tableRevision {
 		f.recordConfirmation(requestedAt - batch.Age)
 	}
 	age := batch.Age
-	if batch.Table <= f.tableRevision {
+	if !batch.Table.After(f.tableRevision) {
 		age = max(age, f.bootClock.Elapsed()-f.confirmedAt)
 	}
 	if age > f.settings.MaxFeedAge {
@@ -421,13 +424,13 @@
 // store like one that is left out.
 func (f *Follower) expandTable(b *Batch) {
 	base := f.history.table()
-	if b.TableDiff == nil || b.TableDiff.Revision <= base.Revision {
+	if b.TableDiff == nil || !b.TableDiff.Revision.After(base.Revision) {
 		return
 	}
 	item, err := b.TableDiff.apply(base)
 	if err != nil {
 		counters.Add("TableNotExpanded", 1)
-		f.log.Info("TableNotExpanded", zap.Int64("Revision", b.TableDiff.Revision), zap.Error(err))
+		f.log.Info("TableNotExpanded", zap.Stringer("Revision", b.TableDiff.Revision), zap.Error(err))
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.feedTable = b.TableDiff.Revision
@@ -458,7 +461,7 @@
 		// The feed's reader may have lost the store too, and the store may be back.
 		f.storeBackoffUntil = retryAt
 	}
-	f.log.Info("FeedLeft", zap.String("Why", reason), zap.Duration("Age", age), zap.Int64("Revision", f.revision), zap.Error(err))
+	f.log.Info("FeedLeft", zap.String("Why", reason), zap.Duration("Age", age), zap.Stringer("Revision", f.revision), zap.Error(err))
 }
 
 // expireLoop removes servers at the end of their grace period, even when no
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/platform/transfer"
 )
 
@@ -41,7 +42,7 @@
 		t.Index()
 		c.Subject = t
 	case kind == "server":
-		c.Subject = backend.Server{ID: item.Key[8:], Service: "assistant", State: backend.State(arg), Revision: item.Revision, Sequence: item.Revision}
+		c.Subject = backend.Server{ID: item.Key[8:], Service: "assistant", State: backend.State(arg), Revision: item.Revision.Number, Sequence: item.Revision.Number}
 	case strings.HasPrefix(item.Key, "closed/"):
 		c.Subject = DataCentreClosure{DataCentre: item.Key[7:], Ended: item.Gone}
 	}
@@ -72,12 +73,15 @@
 	f.bootClock.now += d
 }
 
-func serverItem(id, state string, revision int64) Item {
-	return Item{Key: "servers/" + id, Value: []byte("server " + state), Revision: revision}
+// at returns a revision of a store that states no era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
+
+func serverItem(id, state string, number int64) Item {
+	return Item{Key: "servers/" + id, Value: []byte("server " + state), Revision: at(number)}
 }
 
-func tableItem(version, revision int64) Item {
-	return Item{Key: "op/config", Value: []byte("table " + strconv.FormatInt(version, 10)), Revision: revision}
+func tableItem(version, number int64) Item {
+	return Item{Key: "op/config", Value: []byte("table " + strconv.FormatInt(version, 10)), Revision: at(number)}
 }
 
 // tableItemOfSize is a tableItem whose value has the given number of bytes, which can't be
@@ -103,9 +107,9 @@
 func TestProcessPauseIsNotAnOutage(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: at(1), Whole: true}, true)
 	f.advance(1200 * time.Millisecond)
-	f.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2}, true)
+	f.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: at(2), Gone: true}}, Revision: at(2)}, true)
 	is.True(!f.hasServer("a"))
 }
 
@@ -114,15 +118,15 @@
 func TestExpiredServersAreKeptAfterOutage(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1), serverItem("b", "Ready", 2)}, Revision: 2, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1), serverItem("b", "Ready", 2)}, Revision: at(2), Whole: true}, true)
 	f.recordFailure(errors.New("refused"))
 	f.advance(4 * time.Second)
-	f.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: 3, Gone: true}, {Key: "servers/b", Revision: 4, Gone: true}}, Revision: 4}, true)
+	f.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: at(3), Gone: true}, {Key: "servers/b", Revision: at(4), Gone: true}}, Revision: at(4)}, true)
 	is.True(f.hasServer("a"))
 	f.advance(time.Second)
-	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 5)}, Revision: 5}, true)
+	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 5)}, Revision: at(5)}, true)
 	f.advance(2 * time.Second)
-	f.applyBatch(Batch{Revision: 5}, true)
+	f.applyBatch(Batch{Revision: at(5)}, true)
 	is.True(f.hasServer("a"))
 	is.True(!f.hasServer("b"))
 }
@@ -134,14 +138,14 @@
 func TestGraceStartsWhenStoreReturns(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: at(1), Whole: true}, true)
 	f.recordFailure(errors.New("refused"))
 	f.advance(9 * time.Second)
-	f.applyBatch(Batch{Revision: 1}, true)
+	f.applyBatch(Batch{Revision: at(1)}, true)
 	f.advance(1900 * time.Millisecond)
-	f.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2}, true)
+	f.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: at(2), Gone: true}}, Revision: at(2)}, true)
 	f.advance(400 * time.Millisecond)
-	f.applyBatch(Batch{Revision: 2}, true)
+	f.applyBatch(Batch{Revision: at(2)}, true)
 	is.True(!f.hasServer("a"))
 }
 
@@ -154,12 +158,12 @@
 	source, f := newTestFollower(), newTestFollower()
 	f.upstream = func() Feed { return followerFeed{source} }
 	inWatch, release := make(chan struct{}), make(chan struct{})
-	f.store = &fakeStore{watch: func(int64) ([]Item, int64, error) {
+	f.store = &fakeStore{watch: func(revision.Revision) ([]Item, revision.Revision, error) {
 		close(inWatch)
 		<-release
-		return nil, 3, nil
+		return nil, at(3), nil
 	}}
-	f.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 3, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: at(3), Whole: true}, true)
 	is.True(!f.isReadingStore())
 	done := make(chan error)
 	go func() { done <- f.readStore(t.Context()) }()
@@ -177,16 +181,16 @@
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: []Item{tableItem(1, 1), serverItem("a", "Ready", 2)}, Revision: 2, Whole: true}, true)
+		x.applyBatch(Batch{Items: []Item{tableItem(1, 1), serverItem("a", "Ready", 2)}, Revision: at(2), Whole: true}, true)
 	}
-	source.applyConfirmation(tableItem(1, 1), 2, 0)
+	source.applyConfirmation(tableItem(1, 1), at(2), 0)
 	source.bootClock.now = 5 * time.Second
 	f.recordFailure(errors.New("refused"))
 	f.advance(3 * time.Second)
 	f.readFeed(t.Context(), followerFeed{source})
 	is.Equal(f.failures, 1)
 	is.True(f.graceUntil.IsZero())
-	source.applyConfirmation(tableItem(1, 1), 2, 5*time.Second)
+	source.applyConfirmation(tableItem(1, 1), at(2), 5*time.Second)
 	f.readFeed(t.Context(), followerFeed{source})
 	is.Equal(f.failures, 0)
 	is.True(!f.graceUntil.IsZero())
@@ -197,11 +201,11 @@
 func TestUpstreamOutageDoesNotAffectFollower(t *testing.T) {
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
-	source.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
-	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: 1, Whole: true}, true)
+	source.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: at(1), Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 1)}, Revision: at(1), Whole: true}, true)
 	source.recordFailure(errors.New("refused"))
 	source.advance(5 * time.Second)
-	source.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: 2, Gone: true}}, Revision: 2}, true)
+	source.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: at(2), Gone: true}}, Revision: at(2)}, true)
 	is.True(source.hasServer("a"))
 	f.readFeed(t.Context(), followerFeed{source})
 	is.True(!f.hasServer("a"))
@@ -210,11 +214,11 @@
 func TestTableVersionNeverDecreases(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.applyBatch(Batch{Items: []Item{tableItem(7, 10)}, Revision: 10, Whole: true}, true)
-	f.applyBatch(Batch{Items: []Item{tableItem(5, 8)}, Revision: 12}, true)
-	f.applyConfirmation(tableItem(6, 9), 12, 0)
+	f.applyBatch(Batch{Items: []Item{tableItem(7, 10)}, Revision: at(10), Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{tableItem(5, 8)}, Revision: at(12)}, true)
+	f.applyConfirmation(tableItem(6, 9), at(12), 0)
 	is.Equal(f.View.Table.Get().Version, int64(7))
-	f.applyConfirmation(tableItem(9, 14), 14, 0)
+	f.applyConfirmation(tableItem(9, 14), at(14), 0)
 	is.Equal(f.View.Table.Get().Version, int64(9))
 }
 
@@ -225,18 +229,18 @@
 	f := newTestFollower()
 	_, known := f.ConfirmationAge()
 	is.True(!known)
-	f.applyConfirmation(Item{}, 3, 0) // no table exists, so nothing is confirmed
+	f.applyConfirmation(Item{}, at(3), 0) // no table exists, so nothing is confirmed
 	_, known = f.ConfirmationAge()
 	is.True(!known)
 	f.bootClock.now = 10 * time.Second
-	f.applyConfirmation(tableItem(1, 1), 1, 9*time.Second)
+	f.applyConfirmation(tableItem(1, 1), at(1), 9*time.Second)
 	age, known := f.ConfirmationAge()
 	is.True(known)
 	is.Equal(age, time.Second)
 	f.bootClock.now += 30 * time.Second // suspended: the monotonic clock didn't advance
 	age, _ = f.ConfirmationAge()
 	is.Equal(age, 31*time.Second)
-	f.applyConfirmation(tableItem(1, 1), 1, 5*time.Second) // an answer to an older request
+	f.applyConfirmation(tableItem(1, 1), at(1), 5*time.Second) // an answer to an older request
 	age, _ = f.ConfirmationAge()
 	is.Equal(age, 31*time.Second)
 }
@@ -246,10 +250,10 @@
 func TestViewAge(t *testing.T) {
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
-	revision := int64(5)
+	latest := at(5)
 	source.store = &fakeStore{
-		load:  func() ([]Item, int64, error) { return []Item{tableItem(1, 1)}, revision, nil },
-		watch: func(int64) ([]Item, int64, error) { return nil, revision, nil },
+		load:  func() ([]Item, revision.Revision, error) { return []Item{tableItem(1, 1)}, latest, nil },
+		watch: func(revision.Revision) ([]Item, revision.Revision, error) { return nil, latest, nil },
 	}
 	age := func(f *testFollower, now time.Duration) time.Duration {
 		f.bootClock.now = now
@@ -264,17 +268,17 @@
 	is.Equal(age(source, 11*time.Second), time.Second)
 	is.NoErr(source.readStore(t.Context())) // a watch
 	is.Equal(age(source, 12*time.Second), time.Second)
-	source.applyConfirmation(tableItem(1, 1), 5, 12*time.Second)
+	source.applyConfirmation(tableItem(1, 1), at(5), 12*time.Second)
 	is.Equal(age(source, 13*time.Second), time.Second)
-	source.applyConfirmation(tableItem(1, 1), 6, 13*time.Second) // the view lacks a change
+	source.applyConfirmation(tableItem(1, 1), at(6), 13*time.Second) // the view lacks a change
 	is.Equal(age(source, 14*time.Second), 2*time.Second)
-	source.applyConfirmation(Item{}, 0, 14*time.Second)
+	source.applyConfirmation(Item{}, at(0), 14*time.Second)
 	is.Equal(age(source, 14*time.Second), 2*time.Second)
 
 	f.bootClock.now = 100 * time.Second
 	f.readFeed(t.Context(), followerFeed{source})
 	is.Equal(age(f, 101*time.Second), 3*time.Second)
-	revision = 6
+	latest = at(6)
 	is.NoErr(source.readStore(t.Context()))
 	f.bootClock.now = 102 * time.Second
 	f.readFeed(t.Context(), followerFeed{source})
@@ -296,19 +300,19 @@
 		return c
 	}
 	invalid := func() int { return logs.FilterMessage("EntryInvalid").Len() }
-	odd := func(revision int64) Item {
-		return Item{Key: "servers/a", Value: []byte("odd"), Revision: revision}
+	odd := func(number int64) Item {
+		return Item{Key: "servers/a", Value: []byte("odd"), Revision: at(number)}
 	}
-	f.applyBatch(Batch{Items: []Item{odd(1)}, Revision: 1, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{odd(1)}, Revision: at(1), Whole: true}, true)
 	is.Equal(invalid(), 1)
-	f.applyBatch(Batch{Items: []Item{odd(2)}, Revision: 2}, true)
-	f.applyBatch(Batch{Items: []Item{odd(2)}, Revision: 2, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{odd(2)}, Revision: at(2)}, true)
+	f.applyBatch(Batch{Items: []Item{odd(2)}, Revision: at(2), Whole: true}, true)
 	is.Equal(invalid(), 1)
-	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 3)}, Revision: 3}, true)
-	f.applyBatch(Batch{Items: []Item{odd(4)}, Revision: 4}, true)
+	f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 3)}, Revision: at(3)}, true)
+	f.applyBatch(Batch{Items: []Item{odd(4)}, Revision: at(4)}, true)
 	is.Equal(invalid(), 2)
 	for i := range 2 * maxLoggedEntries {
-		f.applyBatch(Batch{Items: []Item{{Key: fmt.Sprint("servers/", i), Value: []byte("odd"), Revision: int64(i + 5)}}, Revision: int64(i + 5)}, true)
+		f.applyBatch(Batch{Items: []Item{{Key: fmt.Sprint("servers/", i), Value: []byte("odd"), Revision: at(int64(i + 5))}}, Revision: at(int64(i + 5))}, true)
 	}
 	is.Equal(invalid(), 1+maxLoggedEntries)
 }
@@ -327,12 +331,12 @@
 	source, f := newTestFollower(), newTestFollower()
 	_, err := followerFeed{source}.Next(t.Context(), Position{}, 0)
 	is.True(errors.Is(err, ErrNotSynced))
-	source.applyBatch(Batch{Items: []Item{tableItem(3, 4), serverItem("a", "Ready", 5)}, Revision: 5, Whole: true}, true)
+	source.applyBatch(Batch{Items: []Item{tableItem(3, 4), serverItem("a", "Ready", 5)}, Revision: at(5), Whole: true}, true)
 	source.bootClock.now = 100 * time.Second
-	source.applyConfirmation(tableItem(3, 4), 5, 99*time.Second)
+	source.applyConfirmation(tableItem(3, 4), at(5), 99*time.Second)
 
 	f.bootClock.now = 7 * time.Second
-	f.applyBatch(Batch{Items: []Item{tableItem(2, 2)}, Revision: 2, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{tableItem(2, 2)}, Revision: at(2), Whole: true}, true)
 	f.readFeed(t.Context(), followerFeed{source}) // the complete state: the source's history starts after revision 2
 	is.Equal(f.View.Table.Get().Version, int64(3))
 	is.True(f.hasServer("a"))
@@ -340,10 +344,10 @@
 	is.True(known)
 	is.Equal(age, time.Second) // the age at the source, on the follower's clock
 
-	source.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: 6, Gone: true}}, Revision: 6}, true)
+	source.applyBatch(Batch{Items: []Item{{Key: "servers/a", Revision: at(6), Gone: true}}, Revision: at(6)}, true)
 	f.readFeed(t.Context(), followerFeed{source})
 	is.True(!f.hasServer("a"))
-	is.Equal(f.revision, int64(6))
+	is.Equal(f.revision, at(6))
 }
 
 // The confirmation of an instance that can't reach the store grows old. The
@@ -351,10 +355,10 @@
 func TestStaleFeedIsAbandoned(t *testing.T) {
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
-	source.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true)
-	source.applyConfirmation(tableItem(3, 4), 5, 0)
+	source.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: at(5), Whole: true}, true)
+	source.applyConfirmation(tableItem(3, 4), at(5), 0)
 	f.upstream = func() Feed { return followerFeed{source} }
-	f.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: at(5), Whole: true}, true)
 	f.readFeed(t.Context(), followerFeed{source})
 	is.True(f.currentFeed() != nil)
 	old := f.settings.MaxFeedAge + time.Millisecond
@@ -382,7 +386,7 @@
 	}
 	is.Equal(f.recordFailure(refused), maxRetryDelay)
 	is.True(f.IsCutOff())
-	f.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true) // another instance's feed
+	f.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: at(5), Whole: true}, true) // another instance's feed
 	is.True(f.IsCutOff())
 	f.advance(f.settings.StoreBackoff)
 	is.True(!f.IsCutOff()) // the backoff is over
@@ -403,21 +407,21 @@
 	is := is.New(t)
 	source, ahead, behind := newTestFollower(), newTestFollower(), newTestFollower()
 	items := []Item{tableItem(3, 4)}
-	source.applyBatch(Batch{Items: items, Revision: 50, Whole: true}, true)
-	ahead.applyBatch(Batch{Items: items, Revision: 60, Whole: true}, true)
+	source.applyBatch(Batch{Items: items, Revision: at(50), Whole: true}, true)
+	ahead.applyBatch(Batch{Items: items, Revision: at(60), Whole: true}, true)
 	ahead.readFeed(t.Context(), followerFeed{source})
-	is.Equal(ahead.revision, int64(60))
+	is.Equal(ahead.revision, at(60))
 
-	_, err := followerFeed{source}.Next(t.Context(), Position{Revision: 40}, 0)
+	_, err := followerFeed{source}.Next(t.Context(), Position{Revision: at(40)}, 0)
 	is.NoErr(err) // the complete state is small
 	for i := range 2000 {
 		items = append(items, serverItem(strconv.Itoa(i)+strings.Repeat("x", 60), "Ready", 5))
 	}
-	source.applyBatch(Batch{Items: items, Revision: 51, Whole: true}, true)
-	_, err = followerFeed{source}.Next(t.Context(), Position{Revision: 40}, 0)
+	source.applyBatch(Batch{Items: items, Revision: at(51), Whole: true}, true)
+	_, err = followerFeed{source}.Next(t.Context(), Position{Revision: at(40)}, 0)
 	is.True(errors.Is(err, ErrTooFarBehind))
 
-	behind.applyBatch(Batch{Items: items[:1], Revision: 40, Whole: true}, true)
+	behind.applyBatch(Batch{Items: items[:1], Revision: at(40), Whole: true}, true)
 	behind.upstream = func() Feed { return followerFeed{source} }
 	behind.readFeed(t.Context(), followerFeed{source})
 	is.True(behind.currentFeed() == nil) // switched to the store
@@ -433,9 +437,9 @@
 func TestFeedIsKeptDuringStoreOutage(t *testing.T) {
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
-	source.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true)
+	source.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: at(5), Whole: true}, true)
 	f.upstream = func() Feed { return followerFeed{source} }
-	f.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: at(5), Whole: true}, true)
 	f.recordFeedFailure(errors.New("late"))
 	is.True(f.currentFeed() == nil) // the store may be reachable
 	f.advance(f.settings.FeedBackoff + f.settings.OutageThreshold)
@@ -456,12 +460,12 @@
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true)
+		x.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: at(5), Whole: true}, true)
 	}
-	source.applyConfirmation(tableItem(3, 4), 5, 0)
+	source.applyConfirmation(tableItem(3, 4), at(5), 0)
 	f.upstream = func() Feed { return followerFeed{source} }
 	source.bootClock.now, f.bootClock.now = 5*time.Second, 5*time.Second
-	f.applyConfirmation(tableItem(3, 4), 5, 5*time.Second)
+	f.applyConfirmation(tableItem(3, 4), at(5), 5*time.Second)
 	is.True(!f.readFeed(t.Context(), followerFeed{source}))
 	is.True(f.currentFeed() == nil)
 }
@@ -471,9 +475,9 @@
 func TestFeedWithOtherTableDoesNotConfirm(t *testing.T) {
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
-	source.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: 5, Whole: true}, true)
-	source.applyConfirmation(tableItem(3, 4), 5, 0)
-	f.applyBatch(Batch{Items: []Item{tableItem(4, 9)}, Revision: 5, Whole: true}, true)
+	source.applyBatch(Batch{Items: []Item{tableItem(3, 4)}, Revision: at(5), Whole: true}, true)
+	source.applyConfirmation(tableItem(3, 4), at(5), 0)
+	f.applyBatch(Batch{Items: []Item{tableItem(4, 9)}, Revision: at(5), Whole: true}, true)
 	f.readFeed(t.Context(), followerFeed{source})
 	_, known := f.ConfirmationAge()
 	is.True(!known)
@@ -481,32 +485,38 @@
 
 // fakeStore answers Load and Watch with its functions, and Confirm with no table.
 type fakeStore struct {
-	load  func() ([]Item, int64, error)
-	watch func(after int64) ([]Item, int64, error)
+	load  func() ([]Item, revision.Revision, error)
+	watch func(after revision.Revision) ([]Item, revision.Revision, error)
 }
 
-func (s *fakeStore) Load(context.Context, bool) ([]Item, int64, error) { return s.load() }
+func (s *fakeStore) Load(context.Context, bool) ([]Item, revision.Revision, error) { return s.load() }
 
-func (s *fakeStore) Watch(_ context.Context, after int64, _ time.Duration) ([]Item, int64, error) {
+func (s *fakeStore) Watch(_ context.Context, after revision.Revision, _ time.Duration) ([]Item, revision.Revision, error) {
 	return s.watch(after)
 }
 
-func (*fakeStore) Confirm(context.Context) (Item, int64, error) { return Item{}, 0, nil }
+func (*fakeStore) Confirm(context.Context) (Item, revision.Revision, error) {
+	return Item{}, revision.Revision{}, nil
+}
 
-func (*fakeStore) Revision(context.Context) (int64, error) { return 0, nil }
+func (*fakeStore) Revision(context.Context) (revision.Revision, error) {
+	return revision.Revision{}, nil
+}
 
 func TestHistoryLostReloadsState(t *testing.T) {
 	is := is.New(t)
 	loads := 0
 	store := &fakeStore{
-		load: func() ([]Item, int64, error) {
+		load: func() ([]Item, revision.Revision, error) {
 			loads++
 			if loads == 1 {
-				return []Item{serverItem("a", "Ready", 1), {Key: "closed/gulberg", Revision: 2}}, 2, nil
+				return []Item{serverItem("a", "Ready", 1), {Key: "closed/gulberg", Revision: at(2)}}, at(2), nil
 			}
-			return []Item{serverItem("b", "Ready", 8)}, 9, nil
+			return []Item{serverItem("b", "Ready", 8)}, at(9), nil
+		},
+		watch: func(after revision.Revision) ([]Item, revision.Revision, error) {
+			return nil, revision.Revision{}, &HistoryLostError{After: after}
 		},
-		watch: func(after int64) ([]Item, int64, error) { return nil, 0, &HistoryLostError{After: after} },
 	}
 	f := newTestFollower()
 	f.store = store
@@ -524,17 +534,17 @@
 func TestLaggingWatchIsRestarted(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 3, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: at(3), Whole: true}, true)
 	stopped := make(chan struct{})
 	f.stopWatch = func() { close(stopped) }
-	f.applyConfirmation(tableItem(1, 1), 3, 0)
+	f.applyConfirmation(tableItem(1, 1), at(3), 0)
 	f.clock.Advance(f.settings.MaxWatchLag)
 	select {
 	case <-stopped:
 		t.Fatal("an up-to-date watch was stopped")
 	default:
 	}
-	f.applyConfirmation(tableItem(1, 1), 5, 0)
+	f.applyConfirmation(tableItem(1, 1), at(5), 0)
 	is.NoErr(f.clock.BlockUntilContext(t.Context(), 1))
 	f.clock.Advance(f.settings.MaxWatchLag)
 	<-stopped
@@ -562,13 +572,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			source := newTestFollower()
-			source.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 10, Whole: true}, true)
-			batch := Batch{Revision: 100}
+			source.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: at(10), Whole: true}, true)
+			batch := Batch{Revision: at(100)}
 			for i := range int64(c.changes) {
 				batch.Items = append(batch.Items, tableItemOfSize(2+i, 20+2*i, c.newSize), serverItem("s"+strconv.FormatInt(i, 10), "Ready", 21+2*i))
 			}
 			source.applyBatch(batch, true)
-			answer, err := source.Next(t.Context(), Position{Revision: 10}, 0)
+			answer, err := source.Next(t.Context(), Position{Revision: at(10)}, 0)
 			is.NoErr(err)
 			raw, err := json.Marshal(answer)
 			is.NoErr(err)
@@ -588,20 +598,20 @@
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 1, Whole: true}, true)
+		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: at(1), Whole: true}, true)
 	}
 	large := tableItemOfSize(2, 5, maxFeedTableBytes+1)
-	source.applyBatch(Batch{Items: []Item{large, serverItem("a", "Ready", 6)}, Revision: 6}, true)
-	source.applyConfirmation(large, 6, 0)
+	source.applyBatch(Batch{Items: []Item{large, serverItem("a", "Ready", 6)}, Revision: at(6)}, true)
+	source.applyConfirmation(large, at(6), 0)
 	f.readFeed(t.Context(), followerFeed{source})
 	is.True(f.hasServer("a"))
 	is.Equal(f.View.Table.Get().Version, int64(1))
 	is.True(f.isTableOmitted())
-	f.applyConfirmation(large, 6, 0)
+	f.applyConfirmation(large, at(6), 0)
 	is.Equal(f.View.Table.Get().Version, int64(2))
 	is.True(!f.isTableOmitted())
 
-	source.applyBatch(Batch{Items: []Item{tableItemOfSize(3, 7, maxFeedTableBytes+1)}, Revision: 7}, true)
+	source.applyBatch(Batch{Items: []Item{tableItemOfSize(3, 7, maxFeedTableBytes+1)}, Revision: at(7)}, true)
 	f.readFeed(t.Context(), followerFeed{source})
 	f.advance(f.settings.OutageThreshold + time.Millisecond)
 	f.recordFailure(errors.New("refused"))
@@ -619,7 +629,7 @@
 
 // tableItemWithRoutes is a tableItem with a number of routes, of the size and the entropy
 // that they have on the platform. Tables with the same seed begin with the same routes.
-func tableItemWithRoutes(version, revision int64, routes int, seed uint64) Item {
+func tableItemWithRoutes(version, number int64, routes int, seed uint64) Item {
 	random := rand.New(rand.NewPCG(seed, 0))
 	value := []byte("table " + strconv.FormatInt(version, 10) + " ")
 	for range routes {
@@ -627,7 +637,7 @@
 			`"Sizes":["small","medium","large"],"Split":[{"Service":"assistant","Weight":90},{"Service":"rounds","Weight":10}],"MaxAttempts":3,"Public":false,`+
 			`"Sticky":true,"Resumable":true,"GapTargetMs":1500},`, strconv.FormatUint(random.Uint64N(1<<36), 36), strconv.FormatUint(random.Uint64N(1<<40), 36))
 	}
-	return Item{Key: "op/config", Value: value, Revision: revision}
+	return Item{Key: "op/config", Value: value, Revision: at(number)}
 }
 
 // The followers of a reader get a large table from its feed, within what its link carries
@@ -644,8 +654,8 @@
 	source, f := newTestFollower(), newTestFollower()
 	first := tableItemWithRoutes(1, 1, 1400, 1)
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: []Item{first}, Revision: 1, Whole: true}, true)
-		x.applyConfirmation(first, 1, 0)
+		x.applyBatch(Batch{Items: []Item{first}, Revision: at(1), Whole: true}, true)
+		x.applyConfirmation(first, at(1), 0)
 	}
 	for i, change := range []struct {
 		name string
@@ -657,7 +667,7 @@
 	} {
 		t.Run(change.name, func(t *testing.T) {
 			is := is.New(t)
-			server := serverItem("s"+strconv.Itoa(i), "Ready", change.next.Revision+1)
+			server := serverItem("s"+strconv.Itoa(i), "Ready", change.next.Revision.Number+1)
 			source.applyBatch(Batch{Items: []Item{change.next, server}, Revision: server.Revision}, true)
 			source.applyConfirmation(change.next, server.Revision, 0)
 			answer := Batch{}
@@ -674,8 +684,8 @@
 	f.recordFailure(errors.New("refused"))
 	last := tableItemWithRoutes(5, 20, 1500, 1)
 	source.advance(f.settings.OutageThreshold + time.Millisecond)
-	source.applyBatch(Batch{Items: []Item{last}, Revision: 20}, true)
-	source.applyConfirmation(last, 20, source.bootClock.now)
+	source.applyBatch(Batch{Items: []Item{last}, Revision: at(20)}, true)
+	source.applyConfirmation(last, at(20), source.bootClock.now)
 	is.True(f.readFeed(t.Context(), followerFeed{source}))
 	is.Equal(f.View.Table.Get().Version, int64(5))
 }
@@ -688,9 +698,9 @@
 	source, f := newTestFollower(), newTestFollower()
 	first, next := tableItemWithRoutes(1, 1, 1400, 1), tableItemWithRoutes(2, 5, 2800, 1)
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: []Item{first}, Revision: 1, Whole: true}, true)
+		x.applyBatch(Batch{Items: []Item{first}, Revision: at(1), Whole: true}, true)
 	}
-	source.applyConfirmation(next, 6, 0)
+	source.applyConfirmation(next, at(6), 0)
 	is.True(f.readFeed(t.Context(), followerFeed{source}))
 	is.Equal(f.View.Table.Get().Version, int64(2))
 	answer := Batch{}
@@ -707,8 +717,8 @@
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 1, Whole: true}, true)
-		x.applyConfirmation(tableItem(1, 1), 1, 0)
+		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: at(1), Whole: true}, true)
+		x.applyConfirmation(tableItem(1, 1), at(1), 0)
 		x.advance(f.settings.MaxFeedAge + 100*time.Millisecond)
 	}
 	f.recordFailure(errors.New("silent"))
@@ -727,14 +737,14 @@
 	is := is.New(t)
 	source, f := newTestFollower(), newTestFollower()
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 1, Whole: true}, true)
-		x.applyConfirmation(tableItem(1, 1), 1, 0)
+		x.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: at(1), Whole: true}, true)
+		x.applyConfirmation(tableItem(1, 1), at(1), 0)
 		x.advance(f.settings.MaxFeedAge + 100*time.Millisecond)
 	}
 	next := tableItemOfSize(2, 5, maxFeedTableBytes+1)
-	source.applyConfirmation(next, 6, source.bootClock.now-time.Second)
+	source.applyConfirmation(next, at(6), source.bootClock.now-time.Second)
 	is.True(f.readFeed(t.Context(), followerFeed{source})) // the reader's watch hasn't brought the table
-	source.applyBatch(Batch{Items: []Item{next}, Revision: 6}, true)
+	source.applyBatch(Batch{Items: []Item{next}, Revision: at(6)}, true)
 	is.True(f.readFeed(t.Context(), followerFeed{source}))
 	is.True(f.isTableOmitted())
 	for _, x := range []*testFollower{source, f} {
@@ -750,11 +760,11 @@
 	diff, err := newTableDiff(tableItemWithRoutes(2, 5, 2800, 2), tableItemWithRoutes(3, 9, 2900, 2))
 	is.NoErr(err)
 	f, first := newTestFollower(), tableItemWithRoutes(1, 1, 2800, 1)
-	f.applyBatch(Batch{Items: []Item{first}, Revision: 5, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{first}, Revision: at(5), Whole: true}, true)
 	_, err = diff.apply(first)
 	var base *DiffBaseError
 	is.True(errors.As(err, &base))
-	batch := Batch{Revision: 9, Table: 9, TableDiff: &diff}
+	batch := Batch{Revision: at(9), Table: at(9), TableDiff: &diff}
 	f.expandTable(&batch)
 	is.Equal(len(batch.Items), 0)
 	is.True(f.isTableOmitted())
@@ -778,16 +788,16 @@
 	source, f := newTestFollower(), newTestFollower()
 	first := []Item{tableItem(1, 1), serverItem("a", "Ready", 2), serverItem("b", "Ready", 3)}
 	for _, x := range []*testFollower{source, f} {
-		x.applyBatch(Batch{Items: first, Revision: 3, Whole: true}, true)
+		x.applyBatch(Batch{Items: first, Revision: at(3), Whole: true}, true)
 	}
-	source.applyBatch(Batch{Items: []Item{first[0], first[1], serverItem("c", "Ready", 7)}, Revision: 8, Whole: true}, true)
-	answer, err := source.Next(t.Context(), Position{Revision: 3}, 0)
+	source.applyBatch(Batch{Items: []Item{first[0], first[1], serverItem("c", "Ready", 7)}, Revision: at(8), Whole: true}, true)
+	answer, err := source.Next(t.Context(), Position{Revision: at(3)}, 0)
 	is.NoErr(err)
 	is.True(!answer.Whole)
 	is.Equal(len(answer.Items), 2)
 	f.readFeed(t.Context(), followerFeed{source})
 	is.True(f.hasServer("a") && !f.hasServer("b") && f.hasServer("c"))
-	is.Equal(f.revision, int64(8))
+	is.Equal(f.revision, at(8))
 }
 
 // slowStore is a store before a slow link: each call takes as long as its answer needs
@@ -840,11 +850,11 @@
 	}
 }
 
-func (s *slowStore) Revision(ctx context.Context) (int64, error) {
+func (s *slowStore) Revision(ctx context.Context) (revision.Revision, error) {
 	return s.revision(), s.transfer(ctx, nil)
 }
 
-func (s *slowStore) revision() int64 {
+func (s *slowStore) revision() revision.Revision {
 	items := s.all()
 	return items[len(items)-1].Revision
 }
@@ -862,7 +872,7 @@
 	s.items = append(s.items, item)
 }
 
-func (s *slowStore) Load(ctx context.Context, _ bool) ([]Item, int64, error) {
+func (s *slowStore) Load(ctx context.Context, _ bool) ([]Item, revision.Revision, error) {
 	newest := map[string]Item{}
 	for _, item := range s.all() {
 		if item.Key != s.table {
@@ -873,24 +883,24 @@
 	return items, s.revision(), s.transfer(ctx, items)
 }
 
-func (s *slowStore) Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error) {
-	for end := s.clock.Now().Add(wait); s.shared && s.revision() <= after && s.clock.Now().Before(end); {
+func (s *slowStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) ([]Item, revision.Revision, error) {
+	for end := s.clock.Now().Add(wait); s.shared && !s.revision().After(after) && s.clock.Now().Before(end); {
 		select {
 		case <-s.clock.After(10 * time.Millisecond):
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, revision.Revision{}, ctx.Err()
 		}
 	}
 	var items []Item
 	for _, item := range s.all() {
-		if item.Revision > after {
+		if item.Revision.After(after) {
 			items = append(items, item)
 		}
 	}
 	return items, s.revision(), s.transfer(ctx, items)
 }
 
-func (s *slowStore) Confirm(ctx context.Context) (Item, int64, error) {
+func (s *slowStore) Confirm(ctx context.Context) (Item, revision.Revision, error) {
 	var newest Item
 	for _, item := range s.all() {
 		if item.Key == s.table {
@@ -910,12 +920,12 @@
 	f := newTestFollower()
 	store := &slowStore{clock: f.clock, linkRate: 10e6 / 8, table: "op/config"}
 	f.store = store
-	f.applyBatch(Batch{Items: []Item{tableItem(1, 1), serverItem("a", "Ready", 2)}, Revision: 2, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{tableItem(1, 1), serverItem("a", "Ready", 2)}, Revision: at(2), Whole: true}, true)
 	store.items = []Item{tableItem(1, 1), serverItem("a", "Ready", 2)}
 	for i := range int64(12) {
 		store.items = append(store.items, tableItemOfSize(2+i, 3+i, 350<<10))
 	}
-	store.items = append(store.items, Item{Key: "servers/a", Value: []byte("server Draining"), Revision: 20})
+	store.items = append(store.items, Item{Key: "servers/a", Value: []byte("server Draining"), Revision: at(20)})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -956,8 +966,8 @@
 	table := tableItemOfSize(1, 1, size)
 	store := &slowStore{clock: f.clock, linkRate: 10e6 / 8, table: "op/config", shared: true, items: []Item{table}}
 	f.store = store
-	f.applyBatch(Batch{Items: []Item{table}, Revision: 1, Whole: true}, true)
-	f.applyConfirmation(table, 1, 0)
+	f.applyBatch(Batch{Items: []Item{table}, Revision: at(1), Whole: true}, true)
+	f.applyConfirmation(table, at(1), 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -1045,21 +1055,21 @@
 			reader, f := newTestFollower(), newTestFollower()
 			first, second := tableItemOfSize(1, 1, maxFeedTableBytes+1), tableItemOfSize(2, 5, maxFeedTableBytes+1)
 			for _, x := range []*testFollower{reader, f} {
-				x.applyBatch(Batch{Items: []Item{first}, Revision: 1, Whole: true}, true)
-				x.applyConfirmation(first, 1, 0)
+				x.applyBatch(Batch{Items: []Item{first}, Revision: at(1), Whole: true}, true)
+				x.applyConfirmation(first, at(1), 0)
 			}
-			is.True(f.confirmUnchanged(1, 0))
+			is.True(f.confirmUnchanged(at(1), 0))
 			if source == "load" {
-				f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 6)}, Revision: 9, Whole: true}, true)
+				f.applyBatch(Batch{Items: []Item{serverItem("a", "Ready", 6)}, Revision: at(9), Whole: true}, true)
 			} else {
-				reader.applyBatch(Batch{Items: []Item{second, serverItem("a", "Ready", 6)}, Revision: 9}, true)
+				reader.applyBatch(Batch{Items: []Item{second, serverItem("a", "Ready", 6)}, Revision: at(9)}, true)
 				f.readFeed(t.Context(), followerFeed{reader})
 			}
 			is.True(f.hasServer("a"))
-			is.True(!f.confirmUnchanged(9, 0))
-			f.applyConfirmation(second, 9, 0)
-			is.True(f.confirmUnchanged(9, 0))
-			is.True(!f.confirmUnchanged(10, 0))
+			is.True(!f.confirmUnchanged(at(9), 0))
+			f.applyConfirmation(second, at(9), 0)
+			is.True(f.confirmUnchanged(at(9), 0))
+			is.True(!f.confirmUnchanged(at(10), 0))
 		})
 	}
 }
@@ -1069,10 +1079,10 @@
 func TestLoadIsNotStopped(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	f.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: 3, Whole: true}, true)
-	f.store = &fakeStore{load: func() ([]Item, int64, error) {
-		f.restartLaggingWatch(9)
-		return []Item{serverItem("a", "Ready", 5)}, 9, nil
+	f.applyBatch(Batch{Items: []Item{tableItem(1, 1)}, Revision: at(3), Whole: true}, true)
+	f.store = &fakeStore{load: func() ([]Item, revision.Revision, error) {
+		f.restartLaggingWatch(at(9))
+		return []Item{serverItem("a", "Ready", 5)}, at(9), nil
 	}}
 	f.reload = true
 	is.NoErr(f.readStore(t.Context()))
@@ -1089,45 +1099,47 @@
 		}
 		return Change{Key: item.Key, Revision: item.Revision, Subject: Instance{Name: item.Key}}
 	})
-	f.applyBatch(Batch{Items: []Item{{Key: "poison", Revision: 1}, {Key: "sound", Revision: 2}}, Revision: 2, Whole: true}, true)
+	f.applyBatch(Batch{Items: []Item{{Key: "poison", Revision: at(1)}, {Key: "sound", Revision: at(2)}}, Revision: at(2), Whole: true}, true)
 	is.Equal(len(f.View.Fleet.Get().Instances), 1)
-	is.Equal(f.Revision(), int64(2))
+	is.Equal(f.Revision(), at(2))
 }
 
 // countingStore counts the reads of the table's entry. Its watch brings a change each half
 // second.
 type countingStore struct {
 	clock    *clockwork.FakeClock
-	revision atomic.Int64
+	number   atomic.Int64
 	confirms atomic.Int64
 	loads    atomic.Int64
 }
 
-func (s *countingStore) Load(_ context.Context, table bool) ([]Item, int64, error) {
+func (s *countingStore) Load(_ context.Context, table bool) ([]Item, revision.Revision, error) {
 	s.loads.Add(1)
 	items := []Item{serverItem("a", "Ready", 1)}
 	if table {
 		items = append(items, tableItem(1, 1))
 	}
-	s.revision.Store(1)
-	return items, 1, nil
+	s.number.Store(1)
+	return items, at(1), nil
 }
 
-func (s *countingStore) Watch(ctx context.Context, after int64, _ time.Duration) ([]Item, int64, error) {
+func (s *countingStore) Watch(ctx context.Context, after revision.Revision, _ time.Duration) ([]Item, revision.Revision, error) {
 	select {
 	case <-s.clock.After(500 * time.Millisecond):
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, revision.Revision{}, ctx.Err()
 	}
-	return []Item{serverItem("a", "Ready", after+1)}, s.revision.Add(1), nil
+	return []Item{serverItem("a", "Ready", after.Number+1)}, at(s.number.Add(1)), nil
 }
 
-func (s *countingStore) Confirm(context.Context) (Item, int64, error) {
+func (s *countingStore) Confirm(context.Context) (Item, revision.Revision, error) {
 	s.confirms.Add(1)
-	return tableItem(1, 1), s.revision.Load(), nil
+	return tableItem(1, 1), at(s.number.Load()), nil
 }
 
-func (s *countingStore) Revision(context.Context) (int64, error) { return s.revision.Load(), nil }
+func (s *countingStore) Revision(context.Context) (revision.Revision, error) {
+	return at(s.number.Load()), nil
+}
 
 // A start needs one read of the store, and a watch that answers confirms the table as of
 // its request, so that it isn't read as well. On a quiet day of 295 instances, two thirds
@@ -1165,14 +1177,14 @@
 // unconfirmingStore is a store whose table can't be read by itself.
 type unconfirmingStore struct{ countingStore }
 
-func (s *unconfirmingStore) Watch(ctx context.Context, _ int64, _ time.Duration) ([]Item, int64, error) {
+func (s *unconfirmingStore) Watch(ctx context.Context, _ revision.Revision, _ time.Duration) ([]Item, revision.Revision, error) {
 	<-ctx.Done() // nothing changes
-	return nil, 0, ctx.Err()
+	return nil, revision.Revision{}, ctx.Err()
 }
 
-func (s *unconfirmingStore) Confirm(context.Context) (Item, int64, error) {
+func (s *unconfirmingStore) Confirm(context.Context) (Item, revision.Revision, error) {
 	s.confirms.Add(1)
-	return Item{}, 0, errors.New("busy")
+	return Item{}, revision.Revision{}, errors.New("busy")
 }
 
 // A confirmation that failed is repeated soon, and not only when the next one is due.
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -11,6 +11,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // Change is one decoded change of the store. Subject is a *route.Table, a
@@ -19,7 +21,7 @@
 type Change struct {
 	// Key is the entry's key in the store.
 	Key      string
-	Revision int64
+	Revision revision.Revision
 	Subject  any
 	// Err says which field of the entry is wrong, if it couldn't be decoded for that.
 	Err error
@@ -104,23 +106,24 @@
 
 // HistoryLostError reports that the store no longer has the changes after a
 // revision, so that the complete state must be loaded again.
-type HistoryLostError struct{ After int64 }
+type HistoryLostError struct{ After revision.Revision }
 
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("store no longer has the changes after revision %d", e.After)
+	return fmt.Sprintf("store no longer has the changes after revision %v", e.After)
 }
 
 // Store reads the platform's store.
 type Store interface {
 	// Load reads the complete state, with or without the routing table. It includes all
-	// changes up to the revision and may include later ones.
-	Load(ctx context.Context, table bool) (items []Item, revision int64, err error)
+	// changes up to a revision and may include later ones.
+	Load(ctx context.Context, table bool) (items []Item, at revision.Revision, err error)
 	// Watch returns the changes after a revision. It waits up to wait for the
-	// first one. The error may be a *HistoryLostError.
-	Watch(ctx context.Context, after int64, wait time.Duration) (items []Item, revision int64, err error)
+	// first one. The error may be a *HistoryLostError, as it is if the store has come
+	// back from a copy since that revision.
+	Watch(ctx context.Context, after revision.Revision, wait time.Duration) (items []Item, at revision.Revision, err error)
 	// Confirm reads the routing table's entry linearizably, and the store's
 	// revision. The item's revision is 0 if there is no table.
-	Confirm(ctx context.Context) (table Item, revision int64, err error)
+	Confirm(ctx context.Context) (table Item, at revision.Revision, err error)
 	// Revision reads the store's revision linearizably.
-	Revision(ctx context.Context) (int64, error)
+	Revision(ctx context.Context) (revision.Revision, error)
 }
--- a/internal/fleet/follower/tablediff.go
+++ b/internal/fleet/follower/tablediff.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/klauspost/compress/zstd"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // TableDiff is a version of the routing table's entry, compressed with an earlier version
@@ -13,10 +15,10 @@
 // a small part of the table's size.
 type TableDiff struct {
 	Key string
-	// Revision is the entry's revision, Base that of the earlier version. Base is 0 if
+	// Revision is the entry's revision, Base that of the earlier version. Base is unknown if
 	// there is none.
-	Revision int64
-	Base     int64
+	Revision revision.Revision
+	Base     revision.Revision
 	Data     []byte
 }
 
@@ -41,7 +43,7 @@
 	}
 	encoder, err := zstd.NewWriter(nil, options...)
 	if err != nil {
-		return TableDiff{}, fmt.Errorf("compress table of revision %d: %w", item.Revision, err)
+		return TableDiff{}, fmt.Errorf("compress table of revision %v: %w", item.Revision, err)
 	}
 	defer encoder.Close()
 	return TableDiff{Key: item.Key, Revision: item.Revision, Base: base.Revision, Data: encoder.EncodeAll(item.Value, nil)}, nil
@@ -50,21 +52,21 @@
 // apply returns the table that a difference makes of base. It fails if base isn't the
 // version that the difference was made from.
 func (d *TableDiff) apply(base Item) (Item, error) {
-	if d.Base != 0 && (base.Key != d.Key || base.Revision != d.Base) {
+	if d.Base.IsKnown() && (base.Key != d.Key || base.Revision != d.Base) {
 		return Item{}, &DiffBaseError{Want: d.Base, Have: base.Revision}
 	}
 	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxTableBytes)}
-	if d.Base != 0 {
+	if d.Base.IsKnown() {
 		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, base.Value))
 	}
 	decoder, err := zstd.NewReader(nil, options...)
 	if err != nil {
-		return Item{}, fmt.Errorf("expand table of revision %d: %w", d.Revision, err)
+		return Item{}, fmt.Errorf("expand table of revision %v: %w", d.Revision, err)
 	}
 	defer decoder.Close()
 	value, err := decoder.DecodeAll(d.Data, nil)
 	if err != nil {
-		return Item{}, fmt.Errorf("expand table of revision %d: %w", d.Revision, err)
+		return Item{}, fmt.Errorf("expand table of revision %v: %w", d.Revision, err)
 	}
 	return Item{Key: d.Key, Value: value, Revision: d.Revision}, nil
 }
@@ -72,11 +74,11 @@
 // DiffBaseError reports a difference from another version of the table than the one at
 // hand.
 type DiffBaseError struct {
-	Want, Have int64
+	Want, Have revision.Revision
 }
 
 func (e *DiffBaseError) Error() string {
-	return fmt.Sprintf("difference from the table of revision %d, not of %d", e.Want, e.Have)
+	return fmt.Sprintf("difference from the table of revision %v, not of %v", e.Want, e.Have)
 }
 
 // tableDiffs makes the differences that a feed sends. It keeps the latest one, which most
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -54,6 +54,8 @@
 	readerBackoff = 4 * time.Second
 	// feedPath is the URL path at which an instance serves its feed.
 	feedPath = "/feed"
+	// wholePosition is the position of a request for the complete state.
+	wholePosition = -1
 	// feedDialTimeout bounds the time to connect to a reader.
 	feedDialTimeout = 250 * time.Millisecond
 	// maxFeedBytes bounds the size of an answer, which may include a routing
@@ -194,7 +196,11 @@
 	stall := feedStallTimeout(*f.feeds.gateway.currentSettings())
 	ctx, timeout := transfer.WithTimeout(ctx, wait+stall, stall)
 	defer timeout.Stop()
-	query := url.Values{"After": {strconv.FormatInt(after.Revision, 10)}, "Table": {strconv.FormatInt(after.Table, 10)}, "Wait": {wait.String()}}
+	position := after.Revision.Number
+	if !after.Revision.IsKnown() {
+		position = wholePosition
+	}
+	query := url.Values{"After": {strconv.FormatInt(position, 10)}, "Table": {strconv.FormatInt(after.Table.Number, 10)}, "Wait": {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return follower.Batch{}, fmt.Errorf("build feed request: %w", err)
@@ -218,17 +224,17 @@
 	if err := document.DecodeLoosely(raw, &answer); err != nil {
 		return follower.Batch{}, fmt.Errorf("decode feed of %s: %w", f.address, err)
 	}
-	return follower.Batch(answer), nil
+	return answer.batch(after.Revision.Era), nil
 }
 
 // parsePosition returns the position of the follower that sent a request. An instance of
 // an earlier version doesn't send its table's revision.
 func parsePosition(r *http.Request) (p follower.Position, err error) {
-	if p.Revision, err = strconv.ParseInt(r.FormValue("After"), 10, 64); err != nil {
+	if p.Revision.Number, err = strconv.ParseInt(r.FormValue("After"), 10, 64); err != nil {
 		return p, &positionError{"After"}
 	}
 	if table := r.FormValue("Table"); table != "" {
-		if p.Table, err = strconv.ParseInt(table, 10, 64); err != nil {
+		if p.Table.Number, err = strconv.ParseInt(table, 10, 64); err != nil {
 			return p, &positionError{"Table"}
 		}
 	}
@@ -264,7 +270,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		raw, err := json.Marshal(b)
+		raw, err := json.Marshal(newFeedAnswer(b))
 		if err != nil {
 			f.gateway.Log.Error("FeedNotEncoded", zap.Error(err))
 			http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/fleet/gateway/feeds_test.go
+++ b/internal/fleet/gateway/feeds_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/standin/site"
 	"github.com/kingcupyard/kingcupyard/internal/standin/verbatim"
 )
@@ -25,7 +26,7 @@
 	const parts, pause = 11, 60 * time.Millisecond // 0.66 s; 0.5 s are allowed for a feed that is silent
 	is := is.New(t)
 	reader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		raw, err := json.Marshal(follower.Batch{Items: []follower.Item{{Key: "table", Revision: 9}}, Revision: 9, Table: 9})
+		raw, err := json.Marshal(feedAnswer{Items: []feedItem{{Key: "table", Revision: 9}}, Revision: 9, Table: 9})
 		is.NoErr(err)
 		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 		for i := range parts {
@@ -40,16 +41,16 @@
 	ctx, cancel := context.WithTimeout(t.Context(), s.FeedWait+s.FeedTimeout)
 	defer cancel()
 	feed := &remoteFeed{newTestGateway(clockwork.NewRealClock()).feeds, strings.TrimPrefix(reader.URL, "http://")}
-	batch, err := feed.Next(ctx, follower.Position{Revision: 1}, s.FeedWait)
+	batch, err := feed.Next(ctx, follower.Position{Revision: revision.Revision{Number: 1}}, s.FeedWait)
 	is.NoErr(err)
-	is.Equal(batch.Revision, int64(9))
+	is.Equal(batch.Revision, revision.Revision{Number: 9})
 }
 
 // An open connection to a reader that goes silent for good costs one call to its feed, not
 // longer than a silent feed is waited for, and then a new connection is used.
 func TestSilentFeedConnection(t *testing.T) {
 	is := is.New(t)
-	answer, err := json.Marshal(follower.Batch{Revision: 9})
+	answer, err := json.Marshal(feedAnswer{Revision: 9})
 	is.NoErr(err)
 	reader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write(answer) }))
 	t.Cleanup(reader.Close)
@@ -58,7 +59,7 @@
 	t.Cleanup(proxy.Close)
 	feed := &remoteFeed{newTestGateway(clockwork.NewRealClock()).feeds, proxy.Address}
 	next := func() error {
-		_, err := feed.Next(t.Context(), follower.Position{Revision: 1}, follower.DefaultSettings.FeedWait)
+		_, err := feed.Next(t.Context(), follower.Position{Revision: revision.Revision{Number: 1}}, follower.DefaultSettings.FeedWait)
 		return err
 	}
 	is.NoErr(next())
@@ -86,7 +87,7 @@
 			address := verbatim.Serve(t, c.head+body)
 			g := newTestGateway(clockwork.NewRealClock())
 			is.Equal(g.absences.isPresent(t.Context(), address), c.present)
-			_, err := (&remoteFeed{g.feeds, address}).Next(t.Context(), follower.Position{Revision: 1}, follower.DefaultSettings.FeedWait)
+			_, err := (&remoteFeed{g.feeds, address}).Next(t.Context(), follower.Position{Revision: revision.Revision{Number: 1}}, follower.DefaultSettings.FeedWait)
 			is.Equal(err == nil, c.hasFed)
 		})
 	}
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
@@ -365,12 +366,12 @@
 // refusingStore is a store that refuses this instance's calls.
 type refusingStore struct{ Store }
 
-func (refusingStore) Load(context.Context, bool) ([]follower.Item, int64, error) {
-	return nil, 0, errors.New("refused")
+func (refusingStore) Load(context.Context, bool) ([]follower.Item, revision.Revision, error) {
+	return nil, revision.Revision{}, errors.New("refused")
 }
 
-func (refusingStore) Confirm(context.Context) (follower.Item, int64, error) {
-	return follower.Item{}, 0, errors.New("refused")
+func (refusingStore) Confirm(context.Context) (follower.Item, revision.Revision, error) {
+	return follower.Item{}, revision.Revision{}, errors.New("refused")
 }
 
 // An instance that cannot read the store goes back to a reader whose feed has just
--- a/internal/fleet/gateway/membership.go
+++ b/internal/fleet/gateway/membership.go
@@ -86,7 +86,7 @@
 // awaitLoad waits until the state of the store is known, or loadWait has passed.
 func (m *membership) awaitLoad(ctx context.Context, changed <-chan struct{}) {
 	timeout := m.gateway.Clock.After(loadWait)
-	for m.gateway.follower.Revision() < 0 {
+	for !m.gateway.follower.Revision().IsKnown() {
 		select {
 		case <-ctx.Done():
 			return
@@ -118,7 +118,7 @@
 func (m *membership) isRemoved() bool {
 	g := m.gateway
 	_, announced := g.fleet().Instances[g.Settings.Instance]
-	return m.lease != 0 && !announced && g.follower.Revision() >= m.revision
+	return m.lease != 0 && !announced && g.follower.Revision().Number >= m.revision
 }
 
 // renew renews the lease, and announces the instance again if the announcement was
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -470,7 +470,7 @@
 		r.driving.missingSince = time.Time{}
 		return
 	}
-	if d := r.driving; d.lease != 0 && d.entry.Revision > max(fleet.Driver.Revision, r.gateway.follower.Revision()) {
+	if d := r.driving; d.lease != 0 && d.entry.Revision > max(fleet.Driver.Revision, r.gateway.follower.Revision().Number) {
 		fleet.Driver = d.entry // the view doesn't show it yet
 	}
 	switch fleet.Driver.Instance {
--- a/internal/fleet/gateway/validation.go
+++ b/internal/fleet/gateway/validation.go
@@ -10,7 +10,6 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/billing/tally"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/document"
-	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 )
 
@@ -82,35 +81,6 @@
 	return e.Service != "" && e.Order > 0 && min(e.Sent.Old, e.Sent.New) >= 0 && max(e.Sent.Old, e.Sent.New) <= math.MaxInt32 && e.Elapsed >= 0
 }
 
-// feedAnswer is an answer of another instance's feed.
-type feedAnswer follower.Batch
-
-// InvalidField implements document.Validator. A negative age would make a confirmation young
-// for ever.
-func (a *feedAnswer) InvalidField() string {
-	switch {
-	case a.Revision < 0:
-		return "Revision"
-	case a.Table < 0:
-		return "Table"
-	case a.Age < 0:
-		return "Age"
-	case a.ViewAge < 0:
-		return "ViewAge"
-	case a.TableDiff != nil && a.TableDiff.Revision <= 0:
-		return "TableDiff.Revision"
-	}
-	for i, item := range a.Items {
-		switch {
-		case item.Key == "":
-			return document.Element("Items", i, "Key")
-		case item.Revision <= 0:
-			return document.Element("Items", i, "Revision")
-		}
-	}
-	return ""
-}
-
 // maxLoggedSenders bounds the senders of invalid messages that are told apart in the log.
 const maxLoggedSenders = 1000
 
