--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -58,3 +58,79 @@
 	is.Equal(inForce(), int64(7))
 	is.Equal(logs.FilterMessage("StoreEraBegun").Len(), 1)
 }
+
+// Guards against changes that the reader of a feed never gets, as it has had their
+// revisions in an earlier era (review/12).
+func TestFeedAcrossEras(t *testing.T) {
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	for _, x := range []*testFollower{source, f} {
+		x.applyBatch(Batch{Items: []Item{in(1, tableItem(1, 1)), in(1, serverItem("a", "Ready", 2)), in(1, serverItem("b", "Ready", 150))}, Revision: atEra(1, 200), Whole: true}, true)
+	}
+	copied := []Item{in(2, tableItem(1, 1)), in(2, serverItem("a", "Ready", 2))}
+	source.applyBatch(Batch{Items: append(copied, in(2, Item{Key: "closed/gulberg", Revision: at(188)})), Revision: atEra(2, 190), Whole: true}, true)
+	source.applyConfirmation(copied[0], atEra(2, 190), 0)
+	is.True(f.readFeed(t.Context(), followerFeed{source}))
+	is.True(f.View.Fleet.Get().ClosedDataCentres["gulberg"])
+	is.True(f.hasServer("a") && !f.hasServer("b"))
+	is.Equal(f.revision, atEra(2, 190))
+
+	source.applyBatch(Batch{Items: []Item{in(2, Item{Key: "closed/gulberg", Revision: at(195), Gone: true})}, Revision: atEra(2, 195)}, true)
+	is.True(f.readFeed(t.Context(), followerFeed{source}))
+	is.True(!f.View.Fleet.Get().ClosedDataCentres["gulberg"])
+}
+
+// A feed that doesn't know the current era yet, or any, as that of an instance of an earlier
+// version, is left for the store, and nothing of it is applied.
+func TestFeedOfEarlierEra(t *testing.T) {
+	for _, era := range []int64{0, 1} {
+		is := is.New(t)
+		source, f := newTestFollower(), newTestFollower()
+		source.applyBatch(Batch{Items: []Item{in(era, tableItem(1, 1)), in(era, serverItem("a", "Ready", 2))}, Revision: atEra(era, 300), Whole: true}, true)
+		f.applyBatch(Batch{Items: []Item{in(2, tableItem(1, 1)), in(2, serverItem("b", "Ready", 2))}, Revision: atEra(2, 190), Whole: true}, true)
+		f.upstream = func() Feed { return followerFeed{source} }
+		is.True(!f.readFeed(t.Context(), followerFeed{source}))
+		is.True(f.currentFeed() == nil)
+		is.True(f.hasServer("b") && !f.hasServer("a"))
+		is.Equal(f.revision, atEra(2, 190))
+	}
+}
+
+// An instance of an earlier version doesn't state its era. It gets changes as before, and
+// the complete state if its position may be of an earlier era.
+func TestReaderWithoutEra(t *testing.T) {
+	is := is.New(t)
+	source := newTestFollower()
+	next := func(number int64) Batch {
+		b, err := source.Next(t.Context(), Position{Revision: at(number), Table: at(1), EraUnknown: true}, 0)
+		is.NoErr(err)
+		return b
+	}
+	source.applyBatch(Batch{Items: []Item{in(1, tableItem(1, 1))}, Revision: atEra(1, 200), Whole: true}, true)
+	source.applyBatch(Batch{Items: []Item{in(1, serverItem("a", "Ready", 201))}, Revision: atEra(1, 201)}, true)
+	is.Equal(len(next(200).Items), 1)
+	is.True(!next(200).Whole)
+	is.Equal(len(next(250).Items), 0) // it is ahead
+	source.applyBatch(Batch{Items: []Item{in(2, tableItem(1, 1))}, Revision: atEra(2, 190), Whole: true}, true)
+	is.True(next(200).Whole)
+	is.True(!next(190).Whole)
+}
+
+// A difference is made from a table of the same revision in the same era.
+func TestTableDiffAcrossEras(t *testing.T) {
+	is := is.New(t)
+	source, f := newTestFollower(), newTestFollower()
+	base := in(1, tableItemWithRoutes(1, 100, 1400, 1))
+	for _, x := range []*testFollower{source, f} {
+		x.applyBatch(Batch{Items: []Item{base}, Revision: atEra(1, 100), Whole: true}, true)
+		x.applyConfirmation(base, atEra(1, 100), 0)
+	}
+	source.applyBatch(Batch{Revision: atEra(2, 90), Whole: true}, true)
+	other, next := in(2, tableItemWithRoutes(2, 100, 1400, 2)), in(2, tableItemWithRoutes(3, 101, 1400, 2))
+	source.applyConfirmation(other, atEra(2, 100), 0)
+	source.applyConfirmation(next, atEra(2, 101), 0)
+	f.readFeed(t.Context(), followerFeed{source})
+	f.readFeed(t.Context(), followerFeed{source})
+	is.Equal(f.View.Table.Get().Version, int64(3))
+	is.Equal(f.tableRevision, next.Revision)
+}
--- a/internal/fleet/follower/feed.go
+++ b/internal/fleet/follower/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,9 @@
 	// Table is the revision of its routing table, unknown if it has none or can't take
 	// differences.
 	Table revision.Revision
+	// EraUnknown is set if the reader doesn't state the eras of its revisions, as
+	// instances of earlier versions don't.
+	EraUnknown bool
 }
 
 // Feed reads the store's changes from another instance.
@@ -78,6 +82,8 @@
 	changes  []Item
 	base     revision.Revision // changes holds the newest changes after this revision
 	revision revision.Revision
+	// eraBegun is set once the store has begun an era after the first that was known.
+	eraBegun bool
 	// tableKey is the key of the routing table's entry, once it is known, and tables
 	// holds its latest versions, the newest last.
 	tableKey string
@@ -94,9 +100,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	items := b.Items
-	if b.Whole && !h.revision.IsKnown() {
-		h.base = b.Revision
-	} else if b.Whole {
+	switch {
+	case b.Whole && (!h.revision.IsKnown() || b.Revision.Era != h.revision.Era):
+		h.begin(b.Revision)
+	case b.Whole:
 		items = h.missingFrom(b)
 	}
 	for _, item := range items {
@@ -122,6 +129,37 @@
 	}
 }
 
+// begin makes the history start with the complete state at a revision, but for the routing
+// table, which a complete batch from the store lacks. Readers whose position is of another
+// era get the complete state.
+func (h *history) begin(at revision.Revision) {
+	table, known := h.items[h.tableKey]
+	clear(h.items)
+	if known {
+		h.items[h.tableKey] = table
+	}
+	h.eraBegun = h.eraBegun || h.revision.IsKnown()
+	h.changes, h.base, h.revision = nil, at, revision.Revision{}
+}
+
+// place returns the position of a reader that doesn't state its eras, as if it were of the
+// history's era. Such a reader may be ahead of the history, unless an era has begun: its
+// position may then be of the one before.
+func (h *history) place(after Position) Position {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.eraBegun && after.Revision.Number > h.revision.Number {
+		after.Revision = revision.Revision{}
+	}
+	after.Revision.Era, after.Table.Era = h.revision.Era, h.revision.Era
+	for _, version := range h.tables {
+		if version.Revision.Number == after.Table.Number {
+			after.Table = version.Revision
+		}
+	}
+	return after
+}
+
 // missingFrom returns the items of a complete batch, ordered by revision, and
 // deletions of the entries that the batch lacks. A complete batch from the store
 // lacks the routing table, which stays as it is.
@@ -254,6 +292,14 @@
 	return n
 }
 
+// EarlierEraError reports an answer of a feed that knows an earlier era of the store than
+// its reader, or none, as that of an instance of an earlier version does.
+type EarlierEraError struct{ Feed, Known int64 }
+
+func (e *EarlierEraError) Error() string {
+	return fmt.Sprintf("the feed is in era %d of the store, this instance in era %d", e.Feed, e.Known)
+}
+
 // ErrNotSynced reports that the follower hasn't loaded the store's state yet.
 var ErrNotSynced = errors.New("nothing is known of the store yet")
 
@@ -261,6 +307,9 @@
 // described at Feed. The error is ErrNotSynced, ErrTooFarBehind or the
 // context's.
 func (f *Follower) Next(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
+	if after.EraUnknown {
+		after = f.history.place(after)
+	}
 	timer := f.clock.After(wait)
 	for waited := false; ; {
 		viewedAt := f.lastView()
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -391,6 +391,9 @@
 	if errors.Is(err, ErrTooFarBehind) && f.IsCutOff() {
 		batch, err = feed.Next(feedCtx, Position{}, f.settings.FeedWait)
 	}
+	if err == nil && batch.Revision.Era < position.Revision.Era {
+		err = &EarlierEraError{Feed: batch.Revision.Era, Known: position.Revision.Era}
+	}
 	if err != nil {
 		f.recordFeedFailure(err)
 		return false
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -75,6 +75,8 @@
 		PeerAddress string
 		// TTL is how long the announcement outlasts the instance, 0 if unknown.
 		TTL time.Duration
+		// StatesEra is set if the instance's feed states the eras of its revisions.
+		StatesEra bool
 		// Revision is the store's revision of the announcement.
 		Revision int64
 		Ended    bool
--- a/internal/fleet/gateway/feeds.go
+++ b/internal/fleet/gateway/feeds.go
@@ -54,7 +54,7 @@
 	readerBackoff = 4 * time.Second
 	// feedPath is the URL path at which an instance serves its feed.
 	feedPath = "/feed"
-	// wholePosition is the position of a request for the complete state.
+	// wholePosition is the number of a position that requests the complete state.
 	wholePosition = -1
 	// feedDialTimeout bounds the time to connect to a reader.
 	feedDialTimeout = 250 * time.Millisecond
@@ -103,7 +103,7 @@
 // own data centre. An instance that is a reader follows itself unless it can't
 // reach the store. There is no reader before the instance has announced itself;
 // an instance whose announcement expired while it could not reach the store
-// keeps one.
+// keeps one. Where the store states its era, a reader has to do so too.
 func (f *feeds) reader() (follower.Instance, bool) {
 	instances := f.gateway.fleet().Instances
 	self, announced := instances[f.gateway.Settings.Instance]
@@ -115,6 +115,7 @@
 		self = follower.Instance{Name: f.gateway.Settings.Instance, DataCentre: f.gateway.Settings.DataCentre}
 	}
 	readers := f.gateway.index().readers
+	needsEra := f.gateway.follower.Revision().Era > 0
 	var candidates, remote, avoided []follower.Instance
 	for _, r := range readers {
 		switch {
@@ -122,6 +123,7 @@
 			if !cutOff {
 				return r, true
 			}
+		case needsEra && !r.StatesEra: // the feed of an instance of an earlier version
 		case f.isAvoided(r.PeerAddress):
 			avoided = append(avoided, r)
 		case r.DataCentre == self.DataCentre:
@@ -196,12 +198,7 @@
 	stall := feedStallTimeout(*f.feeds.gateway.currentSettings())
 	ctx, timeout := transfer.WithTimeout(ctx, wait+stall, stall)
 	defer timeout.Stop()
-	position := after.Revision.Number
-	if !after.Revision.IsKnown() {
-		position = wholePosition
-	}
-	query := url.Values{"After": {strconv.FormatInt(position, 10)}, "Table": {strconv.FormatInt(after.Table.Number, 10)}, "Wait": {wait.String()}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+query.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+feedPath+"?"+positionQuery(after, wait).Encode(), nil)
 	if err != nil {
 		return follower.Batch{}, fmt.Errorf("build feed request: %w", err)
 	}
@@ -224,27 +221,49 @@
 	if err := document.DecodeLoosely(raw, &answer); err != nil {
 		return follower.Batch{}, fmt.Errorf("decode feed of %s: %w", f.address, err)
 	}
-	return answer.batch(after.Revision.Era), nil
+	return answer.batch(), nil
 }
 
-// parsePosition returns the position of the follower that sent a request. An instance of
-// an earlier version doesn't send its table's revision.
-func parsePosition(r *http.Request) (p follower.Position, err error) {
-	if p.Revision.Number, err = strconv.ParseInt(r.FormValue("After"), 10, 64); err != nil {
-		return p, &positionError{"After"}
+// positionQuery returns the query of a request for the changes after a position.
+func positionQuery(after follower.Position, wait time.Duration) url.Values {
+	query := url.Values{"Wait": {wait.String()}}
+	set := func(name string, n int64) { query.Set(name, strconv.FormatInt(n, 10)) }
+	set("After", after.Revision.Number)
+	if !after.Revision.IsKnown() {
+		set("After", wholePosition)
 	}
-	if table := r.FormValue("Table"); table != "" {
-		if p.Table.Number, err = strconv.ParseInt(table, 10, 64); err != nil {
-			return p, &positionError{"Table"}
+	set("Era", after.Revision.Era)
+	set("Table", after.Table.Number)
+	set("TableEra", after.Table.Era)
+	return query
+}
+
+// parsePosition returns the position of the follower that sent a request. Instances of
+// earlier versions send neither their table's revision nor eras.
+func parsePosition(r *http.Request) (p follower.Position, err error) {
+	for _, field := range []struct {
+		name     string
+		value    *int64
+		optional bool
+	}{
+		{"After", &p.Revision.Number, false}, {"Era", &p.Revision.Era, true}, {"Table", &p.Table.Number, true}, {"TableEra", &p.Table.Era, true},
+	} {
+		text := r.FormValue(field.name)
+		if text == "" && field.optional {
+			continue
+		}
+		if *field.value, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return p, &positionError{field.name}
 		}
 	}
+	p.EraUnknown = r.FormValue("Era") == ""
 	return p, nil
 }
 
-// positionError reports a field of a follower's position that isn't a revision.
+// positionError reports a field of a follower's position that isn't a whole number.
 type positionError struct{ Field string }
 
-func (e *positionError) Error() string { return e.Field + " must be a revision" }
+func (e *positionError) Error() string { return e.Field + " must be a whole number" }
 
 // handler serves this instance's own feed.
 func (f *feeds) handler() http.Handler {
--- a/internal/fleet/gateway/membership.go
+++ b/internal/fleet/gateway/membership.go
@@ -153,7 +153,7 @@
 func (m *membership) announce(ctx context.Context, lease int64, ttl time.Duration) error {
 	g := m.gateway
 	revision, err := g.Store.Register(ctx, lease, follower.Instance{
-		Name: g.Settings.Instance, DataCentre: g.Settings.DataCentre, PeerAddress: g.Settings.PeerAddress, TTL: ttl,
+		Name: g.Settings.Instance, DataCentre: g.Settings.DataCentre, PeerAddress: g.Settings.PeerAddress, TTL: ttl, StatesEra: true,
 	})
 	if err != nil {
 		return err
