--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // State says whether a backend server accepts new work.
@@ -36,7 +38,7 @@
 	// if the announcement doesn't say.
 	StartedAt int64
 	// Revision is the store revision of the announcement.
-	Revision int64
+	Revision revision.Revision
 
 	// ColdUntil is when the server is warm, on this instance's clock.
 	ColdUntil time.Time
@@ -83,7 +85,7 @@
 // Listing is an immutable snapshot of the directory.
 type Listing struct {
 	// Revision is the newest store revision that the snapshot includes.
-	Revision int64
+	Revision revision.Revision
 	ByID     map[string]*Server
 	// ByService holds each service's servers, sorted by ID.
 	ByService map[string][]*Server
@@ -96,13 +98,13 @@
 	// removed holds the last state of removed servers by ID, so that delayed
 	// announcements don't bring them back.
 	removed  map[string]removal
-	revision int64
+	revision revision.Revision
 }
 
 // removal records the end of a server's entry: its store revision, and the run
 // and sequence of the server's last announcement.
 type removal struct {
-	revision  int64
+	revision  revision.Revision
 	startedAt int64
 	sequence  int64
 	removedAt time.Time
@@ -121,9 +123,9 @@
 // changed other than in the sequence number. An announcement that is older than
 // the latest one, or that belongs to an earlier run of the server, is ignored.
 func (d *Directory) Announce(s Server, now time.Time) bool {
-	d.revision = max(d.revision, s.Revision)
+	d.revision = revision.Latest(d.revision, s.Revision)
 	last, wasRemoved := d.removed[s.ID]
-	if wasRemoved && (s.Revision <= last.revision || s.StartedAt == last.startedAt && s.Sequence <= last.sequence) {
+	if wasRemoved && (!s.Revision.After(last.revision) || s.StartedAt == last.startedAt && s.Sequence <= last.sequence) {
 		return false
 	}
 	delete(d.removed, s.ID)
@@ -135,7 +137,7 @@
 		d.servers[s.ID] = &s
 		return true
 	}
-	if s.Revision <= old.Revision || s.StartedAt < old.StartedAt {
+	if !s.Revision.After(old.Revision) || s.StartedAt < old.StartedAt {
 		return false
 	}
 	if s.StartedAt != old.StartedAt || s.Address != old.Address {
@@ -158,17 +160,17 @@
 
 // Remove removes a server from the directory. If graceUntil is in the future, a
 // ready server stays listed until then, unless it announces itself again. A
-// revision of 0 means that the end of the entry has none. Remove reports whether
+// An unknown revision means that the end of the entry has none. Remove reports whether
 // the listing changed.
-func (d *Directory) Remove(id string, revision int64, graceUntil, now time.Time) bool {
-	d.revision = max(d.revision, revision)
+func (d *Directory) Remove(id string, at revision.Revision, graceUntil, now time.Time) bool {
+	d.revision = revision.Latest(d.revision, at)
 	old := d.servers[id]
-	if old != nil && revision != 0 && revision <= old.Revision {
+	if old != nil && at.IsKnown() && !at.After(old.Revision) {
 		return false
 	}
-	last := removal{revision: max(revision, d.removed[id].revision), removedAt: now}
+	last := removal{revision: revision.Latest(at, d.removed[id].revision), removedAt: now}
 	if old != nil {
-		last.startedAt, last.sequence, last.revision = old.StartedAt, old.Sequence, max(last.revision, old.Revision)
+		last.startedAt, last.sequence, last.revision = old.StartedAt, old.Sequence, revision.Latest(last.revision, old.Revision)
 	} else {
 		last.startedAt, last.sequence = d.removed[id].startedAt, d.removed[id].sequence
 	}
@@ -192,7 +194,7 @@
 // Replace applies the complete list of servers at a store revision: it announces
 // all of them and removes the servers that are missing, in the way of Remove. It
 // reports whether the listing changed.
-func (d *Directory) Replace(list []Server, revision int64, graceUntil, now time.Time) bool {
+func (d *Directory) Replace(list []Server, at revision.Revision, graceUntil, now time.Time) bool {
 	changed := false
 	present := make(map[string]bool, len(list))
 	for _, s := range list {
@@ -202,11 +204,11 @@
 		}
 	}
 	for id, s := range d.servers {
-		if !present[id] && s.Revision <= revision && d.Remove(id, 0, graceUntil, now) {
+		if !present[id] && !s.Revision.After(at) && d.Remove(id, revision.Revision{}, graceUntil, now) {
 			changed = true
 		}
 	}
-	d.revision = max(d.revision, revision)
+	d.revision = revision.Latest(d.revision, at)
 	return changed
 }
 
--- a/internal/fleet/backend/backend_test.go
+++ b/internal/fleet/backend/backend_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/standin/script"
 )
 
@@ -45,6 +46,16 @@
 		n, _ := strconv.ParseInt(args[key], 10, 64)
 		return n
 	}
+	revisionArg := func() revision.Revision {
+		era, number, found := strings.Cut(args["rev"], "/")
+		if !found {
+			era, number = "0", era
+		}
+		var r revision.Revision
+		r.Era, _ = strconv.ParseInt(era, 10, 64)
+		r.Number, _ = strconv.ParseInt(number, 10, 64)
+		return r
+	}
 	graceUntil := time.Time{}
 	if seconds, err := strconv.ParseFloat(args["until"], 64); err == nil {
 		graceUntil = s.start.Add(time.Duration(seconds * float64(time.Second)))
@@ -57,10 +68,10 @@
 	case "announce":
 		s.directory.Announce(Server{
 			ID: positional[0], Service: "assistant", Address: positional[0], State: State(args["state"]),
-			Sequence: intArg("seq"), StartedAt: intArg("born"), Revision: intArg("rev"),
+			Sequence: intArg("seq"), StartedAt: intArg("born"), Revision: revisionArg(),
 		}, s.now)
 	case "gone":
-		s.directory.Remove(positional[0], intArg("rev"), graceUntil, s.now)
+		s.directory.Remove(positional[0], revisionArg(), graceUntil, s.now)
 	case "whole":
 		var list []Server
 		for _, id := range positional {
@@ -68,7 +79,7 @@
 				list = append(list, *listed)
 			}
 		}
-		s.directory.Replace(list, intArg("rev"), graceUntil, s.now)
+		s.directory.Replace(list, revisionArg(), graceUntil, s.now)
 	case "expire":
 		s.directory.Expire(s.now)
 	case "expect":
--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -103,7 +103,7 @@
 			listed = append(listed, s)
 		}
 	}
-	f.servers.Replace(listed, at.Number, f.graceUntil, now)
+	f.servers.Replace(listed, at, f.graceUntil, now)
 	fleet := f.fleet.clone()
 	fleet.keepOnly(changes)
 	f.publishFleet(fleet)
@@ -159,7 +159,7 @@
 
 func (f *Follower) removeServer(s ServerRemoved, at revision.Revision) bool {
 	now := f.clock.Now()
-	changed := f.servers.Remove(s.ID, at.Number, f.graceUntil, now)
+	changed := f.servers.Remove(s.ID, at, f.graceUntil, now)
 	if changed {
 		f.log.Info("ServerGone", zap.String("Server", s.ID), zap.Stringer("Revision", at), zap.Bool("Lapsed", now.Before(f.graceUntil)))
 	}
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -42,7 +42,7 @@
 		t.Index()
 		c.Subject = t
 	case kind == "server":
-		c.Subject = backend.Server{ID: item.Key[8:], Service: "assistant", State: backend.State(arg), Revision: item.Revision.Number, Sequence: item.Revision.Number}
+		c.Subject = backend.Server{ID: item.Key[8:], Service: "assistant", State: backend.State(arg), Revision: item.Revision, Sequence: item.Revision.Number}
 	case strings.HasPrefix(item.Key, "closed/"):
 		c.Subject = DataCentreClosure{DataCentre: item.Key[7:], Ended: item.Gone}
 	}
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -45,7 +45,7 @@
 func publish(g *Gateway, fleet follower.Fleet, servers ...backend.Server) {
 	directory := backend.NewDirectory()
 	for i, s := range servers {
-		s.State, s.Service, s.Revision = backend.Ready, "assistant", int64(i+1)
+		s.State, s.Service, s.Revision = backend.Ready, "assistant", revision.Revision{Number: int64(i + 1)}
 		directory.Announce(s, g.Clock.Now())
 	}
 	g.follower.View.Servers.Publish(directory.Listing())
--- a/internal/fleet/tenure/tenure_test.go
+++ b/internal/fleet/tenure/tenure_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 	"github.com/kingcupyard/kingcupyard/internal/standin/script"
 )
@@ -295,7 +296,7 @@
 		},
 	}
 	directory := backend.NewDirectory()
-	directory.Announce(backend.Server{ID: "s", Service: "x", Slots: 6, State: backend.Ready, ColdLeft: time.Hour, Revision: 1}, epoch)
+	directory.Announce(backend.Server{ID: "s", Service: "x", Slots: 6, State: backend.Ready, ColdLeft: time.Hour, Revision: revision.Revision{Number: 1}}, epoch)
 	cold := directory.Listing()
 	for name, disturb := range scenarios {
 		t.Run(name, func(t *testing.T) {
--- a/internal/relay/pipeline/forward_test.go
+++ b/internal/relay/pipeline/forward_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/call"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -191,7 +192,7 @@
 	table.Index()
 	d := backend.NewDirectory()
 	for _, id := range []string{"s1", "s2"} {
-		d.Announce(backend.Server{ID: id, Service: "assistant", Address: id, State: backend.Ready, Slots: 6, Revision: 1}, clock.Now())
+		d.Announce(backend.Server{ID: id, Service: "assistant", Address: id, State: backend.Ready, Slots: 6, Revision: revision.Revision{Number: 1}}, clock.Now())
 	}
 	fx := &forwardFixture{
 		fleet:  &fakeFleet{table: table, dispatcher: dispatch.New(dispatch.Settings{}), listing: d.Listing(), clock: clock, ineligible: map[string]bool{}},
@@ -671,7 +672,7 @@
 	is := is.New(t)
 	fx := newForwardFixture(func(*route.Route) {})
 	d := backend.NewDirectory()
-	d.Announce(backend.Server{ID: "s1", Service: "assistant", Address: "s1", State: backend.Ready, Slots: 6, Revision: 1}, fx.clock.Now())
+	d.Announce(backend.Server{ID: "s1", Service: "assistant", Address: "s1", State: backend.Ready, Slots: 6, Revision: revision.Revision{Number: 1}}, fx.clock.Now())
 	fx.fleet.listing = d.Listing()
 	fx.client.steps = append(fx.client.steps, fails(attempt.Refused503, call.NotRun), answers(200))
 	is.True(fx.run(t) == nil)
--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -31,7 +32,7 @@
 	for i := range n {
 		s := backend.Server{
 			ID: fmt.Sprintf("s%02d", i), Service: "assistant", Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: []string{"gulberg", "johar"}[i%2],
-			Version: "v1", Slots: 64, State: backend.Ready, Revision: int64(i + 1),
+			Version: "v1", Slots: 64, State: backend.Ready, Revision: revision.Revision{Number: int64(i + 1)},
 		}
 		if change != nil {
 			change(i, &s)
