follower: servers that a copy of the store lacks may announce themselves again

What callers saw: a server that had announced itself within the seconds that the store's copy lacks was dropped as the store came back, and calls were refused, until its entry was written again; one whose entry was written again just as it had been stayed out until it changed.

Cause: the time to announce themselves again began only after an outage of a second or more with failed calls. And the directory takes an announcement with the sequence of a removed one for a delayed copy of it.

Fix: a new era begins that time too. An entry that a complete list lacked, and that is there again in a later era, has been written again.

TestServerThatCopyLacks failed before (refused right after the return) and passes.

--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -108,6 +108,21 @@
 	startedAt int64
 	sequence  int64
 	removedAt time.Time
+	// missing is set if a complete list lacked the entry. It may have ended, or not be in
+	// the copy that the store has come back from.
+	missing bool
+}
+
+// supersedes reports whether the removal is later than an announcement of the server.
+func (r *removal) supersedes(s *Server) bool {
+	if !s.Revision.After(r.revision) {
+		return true
+	}
+	if s.StartedAt != r.startedAt || s.Sequence > r.sequence {
+		return false
+	}
+	isWrittenAgain := r.missing && s.Revision.Era > r.revision.Era && s.Sequence == r.sequence
+	return !isWrittenAgain
 }
 
 // removalMemory is how long a removal is remembered. It is longer than an
@@ -124,8 +139,7 @@
 // the latest one, or that belongs to an earlier run of the server, is ignored.
 func (d *Directory) Announce(s Server, now time.Time) bool {
 	d.revision = revision.Latest(d.revision, s.Revision)
-	last, wasRemoved := d.removed[s.ID]
-	if wasRemoved && (!s.Revision.After(last.revision) || s.StartedAt == last.startedAt && s.Sequence <= last.sequence) {
+	if last, wasRemoved := d.removed[s.ID]; wasRemoved && last.supersedes(&s) {
 		return false
 	}
 	delete(d.removed, s.ID)
@@ -168,7 +182,7 @@
 	if old != nil && at.IsKnown() && !at.After(old.Revision) {
 		return false
 	}
-	last := removal{revision: revision.Latest(at, d.removed[id].revision), removedAt: now}
+	last := removal{revision: revision.Latest(at, d.removed[id].revision), removedAt: now, missing: !at.IsKnown()}
 	if old != nil {
 		last.startedAt, last.sequence, last.revision = old.StartedAt, old.Sequence, revision.Latest(last.revision, old.Revision)
 	} else {
--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -49,6 +49,7 @@
 	}
 	if b.Whole {
 		f.tableGap = b.Revision
+		f.loaded = true
 	}
 	if changed || b.Whole {
 		f.View.Servers.Publish(f.servers.Listing())
@@ -60,7 +61,8 @@
 	if at.Era <= f.era {
 		return
 	}
-	if f.revision.IsKnown() || f.tableRevision.IsKnown() {
+	if f.loaded {
+		f.graceUntil = f.clock.Now().Add(f.settings.ReannounceGrace)
 		counters.Add("EraBegun", 1)
 		f.log.Warn("StoreEraBegun", zap.Int64("Era", at.Era), zap.Int64("Before", f.era), zap.Stringer("Revision", at), zap.Stringer("Applied", f.revision), zap.Stringer("Table", f.tableRevision))
 	}
--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -72,8 +72,11 @@
 	source.applyConfirmation(copied[0], atEra(2, 190), 0)
 	is.True(f.readFeed(t.Context(), followerFeed{source}))
 	is.True(f.View.Fleet.Get().ClosedDataCentres["gulberg"])
-	is.True(f.hasServer("a") && !f.hasServer("b"))
 	is.Equal(f.revision, atEra(2, 190))
+	is.True(f.hasServer("a") && f.hasServer("b")) // it may announce itself again
+	f.advance(f.settings.ReannounceGrace)
+	f.applyBatch(Batch{Revision: f.revision}, true)
+	is.True(f.hasServer("a") && !f.hasServer("b"))
 
 	source.applyBatch(Batch{Items: []Item{in(2, Item{Key: "closed/gulberg", Revision: at(195), Gone: true})}, Revision: atEra(2, 195)}, true)
 	is.True(f.readFeed(t.Context(), followerFeed{source}))
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -62,8 +62,8 @@
 	// counts as an outage. Servers whose entries end just after an outage are
 	// kept for ReannounceGrace, since they may only have failed to renew them.
 	OutageThreshold time.Duration
-	// ReannounceGrace is how long after the end of an outage servers have to
-	// announce themselves again.
+	// ReannounceGrace is how long after the end of an outage, or after the store
+	// has come back from a copy, servers have to announce themselves again.
 	ReannounceGrace time.Duration
 }
 
@@ -107,8 +107,10 @@
 	// a change of the table: those of a feed, and a loaded state.
 	tableReadAt revision.Revision
 	tableGap    revision.Revision
-	// era is the latest era of the store that this instance knows of.
-	era int64
+	// era is the latest era of the store that this instance knows of. loaded is set once
+	// there is a state of it.
+	era    int64
+	loaded bool
 	// invalid holds, by key, why entries can't be decoded.
 	invalid map[string]string
 	// firstTable is the revision of the first routing table, complete whether IsComplete
@@ -137,8 +139,8 @@
 	lastContactAt time.Time
 	// failures counts the calls of this instance that failed since then.
 	failures int
-	// graceUntil is the end of the grace period after an outage: servers whose
-	// entries end before it are kept until then.
+	// graceUntil is the end of the grace period after an outage, or after the store has
+	// come back from a copy: servers whose entries end before it are kept until then.
 	graceUntil time.Time
 	storeLost  bool // an outage has been logged and not yet its end
 	// lastAnswerAt is when the store last answered this instance itself;
