follower: a copy of the store doesn't take back an evacuation or a rollout order

What callers saw: after the store had come back from a copy that lacks an evacuation, requests ran in the evacuated zone until the operator had written it again. Without a rollout's order, its new version would get requests without a limit.

Cause: a complete read removes what it lacks.

Fix: in the time that servers have to announce themselves again after the return, the operators' entries that the copy lacks stay; then those end that were not written again.

--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -36,7 +36,7 @@
 		}
 	}
 	b.Items = shared
-	changed := f.servers.Expire(now)
+	changed := f.expire(now)
 	if b.Whole {
 		f.removeMissing(changes, b.Revision, now)
 	}
@@ -63,6 +63,7 @@
 	}
 	if f.loaded {
 		f.graceUntil = f.clock.Now().Add(f.settings.ReannounceGrace)
+		f.lapsedUntil = f.graceUntil
 		counters.Add("EraBegun", 1)
 		f.log.Warn("StoreEraBegun", zap.Int64("Era", at.Era), zap.Int64("Before", f.era), zap.Stringer("Revision", at), zap.Stringer("Applied", f.revision), zap.Stringer("Table", f.tableRevision))
 	}
@@ -107,10 +108,28 @@
 	}
 	f.servers.Replace(listed, at, f.graceUntil, now)
 	fleet := f.fleet.clone()
-	fleet.keepOnly(changes)
+	missing := fleet.keepOnly(changes)
+	if now.Before(f.lapsedUntil) {
+		f.lapsed = fleet.restore(missing)
+	}
 	f.publishFleet(fleet)
 }
 
+// expire removes what lapsed once its grace period is over. It reports whether the server
+// listing changed. The caller holds mu.
+func (f *Follower) expire(now time.Time) bool {
+	if len(f.lapsed) > 0 && !now.Before(f.lapsedUntil) {
+		fleet := f.fleet.clone()
+		for _, end := range f.lapsed {
+			fleet.apply(end)
+			f.log.Info("LapsedEntryGone", zap.String("Subject", fmt.Sprintf("%+v", end)))
+		}
+		f.lapsed = nil
+		f.publishFleet(fleet)
+	}
+	return f.servers.Expire(now)
+}
+
 // applyChanges applies changes. It reports whether the server listing changed. The fleet
 // is copied and published once for all of them: in a large fleet, hundreds of instances
 // may announce themselves together.
@@ -130,6 +149,7 @@
 				clone := f.fleet.clone()
 				fleet = &clone
 			}
+			f.lapsed = withoutEntryOf(f.lapsed, c.Subject)
 			if !fleet.apply(c.Subject) {
 				continue
 			}
--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,32 @@
 	is.Equal(f.View.Table.Get().Version, int64(3))
 	is.Equal(f.tableRevision, next.Revision)
 }
+
+// Guards against a rollout order, or the closure of a data centre, that a copy of the store
+// takes back before the operator has written it again. One that isn't written again ends.
+func TestOrdersThatCopyLacks(t *testing.T) {
+	is := is.New(t)
+	f := newTestFollower()
+	f.decode = func(item Item) Change {
+		if service, ok := strings.CutPrefix(item.Key, "rollout/"); ok {
+			return Change{Key: item.Key, Revision: item.Revision, Subject: RolloutOrder{Service: service, Target: "v2", Ended: item.Gone}}
+		}
+		return decodeTestItem(item)
+	}
+	closures := func() map[string]bool { return f.View.Fleet.Get().ClosedDataCentres }
+	closure := func(era, number int64, name string) Item {
+		return in(era, Item{Key: "closed/" + name, Revision: at(number)})
+	}
+	f.applyBatch(Batch{Items: []Item{closure(1, 5, "a"), closure(1, 50, "b"), closure(1, 51, "c"), in(1, Item{Key: "rollout/assistant", Revision: at(52)})}, Revision: atEra(1, 60), Whole: true}, true)
+	f.resetRevision() // the watch gets 410
+	whole := Batch{Items: []Item{closure(2, 5, "a")}, Revision: atEra(2, 10), Whole: true}
+	f.applyBatch(whole, true)
+	f.applyBatch(Batch{Items: []Item{closure(2, 11, "b")}, Revision: atEra(2, 11)}, true)
+	f.applyBatch(Batch{Items: append(whole.Items, closure(2, 11, "b")), Revision: atEra(2, 11), Whole: true}, true)
+	is.Equal(closures(), map[string]bool{"a": true, "b": true, "c": true})
+	is.Equal(len(f.View.Fleet.Get().Orders), 1)
+	f.advance(f.settings.ReannounceGrace)
+	f.applyBatch(Batch{Revision: f.revision}, true)
+	is.Equal(closures(), map[string]bool{"a": true, "b": true})
+	is.Equal(len(f.View.Fleet.Get().Orders), 0)
+}
--- a/internal/fleet/follower/fleet.go
+++ b/internal/fleet/follower/fleet.go
@@ -1,6 +1,9 @@
 package follower
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // Fleet holds the operators' orders, the progress of rollouts and the instances
 // of the system. It is immutable once published.
@@ -54,18 +57,61 @@
 	return false
 }
 
-// keepOnly removes entries that the changes of a complete batch don't contain.
-func (fl *Fleet) keepOnly(changes []Change) {
+// keepOnly removes entries that the changes of a complete batch don't contain. It returns
+// those of them that operators write.
+func (fl *Fleet) keepOnly(changes []Change) (missing []any) {
 	present := newFleet()
 	for _, c := range changes {
 		present.apply(c.Subject)
 	}
+	for name := range fl.ClosedDataCentres {
+		if !present.ClosedDataCentres[name] {
+			missing = append(missing, DataCentreClosure{DataCentre: name})
+		}
+	}
+	for service, order := range fl.Orders {
+		if _, ok := present.Orders[service]; !ok {
+			missing = append(missing, order)
+		}
+	}
 	deleteMissing(fl.ClosedDataCentres, present.ClosedDataCentres)
 	deleteMissing(fl.Orders, present.Orders)
 	deleteMissing(fl.Rollouts, present.Rollouts)
 	deleteMissing(fl.Instances, present.Instances)
 	deleteMissing(fl.QuarantinedParts, present.QuarantinedParts)
 	fl.Driver = present.Driver
+	return missing
+}
+
+// restore adds entries that operators write, and returns their ends.
+func (fl *Fleet) restore(entries []any) (ends []any) {
+	for _, entry := range entries {
+		fl.apply(entry)
+		switch s := entry.(type) {
+		case DataCentreClosure:
+			s.Ended = true
+			ends = append(ends, s)
+		case RolloutOrder:
+			s.Ended = true
+			ends = append(ends, s)
+		}
+	}
+	return ends
+}
+
+// withoutEntryOf returns the ends but for that of the entry that a subject is of.
+func withoutEntryOf(ends []any, subject any) []any {
+	return slices.DeleteFunc(ends, func(end any) bool {
+		switch e := end.(type) {
+		case DataCentreClosure:
+			s, ok := subject.(DataCentreClosure)
+			return ok && s.DataCentre == e.DataCentre
+		case RolloutOrder:
+			s, ok := subject.(RolloutOrder)
+			return ok && s.Service == e.Service
+		}
+		return false
+	})
 }
 
 // putOrDelete deletes the key if ended is set and sets it to value otherwise. It
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -63,7 +63,8 @@
 	// kept for ReannounceGrace, since they may only have failed to renew them.
 	OutageThreshold time.Duration
 	// ReannounceGrace is how long after the end of an outage, or after the store
-	// has come back from a copy, servers have to announce themselves again.
+	// has come back from a copy, servers have to announce themselves again. After
+	// the latter, operators have that long to write again what the copy lacks.
 	ReannounceGrace time.Duration
 }
 
@@ -142,7 +143,11 @@
 	// graceUntil is the end of the grace period after an outage, or after the store has
 	// come back from a copy: servers whose entries end before it are kept until then.
 	graceUntil time.Time
-	storeLost  bool // an outage has been logged and not yet its end
+	// lapsed holds the ends of operators' entries that the copy lacks. They are applied at
+	// lapsedUntil, unless the operator writes the entries again.
+	lapsed      []any
+	lapsedUntil time.Time
+	storeLost   bool // an outage has been logged and not yet its end
 	// lastAnswerAt is when the store last answered this instance itself;
 	// ownFailures is the number of its calls that failed since then.
 	lastAnswerAt time.Time
@@ -475,7 +480,7 @@
 	for ctx.Err() == nil {
 		f.sleep(ctx, f.settings.ReannounceGrace/8)
 		f.mu.Lock()
-		if f.servers.Expire(f.clock.Now()) {
+		if f.expire(f.clock.Now()) {
 			f.View.Servers.Publish(f.servers.Listing())
 		}
 		f.mu.Unlock()
