driver, store: conditions and the driver's entry hold in their era only

Fault: after the store had come back from a copy, an instance that had become the driver of rollouts within the seconds that the copy lacks went on as the driver, beside the one that the copy has, for as long as the revisions were below that of its entry; its decisions failed, so that rollouts stood still. A conditional write succeeded if the store had given the revision that it requires to another change.

Cause: the driver compares numbers ("the view doesn't show it yet"), and conditions are sent as numbers.

Fix: entries and conditions carry the era. The driver's lease is renewed only if the copy has the entry that was written with it, since its ID may be another's now.

--- a/internal/billing/tally/tally.go
+++ b/internal/billing/tally/tally.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strconv"
 	"sync"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // Line is the key that usage is aggregated by.
@@ -124,7 +126,7 @@
 // store revision of its key.
 type WriteMark struct {
 	Sequence int64
-	Revision int64
+	Revision revision.Revision
 }
 
 // Copies holds the tallies of other instances, so that they can still be written
--- a/internal/billing/tally/tally_test.go
+++ b/internal/billing/tally/tally_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // fleet simulates instances that count, copy and write tallies. Its store accepts
@@ -61,7 +63,7 @@
 	f.revision++
 	for _, t := range due {
 		is.New(f.t).True(t.Sequence > f.stored[t.Key()].Sequence)
-		f.stored[t.Key()], f.marks[t.Key()] = t, WriteMark{t.Sequence, f.revision}
+		f.stored[t.Key()], f.marks[t.Key()] = t, WriteMark{t.Sequence, revision.Revision{Number: f.revision}}
 	}
 }
 
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -44,14 +44,14 @@
 		Target  string
 		// Duration is the longest time that the rollout may take.
 		Duration time.Duration
-		// Revision is the store's revision of the order, and identifies it.
-		Revision int64
+		// Revision is the store's revision of the order. Its number identifies the order.
+		Revision revision.Revision
 		Ended    bool
 	}
 	// RolloutProgress is the progress of a rollout as its driver recorded it.
 	RolloutProgress struct {
 		Service string
-		// Order is the revision of the RolloutOrder that the rollout executes.
+		// Order is the revision's number of the RolloutOrder that the rollout executes.
 		Order  int64
 		Target string
 		State  RolloutState
@@ -65,7 +65,7 @@
 		// versions and to the target.
 		SentOld, SentNew int
 		// Revision is the store's revision of the record.
-		Revision int64
+		Revision revision.Revision
 		Ended    bool
 	}
 	// Instance is one instance of the system.
@@ -78,7 +78,7 @@
 		// StatesEra is set if the instance's feed states the eras of its revisions.
 		StatesEra bool
 		// Revision is the store's revision of the announcement.
-		Revision int64
+		Revision revision.Revision
 		Ended    bool
 	}
 	// QuarantinedPart keeps prompts with a part away from the servers, until Ended.
@@ -91,7 +91,7 @@
 	// Driver names the instance that makes the rollout decisions.
 	Driver struct {
 		Instance string
-		Revision int64
+		Revision revision.Revision
 		Ended    bool
 	}
 )
--- a/internal/fleet/gateway/absences.go
+++ b/internal/fleet/gateway/absences.go
@@ -98,7 +98,7 @@
 	slices.SortFunc(list, compareByHash)
 	ring := make([]absence.Announcement, len(list))
 	for n, i := range list {
-		ring[n] = absence.Announcement{Name: i.Name, Revision: i.Revision}
+		ring[n] = absence.Announcement{Name: i.Name, Revision: i.Revision.Number}
 	}
 	return ring
 }
@@ -131,7 +131,7 @@
 		return
 	}
 	removed, err := g.Store.Unregister(ctx, i.Name, i.Revision)
-	g.Log.Info("InstanceGone", zap.String("Instance", i.Name), zap.Int64("Revision", i.Revision), zap.Bool("Removed", removed), zap.Error(err))
+	g.Log.Info("InstanceGone", zap.String("Instance", i.Name), zap.Stringer("Revision", i.Revision), zap.Bool("Removed", removed), zap.Error(err))
 }
 
 // isPresent reports whether an instance answers on a new connection.
--- a/internal/fleet/gateway/driver.go
+++ b/internal/fleet/gateway/driver.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // driving is what an instance knows of its own part in driving the rollouts. It belongs to
@@ -47,7 +48,7 @@
 		return
 	}
 	r.driving.missingSince = now
-	r.takeDrive(ctx, 0)
+	r.takeDrive(ctx, revision.Revision{})
 }
 
 // candidateRank returns the position of self among the candidates, from 0.
@@ -64,6 +65,9 @@
 func (r *rollouts) keepDriving(ctx context.Context, driver follower.Driver) bool {
 	g := r.gateway
 	now := g.Clock.Now()
+	if r.driving.lease != 0 && r.driving.entry.Revision.Before(driver.Revision) {
+		r.adoptEntry(driver)
+	}
 	if now.Before(r.driving.renewalAt) {
 		return true
 	}
@@ -82,18 +86,29 @@
 	return false
 }
 
+// adoptEntry takes over the driver's entry as the store has it now. The lease is that of the
+// entry that was written with it: a copy that the store has come back from and that lacks
+// this entry lacks the lease too, whose ID another instance may have been given since.
+func (r *rollouts) adoptEntry(driver follower.Driver) {
+	if r.driving.entry.Revision.Number == driver.Revision.Number {
+		r.driving.entry = driver
+		return
+	}
+	r.driving.lease, r.driving.renewalAt = 0, time.Time{}
+}
+
 // takeDrive makes this instance the driver under a new lease if the driver's entry is at
-// the revision, 0 for none.
-func (r *rollouts) takeDrive(ctx context.Context, revision int64) {
+// the revision, unknown for none.
+func (r *rollouts) takeDrive(ctx context.Context, at revision.Revision) {
 	g := r.gateway
 	lease, err := g.Store.GrantLease(ctx, max(driverTTL, g.currentSettings().MinLeaseTTL))
 	became := false
 	if err == nil {
-		revision, became, err = g.Store.BecomeDriver(ctx, lease, g.Settings.Instance, revision)
+		at, became, err = g.Store.BecomeDriver(ctx, lease, g.Settings.Instance, at)
 	}
 	g.Log.Info("DriverSought", zap.Bool("Taken", became), zap.Error(err))
 	if became {
 		r.driving.lease, r.driving.renewalAt = lease, g.Clock.Now().Add(jitter(driverRenewalInterval))
-		r.driving.entry = follower.Driver{Instance: g.Settings.Instance, Revision: revision}
+		r.driving.entry = follower.Driver{Instance: g.Settings.Instance, Revision: at}
 	}
 }
--- /dev/null
+++ b/internal/fleet/gateway/era_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
+)
+
+// Guards against a driver that goes on by an entry which the store's copy lacks, beside the
+// one that the copy has.
+func TestDriverOfEarlierEra(t *testing.T) {
+	is := is.New(t)
+	store, clock := &recordingStore{}, clockwork.NewFakeClock()
+	g := newTestGateway(clock)
+	g.Store = store
+	load(t, g, revision.Revision{Era: 2, Number: 190})
+	fleet := fleetWithRollout(follower.RolloutActive, 0.1)
+	fleet.Driver = follower.Driver{Instance: "edge-2", Revision: revision.Revision{Era: 2, Number: 185}}
+	publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
+	g.rollouts.driving.lease = 1
+	g.rollouts.driving.entry = follower.Driver{Instance: "edge-1", Revision: revision.Revision{Era: 1, Number: 200}}
+	g.rollouts.tick(t.Context())
+	clock.Advance(12 * time.Second) // a record is due
+	g.rollouts.tick(t.Context())
+	is.Equal(len(store.records), 0)
+	// The view that has yet to show an entry of the current era is still ahead of none.
+	g.rollouts.driving.entry.Revision = revision.Revision{Era: 2, Number: 191}
+	g.rollouts.tick(t.Context())
+	is.Equal(len(store.records), 1)
+}
+
+// After the store has come back from a copy, the driver's lease is there if the copy has the
+// entry that was written with it. Otherwise another instance may have got the lease's ID.
+func TestDriverLeaseOfEarlierEra(t *testing.T) {
+	for _, c := range []struct {
+		number  int64 // of the driver's entry in the copy
+		renewed bool
+	}{{200, true}, {100, false}} {
+		is := is.New(t)
+		store := &recordingStore{}
+		g := newTestGateway(clockwork.NewFakeClock())
+		g.Store = store
+		load(t, g, revision.Revision{Era: 2, Number: 210})
+		g.rollouts.driving.lease = 5
+		g.rollouts.driving.entry = follower.Driver{Instance: "edge-1", Revision: revision.Revision{Era: 1, Number: 200}}
+		is.Equal(g.rollouts.keepDriving(t.Context(), follower.Driver{Instance: "edge-1", Revision: revision.Revision{Era: 2, Number: c.number}}), c.renewed)
+		is.Equal(store.drivers == 0, c.renewed)
+	}
+}
--- a/internal/fleet/gateway/fleetindex.go
+++ b/internal/fleet/gateway/fleetindex.go
@@ -36,7 +36,7 @@
 		announced := make(map[string]int64, len(fleet.Instances))
 		for name, instance := range fleet.Instances {
 			i.names = append(i.names, name)
-			announced[name] = instance.Revision
+			announced[name] = instance.Revision.Number // a copy of the store keeps it
 		}
 		g.tenure.Observe(announced, g.Clock.Now())
 	}
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupyard/kingcupyard/internal/catalogue/route"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/tenure"
 	"github.com/kingcupyard/kingcupyard/internal/relay/attempt"
 	"github.com/kingcupyard/kingcupyard/internal/relay/connection"
@@ -38,13 +39,13 @@
 	RevokeLease(ctx context.Context, lease int64) error
 	// Register announces this instance until the lease ends, and returns the revision
 	// of the announcement.
-	Register(ctx context.Context, lease int64, i follower.Instance) (revision int64, err error)
+	Register(ctx context.Context, lease int64, i follower.Instance) (at revision.Revision, err error)
 	// Unregister removes an instance's announcement if it is still at the revision.
-	Unregister(ctx context.Context, name string, revision int64) (bool, error)
+	Unregister(ctx context.Context, name string, at revision.Revision) (bool, error)
 	// BecomeDriver makes the instance the driver of rollouts until the lease
-	// ends, if the driver's entry is still at the revision, 0 for none. It reports
-	// whether the instance became the driver, and the entry's new revision.
-	BecomeDriver(ctx context.Context, lease int64, instance string, revision int64) (int64, bool, error)
+	// ends, if the driver's entry is still at the revision, unknown for none. It
+	// reports whether the instance became the driver, and the entry's new revision.
+	BecomeDriver(ctx context.Context, lease int64, instance string, at revision.Revision) (revision.Revision, bool, error)
 	// RecordProgress writes the progress of a rollout, and its status for the
 	// operator, if the stored progress is still at p.Revision and the driver's
 	// entry at driver.Revision. It reports whether it has written them.
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -41,11 +41,14 @@
 	})
 }
 
+// at returns a revision of a store that states no era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
+
 // publish sets the view of the fleet and of ready servers of one service.
 func publish(g *Gateway, fleet follower.Fleet, servers ...backend.Server) {
 	directory := backend.NewDirectory()
 	for i, s := range servers {
-		s.State, s.Service, s.Revision = backend.Ready, "assistant", revision.Revision{Number: int64(i + 1)}
+		s.State, s.Service, s.Revision = backend.Ready, "assistant", at(int64(i+1))
 		directory.Announce(s, g.Clock.Now())
 	}
 	g.follower.View.Servers.Publish(directory.Listing())
@@ -55,7 +58,7 @@
 // fleetWithRollout returns a fleet with a rollout of v2 in the given state.
 func fleetWithRollout(state follower.RolloutState, share float64) follower.Fleet {
 	return follower.Fleet{
-		Orders:   map[string]follower.RolloutOrder{"assistant": {Service: "assistant", Target: "v2", Duration: 24 * time.Second, Revision: 7}},
+		Orders:   map[string]follower.RolloutOrder{"assistant": {Service: "assistant", Target: "v2", Duration: 24 * time.Second, Revision: at(7)}},
 		Rollouts: map[string]follower.RolloutProgress{"assistant": {Service: "assistant", Order: 7, Target: "v2", State: state, Share: share}},
 	}
 }
@@ -115,9 +118,9 @@
 
 func (r *recordingStore) RenewLease(context.Context, int64) (bool, error) { return true, nil }
 
-func (r *recordingStore) BecomeDriver(context.Context, int64, string, int64) (int64, bool, error) {
+func (r *recordingStore) BecomeDriver(context.Context, int64, string, revision.Revision) (revision.Revision, bool, error) {
 	r.drivers++
-	return 8, true, nil
+	return at(8), true, nil
 }
 
 func (r *recordingStore) RecordProgress(_ context.Context, p follower.RolloutProgress, driver follower.Driver) (bool, error) {
@@ -137,7 +140,7 @@
 	g.Store = store
 	fleet := fleetWithRollout(follower.RolloutActive, 0.075)
 	progress := fleet.Rollouts["assistant"]
-	progress.Elapsed, progress.SentOld, progress.SentNew, progress.Revision = 12*time.Second, 20, 2, 9
+	progress.Elapsed, progress.SentOld, progress.SentNew, progress.Revision = 12*time.Second, 20, 2, at(9)
 	fleet.Rollouts["assistant"] = progress
 	fleet.Driver = follower.Driver{Instance: "edge-1"}
 	publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
@@ -167,14 +170,14 @@
 	fleet := fleetWithRollout(follower.RolloutActive, 0)
 	fleet.Rollouts = nil
 	publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
-	g.rollouts.takeDrive(t.Context(), 0)
+	g.rollouts.takeDrive(t.Context(), revision.Revision{})
 	for range 6 {
 		g.rollouts.tick(t.Context())
 		clock.Advance(rolloutInterval)
 	}
 	is.Equal(store.drivers, 1)
 	is.True(len(store.records) > 0)
-	is.Equal(store.recordedAs, follower.Driver{Instance: "edge-1", Revision: 8})
+	is.Equal(store.recordedAs, follower.Driver{Instance: "edge-1", Revision: at(8)})
 }
 
 // Instances become the driver in an order that mixes data centres: after the loss of one,
@@ -326,7 +329,7 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	g := newTestGateway(clock)
-	publish(g, follower.Fleet{Instances: map[string]follower.Instance{"edge-1": {Name: "edge-1", Revision: 1}}})
+	publish(g, follower.Fleet{Instances: map[string]follower.Instance{"edge-1": {Name: "edge-1", Revision: at(1)}}})
 	is.True(!g.TryRetry("assistant", true)) // no request yet, and BaseRetries is 0
 	s := g.Settings
 	s.BaseRetries, s.MaxRevokeDelay = 50, 7*time.Second
@@ -419,7 +422,7 @@
 		}
 	}
 	for _, t := range due {
-		s.marks[t.Key()] = tally.WriteMark{Sequence: t.Sequence, Revision: s.marks[t.Key()].Revision + 1}
+		s.marks[t.Key()] = tally.WriteMark{Sequence: t.Sequence, Revision: at(s.marks[t.Key()].Revision.Number + 1)}
 		s.total[t.Key()] = t.Sequence
 	}
 	return maps.Clone(s.marks), true, nil
@@ -431,7 +434,7 @@
 func TestTalliesOutliveTheirInstances(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(clockwork.NewFakeClock())
-	store := &tallyStore{marks: map[string]tally.WriteMark{"gone/7": {Sequence: 1, Revision: 3}}, total: map[string]int64{}}
+	store := &tallyStore{marks: map[string]tally.WriteMark{"gone/7": {Sequence: 1, Revision: at(3)}}, total: map[string]int64{}}
 	g.Store = store
 	gone := tally.NewCounter("gone", 7)
 	for range 3 {
@@ -448,7 +451,7 @@
 	is.Equal(len(due()), 0)
 
 	local := g.billing.counter.Tally()
-	store.marks[local.Key()] = tally.WriteMark{Sequence: 1, Revision: 9}
+	store.marks[local.Key()] = tally.WriteMark{Sequence: 1, Revision: at(9)}
 	rt := route.Route{Name: "r"}
 	g.ObserveCall(pipeline.CallOutcome{Route: &rt, Customer: "c"})
 	g.ObserveCall(pipeline.CallOutcome{Route: &rt, Customer: "c", Failed: true})
@@ -770,7 +773,7 @@
 	is.Equal(in.Sent, verdict.Traffic{Old: 36, New: 9})
 
 	progress := fleet.Rollouts["assistant"]
-	progress.SentOld, progress.SentNew, progress.Revision = 90, 20, 9
+	progress.SentOld, progress.SentNew, progress.Revision = 90, 20, at(9)
 	fleet.Rollouts["assistant"] = progress
 	g.rollouts.syncOrders(fleet)
 	in, _ = g.rollouts.decisionInput("assistant")
--- a/internal/fleet/gateway/membership.go
+++ b/internal/fleet/gateway/membership.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
 // membership announces this instance to the others through an entry in the
@@ -18,7 +19,7 @@
 	lease int64
 	ttl   time.Duration
 	// revision is the store's revision of the announcement, announcedAt when it was made.
-	revision    int64
+	revision    revision.Revision
 	announcedAt time.Time
 }
 
@@ -118,7 +119,7 @@
 func (m *membership) isRemoved() bool {
 	g := m.gateway
 	_, announced := g.fleet().Instances[g.Settings.Instance]
-	return m.lease != 0 && !announced && g.follower.Revision().Number >= m.revision
+	return m.lease != 0 && !announced && !g.follower.Revision().Before(m.revision)
 }
 
 // renew renews the lease, and announces the instance again if the announcement was
@@ -152,12 +153,12 @@
 // announce announces the instance until a lease ends.
 func (m *membership) announce(ctx context.Context, lease int64, ttl time.Duration) error {
 	g := m.gateway
-	revision, err := g.Store.Register(ctx, lease, follower.Instance{
+	at, err := g.Store.Register(ctx, lease, follower.Instance{
 		Name: g.Settings.Instance, DataCentre: g.Settings.DataCentre, PeerAddress: g.Settings.PeerAddress, TTL: ttl, StatesEra: true,
 	})
 	if err != nil {
 		return err
 	}
-	m.lease, m.ttl, m.revision, m.announcedAt = lease, ttl, revision, g.Clock.Now()
+	m.lease, m.ttl, m.revision, m.announcedAt = lease, ttl, at, g.Clock.Now()
 	return nil
 }
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -15,6 +15,7 @@
 
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
+	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
 	"github.com/kingcupyard/kingcupyard/internal/release/verdict"
 	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
@@ -60,7 +61,7 @@
 	// first saw it, or what the elapsed time in a progress record implies.
 	startedAt time.Time
 	// progressRevision is the revision of the last progress record seen.
-	progressRevision int64
+	progressRevision revision.Revision
 	// nextDecisionAt is the time before which the driver decides nothing, as
 	// the watch has yet to bring the record that it wrote.
 	nextDecisionAt time.Time
@@ -130,7 +131,7 @@
 	fleet := r.gateway.fleet()
 	progress, recorded := fleet.Rollouts[service]
 	order, ordered := fleet.Orders[service]
-	if ordered && (!recorded || progress.Order != order.Revision) {
+	if ordered && (!recorded || progress.Order != order.Revision.Number) {
 		return dispatch.VersionConstraint{Except: order.Target}
 	}
 	if !recorded {
@@ -425,7 +426,7 @@
 	var orders []follower.RolloutOrder
 	for service, order := range fleet.Orders {
 		progress := fleet.Rollouts[service]
-		if progress.Order == order.Revision && progress.State != follower.RolloutActive {
+		if progress.Order == order.Revision.Number && progress.State != follower.RolloutActive {
 			if ro := r.local[service]; ro != nil {
 				ro.ended = true
 			}
@@ -434,12 +435,12 @@
 		orders = append(orders, order)
 		now := r.gateway.Clock.Now()
 		ro := r.local[service]
-		if ro == nil || ro.orderRevision != order.Revision {
-			ro = &localRollout{orderRevision: order.Revision, target: order.Target, duration: order.Duration, firstSeenAt: now, startedAt: now, evidence: verdict.Evidence{}, servers: map[string]verdict.Counts{}}
+		if ro == nil || ro.orderRevision != order.Revision.Number {
+			ro = &localRollout{orderRevision: order.Revision.Number, target: order.Target, duration: order.Duration, firstSeenAt: now, startedAt: now, evidence: verdict.Evidence{}, servers: map[string]verdict.Counts{}}
 			r.local[service] = ro
 			delete(r.peerEvidence, service)
 		}
-		if progress.Order == order.Revision {
+		if progress.Order == order.Revision.Number {
 			ro.applyProgress(progress, now)
 		}
 	}
@@ -470,7 +471,7 @@
 		r.driving.missingSince = time.Time{}
 		return
 	}
-	if d := r.driving; d.lease != 0 && d.entry.Revision > max(fleet.Driver.Revision, r.gateway.follower.Revision().Number) {
+	if d := r.driving; d.lease != 0 && d.entry.Revision.After(revision.Latest(fleet.Driver.Revision, r.gateway.follower.Revision())) {
 		fleet.Driver = d.entry // the view doesn't show it yet
 	}
 	switch fleet.Driver.Instance {
@@ -495,8 +496,8 @@
 func (r *rollouts) decide(ctx context.Context, order follower.RolloutOrder, fleet follower.Fleet) {
 	g := r.gateway
 	progress := fleet.Rollouts[order.Service]
-	revision := progress.Revision
-	if progress.Order != order.Revision {
+	recordedAt := progress.Revision
+	if progress.Order != order.Revision.Number {
 		progress = follower.RolloutProgress{}
 	}
 	settings := g.currentSettings()
@@ -509,8 +510,8 @@
 	in.Ready, in.OldServers = r.countServers(order.Service, order.Target)
 	decision := verdict.Decide(in)
 	next := follower.RolloutProgress{
-		Service: order.Service, Order: order.Revision, Target: order.Target, State: follower.RolloutActive, Share: decision.Share, Retrial: decision.Retrial,
-		Elapsed: in.Elapsed, SentOld: in.Sent.Old, SentNew: in.Sent.New, Revision: revision,
+		Service: order.Service, Order: order.Revision.Number, Target: order.Target, State: follower.RolloutActive, Share: decision.Share, Retrial: decision.Retrial,
+		Elapsed: in.Elapsed, SentOld: in.Sent.Old, SentNew: in.Sent.New, Revision: recordedAt,
 	}
 	switch {
 	case decision.Revert:
