membership: a lease that the store's copy lacks has ended

Fault: an instance that had announced itself within the seconds that the store's copy lacks went on renewing its lease by ID. The ID may be another's by then: the instance put its announcement under that lease, and was gone for the others when that one ended.

Cause: neither the announcement's revision nor the lease says of which era it is.

Fix: in a new era the lease counts if the store still has the announcement that was made with it, under the same number; else the instance takes a new one and announces itself again. Since the announcement's revision carries its era, a missing one is noticed at once.

TestLeaseThatCopyLacks failed before (the announcement ended with the other's lease), passes.

--- a/internal/fleet/gateway/membership.go
+++ b/internal/fleet/gateway/membership.go
@@ -127,6 +127,7 @@
 // fleet for a while, renew grants a new one and announces the instance.
 func (m *membership) renew(ctx context.Context) error {
 	g := m.gateway
+	m.adoptAnnouncement()
 	ttl := max(membershipTTL(len(g.fleet().Instances)), g.currentSettings().MinLeaseTTL)
 	tooShort := float64(ttl) >= maxTTLGrowth*float64(m.ttl) && g.Clock.Since(m.announcedAt) >= ttlSettleTime
 	if m.lease != 0 && !tooShort {
@@ -150,6 +151,23 @@
 	return m.announce(ctx, lease, ttl)
 }
 
+// adoptAnnouncement takes over the announcement as the store has it in a new era. The lease
+// is that of the announcement that was made with it: a copy that the store has come back from
+// and that lacks this announcement lacks the lease too, whose ID another instance may have been
+// given since.
+func (m *membership) adoptAnnouncement() {
+	g := m.gateway
+	if m.lease == 0 || g.follower.Revision().Era <= m.revision.Era {
+		return
+	}
+	if i := g.fleet().Instances[g.Settings.Instance]; i.Revision.Number == m.revision.Number {
+		m.revision = i.Revision
+		return
+	}
+	g.Log.Info("MembershipLost", zap.Int64("Lease", m.lease), zap.Stringer("Revision", m.revision))
+	m.lease = 0
+}
+
 // announce announces the instance until a lease ends.
 func (m *membership) announce(ctx context.Context, lease int64, ttl time.Duration) error {
 	g := m.gateway
