rollouts: what has been decided outlives a copy of the store that lacks it

Fault: after the store had come back from a copy that lacks a rollout's order and its end, the rollout began anew: the order that the operator had written again counted as another one. A version that had been reverted got requests again; after one that was complete, requests were refused, as its servers were kept out and the old ones had stopped. The status was not written.

Cause: an order is known by its number, which is another one once it is written again, and the copy's record replaces what is known.

Fix: while operators have yet to write again what the copy lacks, an order for the same target and duration in a later era is the known one; what is known of its rollout stands over an earlier record or none, and moves to the order's new number. The driver writes it again, with the status. Evidence stays with the order. An instance without a memory of it (started since) follows the store's record until then.

--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,6 +40,7 @@
 	changed := f.expire(now)
 	if b.Whole {
 		f.removeMissing(changes, b.Revision, now)
+		slices.SortStableFunc(changes, compareOrdersFirst)
 	}
 	if f.applyChanges(changes) {
 		changed = true
@@ -70,6 +72,17 @@
 	f.era = at.Era
 }
 
+// compareOrdersFirst puts the orders of rollouts before their progress.
+func compareOrdersFirst(a, b Change) int {
+	rank := func(c Change) int {
+		if _, isOrder := c.Subject.(RolloutOrder); isOrder {
+			return 0
+		}
+		return 1
+	}
+	return rank(a) - rank(b)
+}
+
 // maxLoggedEntries bounds the invalid entries that are told apart in the log.
 const maxLoggedEntries = 1000
 
@@ -111,6 +124,7 @@
 	missing := fleet.keepOnly(changes)
 	if now.Before(f.lapsedUntil) {
 		f.lapsed = fleet.restore(missing)
+		fleet.carryRollouts(f.fleet)
 	}
 	f.publishFleet(fleet)
 }
@@ -150,7 +164,7 @@
 				fleet = &clone
 			}
 			f.lapsed = withoutEntryOf(f.lapsed, c.Subject)
-			if !fleet.apply(c.Subject) {
+			if !fleet.apply(f.carried(fleet, c.Subject)) {
 				continue
 			}
 			fleetChanged = true
@@ -170,6 +184,21 @@
 	return listingChanged
 }
 
+// carried returns what a change of the fleet says, or what is known to be later while the
+// driver and operators have yet to write again what a copy of the store lacks.
+func (f *Follower) carried(fleet *Fleet, subject any) any {
+	if !f.clock.Now().Before(f.lapsedUntil) {
+		return subject
+	}
+	switch s := subject.(type) {
+	case RolloutOrder:
+		fleet.carryOrder(s)
+	case RolloutProgress:
+		return fleet.carryProgress(s)
+	}
+	return subject
+}
+
 func (f *Follower) announceServer(s backend.Server, at revision.Revision) bool {
 	changed := f.servers.Announce(s, f.clock.Now())
 	if changed {
--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -167,3 +168,62 @@
 	is.Equal(closures(), map[string]bool{"a": true, "b": true})
 	is.Equal(len(f.View.Fleet.Get().Orders), 0)
 }
+
+// What has been decided on a rollout stands until the driver has written it again, unless the
+// store's copy or a driver in the new era has a later record of it.
+func TestRolloutThatCopyLacks(t *testing.T) {
+	order := func(era, number int64, target string) Item {
+		return in(era, Item{Key: "rollout/assistant", Value: []byte(target), Revision: at(number)})
+	}
+	progress := func(era, number, of int64, state RolloutState, elapsed time.Duration) Item {
+		return in(era, Item{Key: "progress/assistant", Value: fmt.Appendf(nil, "%d %s %d", of, state, elapsed), Revision: at(number)})
+	}
+	decode := func(item Item) Change {
+		c := Change{Key: item.Key, Revision: item.Revision}
+		if strings.HasPrefix(item.Key, "rollout/") {
+			c.Subject = RolloutOrder{Service: "assistant", Target: string(item.Value), Revision: item.Revision, Ended: item.Gone}
+			return c
+		}
+		p := RolloutProgress{Service: "assistant", Revision: item.Revision}
+		if _, err := fmt.Sscan(string(item.Value), &p.Order, &p.State, &p.Elapsed); err != nil {
+			t.Fatal(err)
+		}
+		c.Subject = p
+		return c
+	}
+	known := []Item{order(1, 100, "v2"), progress(1, 150, 100, RolloutReverted, 9)}
+	for _, c := range []struct {
+		name  string
+		whole []Item // in the new era
+		later []Item // after it
+		want  RolloutProgress
+	}{
+		{"the copy has both", []Item{order(2, 100, "v2"), progress(2, 150, 100, RolloutReverted, 9)}, nil,
+			RolloutProgress{Order: 100, State: RolloutReverted, Elapsed: 9, Revision: atEra(2, 150)}},
+		{"the copy has an earlier record", []Item{progress(2, 120, 100, RolloutActive, 4), order(2, 100, "v2")}, nil,
+			RolloutProgress{Order: 100, State: RolloutReverted, Elapsed: 9, Revision: atEra(2, 120), Lost: true}},
+		{"the copy has the order", []Item{order(2, 100, "v2")}, nil,
+			RolloutProgress{Order: 100, State: RolloutReverted, Elapsed: 9, Lost: true}},
+		{"the copy has neither", nil, nil,
+			RolloutProgress{Order: 100, State: RolloutReverted, Elapsed: 9, Lost: true}},
+		{"the order is written again", nil, []Item{order(2, 90, "v2")},
+			RolloutProgress{Order: 90, State: RolloutReverted, Elapsed: 9, Lost: true}},
+		{"the driver was first", []Item{progress(2, 95, 90, RolloutReverted, 9), order(2, 90, "v2")}, nil,
+			RolloutProgress{Order: 90, State: RolloutReverted, Elapsed: 9, Revision: atEra(2, 95)}},
+		{"the driver writes it again", nil, []Item{order(2, 90, "v2"), progress(2, 95, 90, RolloutReverted, 9)},
+			RolloutProgress{Order: 90, State: RolloutReverted, Elapsed: 9, Revision: atEra(2, 95)}},
+		{"another order", nil, []Item{order(2, 90, "v3"), progress(2, 95, 90, RolloutActive, 0)},
+			RolloutProgress{Order: 90, State: RolloutActive, Revision: atEra(2, 95)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFollower()
+			f.decode = decode
+			f.applyBatch(Batch{Items: known, Revision: atEra(1, 200), Whole: true}, true)
+			f.resetRevision()
+			f.applyBatch(Batch{Items: c.whole, Revision: atEra(2, 80), Whole: true}, true)
+			f.applyBatch(Batch{Items: c.later, Revision: atEra(2, 96)}, true)
+			c.want.Service = "assistant"
+			is.New(t).Equal(f.View.Fleet.Get().Rollouts["assistant"], c.want)
+		})
+	}
+}
--- a/internal/fleet/follower/subjects.go
+++ b/internal/fleet/follower/subjects.go
@@ -67,6 +67,9 @@
 		// Revision is the store's revision of the record.
 		Revision revision.Revision
 		Ended    bool
+		// Lost is set if the store has come back from a copy that lacks this record. The
+		// driver writes it again; Revision is that of the record in its place, if any.
+		Lost bool
 	}
 	// Instance is one instance of the system.
 	Instance struct {
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -42,11 +42,11 @@
 
 // localRollout is one rollout as this instance knows it.
 type localRollout struct {
-	orderRevision int64
-	target        string
-	duration      time.Duration
-	firstSeenAt   time.Time
-	evidence      verdict.Evidence
+	order       revision.Revision
+	target      string
+	duration    time.Duration
+	firstSeenAt time.Time
+	evidence    verdict.Evidence
 	// servers holds the target's counts by server while it is on trial.
 	servers map[string]verdict.Counts
 	// sent counts the requests that this instance sent.
@@ -162,7 +162,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.local[service]
-	if ro == nil || ro.orderRevision != progress.Order || ro.distrusted {
+	if ro == nil || ro.order.Number != progress.Order || ro.distrusted {
 		return false
 	}
 	return !verdict.IsTrial(progress.Share) || verdict.IsEnding(max(progress.Elapsed, r.gateway.Clock.Since(ro.startedAt)), ro.duration)
@@ -177,7 +177,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.local[service]
-	if ro == nil || ro.orderRevision != progress.Order || ro.distrusted {
+	if ro == nil || ro.order.Number != progress.Order || ro.distrusted {
 		return false
 	}
 	if !isInShare(session, progress.Share) {
@@ -418,33 +418,48 @@
 	}
 }
 
-// syncOrders brings the local state in line with the orders in the fleet's view
-// and returns the orders that are still undecided.
-func (r *rollouts) syncOrders(fleet follower.Fleet) []follower.RolloutOrder {
+// syncOrders brings the local state in line with the orders in the fleet's view. It returns
+// the orders that are still undecided, and the decisions that the store has lost.
+func (r *rollouts) syncOrders(fleet follower.Fleet) (orders []follower.RolloutOrder, lost []follower.RolloutProgress) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var orders []follower.RolloutOrder
+	for service, ro := range r.local {
+		if _, ok := fleet.Orders[service]; !ok {
+			ro.order.Era = r.gateway.follower.Era() // a later order is another one
+		}
+	}
 	for service, order := range fleet.Orders {
 		progress := fleet.Rollouts[service]
+		ro := r.local[service]
 		if progress.Order == order.Revision.Number && progress.State != follower.RolloutActive {
-			if ro := r.local[service]; ro != nil {
+			if ro != nil {
 				ro.ended = true
 			}
+			if progress.Lost {
+				lost = append(lost, progress)
+			}
 			continue
 		}
 		orders = append(orders, order)
 		now := r.gateway.Clock.Now()
-		ro := r.local[service]
-		if ro == nil || ro.orderRevision != order.Revision.Number {
-			ro = &localRollout{orderRevision: order.Revision.Number, target: order.Target, duration: order.Duration, firstSeenAt: now, startedAt: now, evidence: verdict.Evidence{}, servers: map[string]verdict.Counts{}}
+		if ro == nil || !ro.isFor(order) {
+			ro = &localRollout{order: order.Revision, target: order.Target, duration: order.Duration, firstSeenAt: now, startedAt: now, evidence: verdict.Evidence{}, servers: map[string]verdict.Counts{}}
 			r.local[service] = ro
 			delete(r.peerEvidence, service)
 		}
+		ro.order = order.Revision
 		if progress.Order == order.Revision.Number {
 			ro.applyProgress(progress, now)
 		}
 	}
-	return orders
+	return orders, lost
+}
+
+// isFor reports whether the rollout is for an order: the same one, or one that the operator has
+// written again after the store came back from a copy that lacks it.
+func (ro *localRollout) isFor(order follower.RolloutOrder) bool {
+	isWrittenAgain := ro.order.Era < order.Revision.Era && ro.duration == order.Duration
+	return ro.target == order.Target && (ro.order.Number == order.Revision.Number || isWrittenAgain)
 }
 
 // applyProgress takes the elapsed time from a progress record that is new to
@@ -466,8 +481,8 @@
 // become it.
 func (r *rollouts) tick(ctx context.Context) {
 	fleet := r.gateway.fleet()
-	orders := r.syncOrders(fleet)
-	if len(orders) == 0 {
+	orders, lost := r.syncOrders(fleet)
+	if len(orders)+len(lost) == 0 {
 		r.driving.missingSince = time.Time{}
 		return
 	}
@@ -481,6 +496,10 @@
 		if !r.keepDriving(ctx, fleet.Driver) {
 			return
 		}
+		for _, progress := range lost {
+			recorded, err := r.gateway.Store.RecordProgress(ctx, progress, fleet.Driver)
+			r.gateway.Log.Info("StageRecordedAgain", zap.Bool("Done", recorded), zap.String("Stage", fmt.Sprintf("%+v", progress)), zap.Error(err))
+		}
 		for _, order := range orders {
 			r.decide(ctx, order, fleet)
 		}
@@ -530,10 +549,10 @@
 }
 
 // shouldRecord reports whether the next progress is to be written: because of a
-// new decision, or because so much time has passed since the last record that a
+// new decision, because the store has lost the last record, or because so much time has passed since the last record that a
 // new driver would be late without it.
 func shouldRecord(recorded, next follower.RolloutProgress, duration time.Duration) bool {
-	return recorded.Order != next.Order || recorded.State != next.State || recorded.Share != next.Share || recorded.Retrial != next.Retrial ||
+	return recorded.Lost || recorded.Order != next.Order || recorded.State != next.State || recorded.Share != next.Share || recorded.Retrial != next.Retrial ||
 		next.Elapsed-recorded.Elapsed >= duration/progressRecordsPerRollout
 }
 
@@ -591,7 +610,7 @@
 	ro.evidenceChanged = false
 	evidence := verdict.Evidence{}
 	evidence.Add(ro.evidence)
-	return &evidenceMessage{Service: service, Order: ro.orderRevision, Evidence: evidence, Servers: maps.Clone(ro.servers), Sent: ro.sent, Elapsed: r.gateway.Clock.Since(ro.startedAt)}
+	return &evidenceMessage{Service: service, Order: ro.order.Number, Evidence: evidence, Servers: maps.Clone(ro.servers), Sent: ro.sent, Elapsed: r.gateway.Clock.Since(ro.startedAt)}
 }
 
 // storePeerEvidence replaces the stored evidence of another instance. Evidence
@@ -600,7 +619,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.local[msg.Service]
-	if ro == nil || ro.orderRevision != msg.Order {
+	if ro == nil || ro.order.Number != msg.Order {
 		return
 	}
 	if startedAt := r.gateway.Clock.Now().Add(-min(msg.Elapsed, ro.duration)); startedAt.Before(ro.startedAt) {
