soak: the store comes back from a copy

The copy lacks sixty changes and the latest table; a key is revoked soon after the return, under a lower revision.

--- a/internal/measure/soak/faults.go
+++ b/internal/measure/soak/faults.go
@@ -73,6 +73,9 @@
 	{"HeadSwells", func(w *world, f fault) { w.spoilServer(f, site.SwellsHead, site.Notice{}) }},
 }
 
+// copyKinds holds what happens to the store beyond its being out of reach.
+var copyKinds = []faultKind{{"StoreReturns", (*world).returnStore}}
+
 // faultGroups holds the kinds of faults, each group with its mean time between the
 // beginnings of two faults. Each group has a random source of its own, so that a new one
 // leaves the faults of the others as they were for each seed.
@@ -83,6 +86,7 @@
 	{faultKinds, 500 * time.Millisecond},
 	{reportedKinds, 2 * time.Second},
 	{answerKinds, 4 * time.Second},
+	{copyKinds, 6 * time.Second},
 }
 
 const (
@@ -96,6 +100,15 @@
 	// unseenTime is how long instances are kept from the store after a key was revoked:
 	// some time longer than they may accept it.
 	unseenTime = 8 * time.Second
+	// awayTime is how long the store is away before it comes back from a copy, and
+	// rewriteShare the share of the copy's age after which the operator and the servers
+	// have written again what it lacks.
+	awayTime     = 500 * time.Millisecond
+	rewriteShare = 0.25
+	// lostChanges is the number of changes of an entry that the copy lacks. Instances
+	// don't know its kind.
+	lostChanges = 60
+	lostEntry   = "lost/changes"
 	// firstFault is when the first fault may begin.
 	firstFault = time.Second
 )
@@ -241,6 +254,34 @@
 
 func (w *world) forgetHistory(fault) { w.store.Forget() }
 
+// returnStore makes the store come back from a copy that is as old as the fault lasts. It
+// lacks many changes, the latest table's among them, so that a key is revoked afterwards
+// under a lower revision.
+func (w *world) returnStore(f fault) {
+	if !w.storeFaults.TryLock() {
+		return // another fault of the store is in progress
+	}
+	defer w.storeFaults.Unlock()
+	key := w.addTemporaryKey(fmt.Sprintf("returned-%d", f.target))
+	time.Sleep(DefaultBounds.Apply)
+	copied := w.store.Copy()
+	for i := range lostChanges {
+		w.store.Set(lostEntry, i)
+	}
+	w.operator.AddKey(fmt.Sprintf("lost-%d", f.target))
+	time.Sleep(f.duration)
+	d := Disturbance{Kind: f.kind, From: w.now()}
+	w.store.SetFault(site.Busy)
+	time.Sleep(awayTime)
+	w.store.Restore(copied)
+	w.store.SetFault(site.Sound)
+	time.Sleep(time.Duration(rewriteShare * float64(f.duration)))
+	w.store.WriteAgain()
+	w.revoke(key)
+	d.To = w.now()
+	w.disturbed(d)
+}
+
 // takeServer returns a backend server that no other fault is about, or nil. The first one
 // of each service stays sound.
 func (w *world) takeServer(f fault) *backend {
@@ -329,12 +370,21 @@
 }
 
 func (w *world) revokeKey(f fault) {
-	key := fmt.Sprintf("key-%d", f.target)
+	key := w.addTemporaryKey(fmt.Sprintf("key-%d", f.target))
+	time.Sleep(f.duration)
+	w.revoke(key)
+}
+
+// addTemporaryKey adds a key that callers use until it is revoked, and returns it.
+func (w *world) addTemporaryKey(key string) string {
 	w.operator.AddKey(key)
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.keys = append(w.keys, key)
-	w.mu.Unlock()
-	time.Sleep(f.duration)
+	return key
+}
+
+func (w *world) revoke(key string) {
 	w.operator.RevokeKey(key)
 	w.record(Fact{Kind: KeyRevoked, Name: key, At: w.now()})
 }
@@ -345,16 +395,11 @@
 		return // another fault of the store is in progress
 	}
 	defer w.storeFaults.Unlock()
-	key := fmt.Sprintf("unseen-%d", f.target)
-	w.operator.AddKey(key)
-	w.mu.Lock()
-	w.keys = append(w.keys, key)
-	w.mu.Unlock()
+	key := w.addTemporaryKey(fmt.Sprintf("unseen-%d", f.target))
 	time.Sleep(DefaultBounds.Apply)
 	d := Disturbance{Kind: f.kind, From: w.now()}
 	w.store.SetFault(site.Silent)
-	w.operator.RevokeKey(key)
-	w.record(Fact{Kind: KeyRevoked, Name: key, At: w.now()})
+	w.revoke(key)
 	time.Sleep(unseenTime)
 	w.store.SetFault(site.Sound)
 	d.To = w.now()
