crashes: a quarantine that a copy of the store lacks is written again

Fault: a reader that had quarantined a prompt part takes it for written for ten seconds. If the store came back from a copy that lacks the entry, prompts with the part reached servers again until then.

Fix: in a new era nothing counts as written; the evidence is still there.

TestPartIsQuarantinedAgain failed before (one write) and passes.

--- a/internal/fleet/gateway/crashes.go
+++ b/internal/fleet/gateway/crashes.go
@@ -21,8 +21,10 @@
 	// reported.
 	local *quarantine.Tracker
 	fleet *quarantine.Tracker
-	// written holds when this instance wrote a part to the store. It belongs to run.
+	// written holds when this instance wrote a part to the store, in an era of it. They
+	// belong to run.
 	written map[string]time.Time
+	era     int64
 }
 
 const (
@@ -113,6 +115,10 @@
 		return true
 	}
 	quarantined := g.fleet().QuarantinedParts
+	if era := g.follower.Era(); era != c.era {
+		clear(c.written) // the store may have come back from a copy that lacks them
+		c.era = era
+	}
 	maps.DeleteFunc(c.written, func(_ string, at time.Time) bool { return now.Sub(at) > maxChangeDelay })
 	isKnown := func(part string) bool { return quarantined[part] || !c.written[part].IsZero() }
 	for _, found := range c.fleet.Find(isKnown, now) {
--- a/internal/fleet/gateway/era_test.go
+++ b/internal/fleet/gateway/era_test.go
@@ -11,6 +11,8 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/backend"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/follower"
 	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
+	"github.com/kingcupyard/kingcupyard/internal/relay/pipeline"
+	"github.com/kingcupyard/kingcupyard/internal/routing/dispatch"
 )
 
 // Guards against a driver that goes on by an entry which the store's copy lacks, beside the
@@ -80,3 +82,32 @@
 	write()
 	is.Equal(store.writes, 2)
 }
+
+// Guards against a prompt part that crashes servers again, as its quarantine counts as written
+// although the store's copy lacks it.
+func TestPartIsQuarantinedAgain(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	store := &quarantineStore{}
+	g := newTestGateway(clock)
+	g.Store = store
+	load(t, g, revision.Revision{Era: 1, Number: 200})
+	publish(g, follower.Fleet{Instances: map[string]follower.Instance{"edge-1": {Name: "edge-1"}}})
+	for _, name := range []string{"1", "2", "3"} {
+		g.crashes.observe(pipeline.AttemptOutcome{
+			PromptParts: []dispatch.PromptPart{{ID: "bad"}, {ID: "request-" + name}}, Crashed: []*backend.Server{{ID: "server-" + name}},
+		})
+	}
+	ticks := func() {
+		for range 8 {
+			clock.Advance(reportInterval)
+			is.True(g.crashes.tick(t.Context()))
+		}
+	}
+	ticks()
+	is.Equal(store.parts, []string{"bad"})
+	load(t, g, revision.Revision{Era: 2, Number: 190})
+	publish(g, follower.Fleet{Instances: map[string]follower.Instance{"edge-1": {Name: "edge-1"}}})
+	ticks()
+	is.Equal(store.parts, []string{"bad", "bad"})
+}
