store: a lease counts in its era only

Fault: an instance that didn't know yet that the store had come back from a copy announced itself, or became the driver, under a lease whose ID was another's by then; as it stopped, it ended that lease and with it the other's entries.

Fix: a lease carries its era. A lease that the copy has goes over to the new era with the entry that was written with it.

--- a/internal/fleet/gateway/driver.go
+++ b/internal/fleet/gateway/driver.go
@@ -17,9 +17,9 @@
 	// missingSince is when this instance first saw that a driver was needed and missing,
 	// or last tried to become the driver.
 	missingSince time.Time
-	// lease keeps this instance the driver; 0 if there is none. It is renewed at
+	// lease keeps this instance the driver, if there is one. It is renewed at
 	// renewalAt. entry is the driver's entry that this instance wrote last.
-	lease     int64
+	lease     Lease
 	renewalAt time.Time
 	entry     follower.Driver
 }
@@ -65,14 +65,14 @@
 func (r *rollouts) keepDriving(ctx context.Context, driver follower.Driver) bool {
 	g := r.gateway
 	now := g.Clock.Now()
-	if r.driving.lease != 0 && r.driving.entry.Revision.Before(driver.Revision) {
+	if r.driving.lease != (Lease{}) && r.driving.entry.Revision.Before(driver.Revision) {
 		r.adoptEntry(driver)
 	}
 	if now.Before(r.driving.renewalAt) {
 		return true
 	}
 	r.driving.renewalAt = now.Add(jitter(driverRenewalInterval))
-	if r.driving.lease != 0 {
+	if r.driving.lease != (Lease{}) {
 		alive, err := g.Store.RenewLease(ctx, r.driving.lease)
 		if err != nil {
 			g.Log.Warn("DriverNotRenewed", zap.Error(err))
@@ -80,7 +80,7 @@
 		if err != nil || alive {
 			return true
 		}
-		r.driving.lease = 0
+		r.driving.lease = Lease{}
 	}
 	r.takeDrive(ctx, driver.Revision)
 	return false
@@ -91,10 +91,10 @@
 // this entry lacks the lease too, whose ID another instance may have been given since.
 func (r *rollouts) adoptEntry(driver follower.Driver) {
 	if r.driving.entry.Revision.Number == driver.Revision.Number {
-		r.driving.entry = driver
+		r.driving.entry, r.driving.lease.Era = driver, driver.Revision.Era
 		return
 	}
-	r.driving.lease, r.driving.renewalAt = 0, time.Time{}
+	r.driving.lease, r.driving.renewalAt = Lease{}, time.Time{}
 }
 
 // takeDrive makes this instance the driver under a new lease if the driver's entry is at
--- a/internal/fleet/gateway/era_test.go
+++ b/internal/fleet/gateway/era_test.go
@@ -26,7 +26,7 @@
 	fleet := fleetWithRollout(follower.RolloutActive, 0.1)
 	fleet.Driver = follower.Driver{Instance: "edge-2", Revision: revision.Revision{Era: 2, Number: 185}}
 	publish(g, fleet, backend.Server{ID: "a", Version: "v1"}, backend.Server{ID: "b", Version: "v2"})
-	g.rollouts.driving.lease = 1
+	g.rollouts.driving.lease = Lease{ID: 1, Era: 1}
 	g.rollouts.driving.entry = follower.Driver{Instance: "edge-1", Revision: revision.Revision{Era: 1, Number: 200}}
 	g.rollouts.tick(t.Context())
 	clock.Advance(12 * time.Second) // a record is due
@@ -50,7 +50,7 @@
 		g := newTestGateway(clockwork.NewFakeClock())
 		g.Store = store
 		load(t, g, revision.Revision{Era: 2, Number: 210})
-		g.rollouts.driving.lease = 5
+		g.rollouts.driving.lease = Lease{ID: 5, Era: 1}
 		g.rollouts.driving.entry = follower.Driver{Instance: "edge-1", Revision: revision.Revision{Era: 1, Number: 200}}
 		is.Equal(g.rollouts.keepDriving(t.Context(), follower.Driver{Instance: "edge-1", Revision: revision.Revision{Era: 2, Number: c.number}}), c.renewed)
 		is.Equal(store.drivers == 0, c.renewed)
--- a/internal/fleet/gateway/gateway.go
+++ b/internal/fleet/gateway/gateway.go
@@ -33,19 +33,19 @@
 type Store interface {
 	follower.Store
 	// GrantLease opens a lease. RenewLease renews it and reports false if it has
-	// ended. RevokeLease ends it and removes its keys.
-	GrantLease(ctx context.Context, ttl time.Duration) (int64, error)
-	RenewLease(ctx context.Context, lease int64) (bool, error)
-	RevokeLease(ctx context.Context, lease int64) error
+	// ended. RevokeLease ends it and removes its keys, unless its era is over.
+	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
+	RenewLease(ctx context.Context, lease Lease) (bool, error)
+	RevokeLease(ctx context.Context, lease Lease) error
 	// Register announces this instance until the lease ends, and returns the revision
 	// of the announcement.
-	Register(ctx context.Context, lease int64, i follower.Instance) (at revision.Revision, err error)
+	Register(ctx context.Context, lease Lease, i follower.Instance) (at revision.Revision, err error)
 	// Unregister removes an instance's announcement if it is still at the revision.
 	Unregister(ctx context.Context, name string, at revision.Revision) (bool, error)
 	// BecomeDriver makes the instance the driver of rollouts until the lease
 	// ends, if the driver's entry is still at the revision, unknown for none. It
 	// reports whether the instance became the driver, and the entry's new revision.
-	BecomeDriver(ctx context.Context, lease int64, instance string, at revision.Revision) (revision.Revision, bool, error)
+	BecomeDriver(ctx context.Context, lease Lease, instance string, at revision.Revision) (revision.Revision, bool, error)
 	// RecordProgress writes the progress of a rollout, and its status for the
 	// operator, if the stored progress is still at p.Revision and the driver's
 	// entry at driver.Revision. It reports whether it has written them.
@@ -59,6 +59,14 @@
 	WriteTallies(ctx context.Context, due []tally.Tally, written map[string]tally.WriteMark) (marks map[string]tally.WriteMark, done bool, err error)
 }
 
+// Lease is a lease in the store. The zero value stands for none.
+type Lease struct {
+	ID int64
+	// Era is the era in which the store has it. In another one, its ID may be that of
+	// another lease.
+	Era int64
+}
+
 // Codec translates the headers of callers and backend servers.
 type Codec interface {
 	pipeline.HeaderEncoder
--- a/internal/fleet/gateway/gateway_test.go
+++ b/internal/fleet/gateway/gateway_test.go
@@ -114,11 +114,13 @@
 	recordedAs follower.Driver
 }
 
-func (r *recordingStore) GrantLease(context.Context, time.Duration) (int64, error) { return 1, nil }
+func (r *recordingStore) GrantLease(context.Context, time.Duration) (Lease, error) {
+	return Lease{ID: 1}, nil
+}
 
-func (r *recordingStore) RenewLease(context.Context, int64) (bool, error) { return true, nil }
+func (r *recordingStore) RenewLease(context.Context, Lease) (bool, error) { return true, nil }
 
-func (r *recordingStore) BecomeDriver(context.Context, int64, string, revision.Revision) (revision.Revision, bool, error) {
+func (r *recordingStore) BecomeDriver(context.Context, Lease, string, revision.Revision) (revision.Revision, bool, error) {
 	r.drivers++
 	return at(8), true, nil
 }
--- a/internal/fleet/gateway/membership.go
+++ b/internal/fleet/gateway/membership.go
@@ -15,8 +15,8 @@
 // store, which a lease keeps for as long as the instance lives. It belongs to run.
 type membership struct {
 	gateway *Gateway
-	// lease is the current lease and ttl its time to live; lease is 0 if there is none.
-	lease int64
+	// lease is the current lease, if any, and ttl its time to live.
+	lease Lease
 	ttl   time.Duration
 	// revision is the store's revision of the announcement, announcedAt when it was made.
 	revision    revision.Revision
@@ -119,7 +119,7 @@
 func (m *membership) isRemoved() bool {
 	g := m.gateway
 	_, announced := g.fleet().Instances[g.Settings.Instance]
-	return m.lease != 0 && !announced && !g.follower.Revision().Before(m.revision)
+	return m.lease != (Lease{}) && !announced && !g.follower.Revision().Before(m.revision)
 }
 
 // renew renews the lease, and announces the instance again if the announcement was
@@ -130,7 +130,7 @@
 	m.adoptAnnouncement()
 	ttl := max(membershipTTL(len(g.fleet().Instances)), g.currentSettings().MinLeaseTTL)
 	tooShort := float64(ttl) >= maxTTLGrowth*float64(m.ttl) && g.Clock.Since(m.announcedAt) >= ttlSettleTime
-	if m.lease != 0 && !tooShort {
+	if m.lease != (Lease{}) && !tooShort {
 		alive, err := g.Store.RenewLease(ctx, m.lease)
 		if err != nil {
 			return err
@@ -138,11 +138,11 @@
 		if alive && !m.isRemoved() {
 			return nil
 		}
-		g.Log.Info("MembershipLapsed", zap.Int64("Lease", m.lease), zap.Bool("Removed", alive))
+		g.Log.Info("MembershipLapsed", zap.Int64("Lease", m.lease.ID), zap.Bool("Removed", alive))
 		if alive {
 			return m.announce(ctx, m.lease, m.ttl)
 		}
-		m.lease = 0
+		m.lease = Lease{}
 	}
 	lease, err := g.Store.GrantLease(ctx, ttl)
 	if err != nil {
@@ -157,19 +157,19 @@
 // given since.
 func (m *membership) adoptAnnouncement() {
 	g := m.gateway
-	if m.lease == 0 || g.follower.Revision().Era <= m.revision.Era {
+	if m.lease == (Lease{}) || g.follower.Revision().Era <= m.revision.Era {
 		return
 	}
 	if i := g.fleet().Instances[g.Settings.Instance]; i.Revision.Number == m.revision.Number {
-		m.revision = i.Revision
+		m.revision, m.lease.Era = i.Revision, i.Revision.Era
 		return
 	}
-	g.Log.Info("MembershipLost", zap.Int64("Lease", m.lease), zap.Stringer("Revision", m.revision))
-	m.lease = 0
+	g.Log.Info("MembershipLost", zap.Int64("Lease", m.lease.ID), zap.Stringer("Revision", m.revision))
+	m.lease = Lease{}
 }
 
 // announce announces the instance until a lease ends.
-func (m *membership) announce(ctx context.Context, lease int64, ttl time.Duration) error {
+func (m *membership) announce(ctx context.Context, lease Lease, ttl time.Duration) error {
 	g := m.gateway
 	at, err := g.Store.Register(ctx, lease, follower.Instance{
 		Name: g.Settings.Instance, DataCentre: g.Settings.DataCentre, PeerAddress: g.Settings.PeerAddress, TTL: ttl, StatesEra: true,
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -486,7 +486,7 @@
 		r.driving.missingSince = time.Time{}
 		return
 	}
-	if d := r.driving; d.lease != 0 && d.entry.Revision.After(revision.Latest(fleet.Driver.Revision, r.gateway.follower.Revision())) {
+	if d := r.driving; d.lease != (Lease{}) && d.entry.Revision.After(revision.Latest(fleet.Driver.Revision, r.gateway.follower.Revision())) {
 		fleet.Driver = d.entry // the view doesn't show it yet
 	}
 	switch fleet.Driver.Instance {
--- a/internal/fleet/gateway/stop.go
+++ b/internal/fleet/gateway/stop.go
@@ -71,8 +71,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lastCallTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, lease := range []int64{g.membership.lease, g.rollouts.driving.lease} {
-		if lease != 0 {
+	g.membership.adoptAnnouncement()
+	for _, lease := range []Lease{g.membership.lease, g.rollouts.driving.lease} {
+		if lease != (Lease{}) {
 			group.Go(func() { g.endLease(ctx, lease) })
 		}
 	}
@@ -81,9 +82,9 @@
 }
 
 // endLease ends a lease. If the call fails, the lease expires by itself.
-func (g *Gateway) endLease(ctx context.Context, lease int64) {
+func (g *Gateway) endLease(ctx context.Context, lease Lease) {
 	if err := g.Store.RevokeLease(ctx, lease); err != nil {
-		g.Log.Warn("MembershipNotEnded", zap.Int64("Lease", lease), zap.Error(err))
+		g.Log.Warn("MembershipNotEnded", zap.Int64("Lease", lease.ID), zap.Error(err))
 	}
 }
 
