--- a/internal/fleet/backend/backend.go
+++ b/internal/fleet/backend/backend.go
@@ -173,8 +173,8 @@
 }
 
 // Remove removes a server from the directory. If graceUntil is in the future, a
-// ready server stays listed until then, unless it announces itself again. A
-// An unknown revision means that the end of the entry has none. Remove reports whether
+// ready server stays listed until then, unless it announces itself again. An
+// unknown revision means that the end of the entry has none. Remove reports whether
 // the listing changed.
 func (d *Directory) Remove(id string, at revision.Revision, graceUntil, now time.Time) bool {
 	d.revision = revision.Latest(d.revision, at)
--- a/internal/fleet/follower/apply.go
+++ b/internal/fleet/follower/apply.go
@@ -40,7 +40,6 @@
 	changed := f.expire(now)
 	if b.Whole {
 		f.removeMissing(changes, b.Revision, now)
-		slices.SortStableFunc(changes, compareOrdersFirst)
 	}
 	if f.applyChanges(changes) {
 		changed = true
@@ -58,31 +57,6 @@
 	}
 }
 
-// observeEra notes the era of a revision that this instance has heard of. The caller holds mu.
-func (f *Follower) observeEra(at revision.Revision) {
-	if at.Era <= f.era {
-		return
-	}
-	if f.loaded {
-		f.graceUntil = f.clock.Now().Add(f.settings.ReannounceGrace)
-		f.lapsedUntil = f.graceUntil
-		counters.Add("EraBegun", 1)
-		f.log.Warn("StoreEraBegun", zap.Int64("Era", at.Era), zap.Int64("Before", f.era), zap.Stringer("Revision", at), zap.Stringer("Applied", f.revision), zap.Stringer("Table", f.tableRevision))
-	}
-	f.era = at.Era
-}
-
-// compareOrdersFirst puts the orders of rollouts before their progress.
-func compareOrdersFirst(a, b Change) int {
-	rank := func(c Change) int {
-		if _, isOrder := c.Subject.(RolloutOrder); isOrder {
-			return 0
-		}
-		return 1
-	}
-	return rank(a) - rank(b)
-}
-
 // maxLoggedEntries bounds the invalid entries that are told apart in the log.
 const maxLoggedEntries = 1000
 
@@ -111,7 +85,7 @@
 }
 
 // removeMissing removes servers and fleet entries that a complete batch doesn't
-// contain.
+// contain. It may reorder the changes.
 func (f *Follower) removeMissing(changes []Change, at revision.Revision, now time.Time) {
 	var listed []backend.Server
 	for _, c := range changes {
@@ -125,25 +99,11 @@
 	if now.Before(f.lapsedUntil) {
 		f.lapsed = fleet.restore(missing)
 		fleet.carryRollouts(f.fleet)
+		slices.SortStableFunc(changes, compareOrdersFirst)
 	}
 	f.publishFleet(fleet)
 }
 
-// expire removes what lapsed once its grace period is over. It reports whether the server
-// listing changed. The caller holds mu.
-func (f *Follower) expire(now time.Time) bool {
-	if len(f.lapsed) > 0 && !now.Before(f.lapsedUntil) {
-		fleet := f.fleet.clone()
-		for _, end := range f.lapsed {
-			fleet.apply(end)
-			f.log.Info("LapsedEntryGone", zap.String("Subject", fmt.Sprintf("%+v", end)))
-		}
-		f.lapsed = nil
-		f.publishFleet(fleet)
-	}
-	return f.servers.Expire(now)
-}
-
 // applyChanges applies changes. It reports whether the server listing changed. The fleet
 // is copied and published once for all of them: in a large fleet, hundreds of instances
 // may announce themselves together.
@@ -164,7 +124,8 @@
 				fleet = &clone
 			}
 			f.lapsed = withoutEntryOf(f.lapsed, c.Subject)
-			if !fleet.apply(f.carried(fleet, c.Subject)) {
+			subject := f.carried(fleet, c.Subject)
+			if !fleet.apply(subject) {
 				continue
 			}
 			fleetChanged = true
@@ -172,7 +133,7 @@
 				instances++
 				continue
 			}
-			f.log.Info("FleetChanged", zap.String("Key", c.Key), zap.Stringer("Revision", c.Revision), zap.String("Subject", fmt.Sprintf("%+v", c.Subject)))
+			f.log.Info("FleetChanged", zap.String("Key", c.Key), zap.Stringer("Revision", c.Revision), zap.String("Subject", fmt.Sprintf("%+v", subject)))
 		}
 	}
 	if instances > 0 {
@@ -184,21 +145,6 @@
 	return listingChanged
 }
 
-// carried returns what a change of the fleet says, or what is known to be later while the
-// driver and operators have yet to write again what a copy of the store lacks.
-func (f *Follower) carried(fleet *Fleet, subject any) any {
-	if !f.clock.Now().Before(f.lapsedUntil) {
-		return subject
-	}
-	switch s := subject.(type) {
-	case RolloutOrder:
-		fleet.carryOrder(s)
-	case RolloutProgress:
-		return fleet.carryProgress(s)
-	}
-	return subject
-}
-
 func (f *Follower) announceServer(s backend.Server, at revision.Revision) bool {
 	changed := f.servers.Announce(s, f.clock.Now())
 	if changed {
--- a/internal/fleet/follower/fleet.go
+++ b/internal/fleet/follower/fleet.go
@@ -1,11 +1,6 @@
 package follower
 
-import (
-	"maps"
-	"slices"
-
-	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
-)
+import "maps"
 
 // Fleet holds the operators' orders, the progress of rollouts and the instances
 // of the system. It is immutable once published.
@@ -85,78 +80,6 @@
 	return missing
 }
 
-// carryRollouts adds the known progress of rollouts that a copy of the store lacks.
-func (fl *Fleet) carryRollouts(known Fleet) {
-	for service, progress := range known.Rollouts {
-		if _, ok := fl.Rollouts[service]; !ok && progress.Order == fl.Orders[service].Revision.Number {
-			progress.Revision, progress.Lost = revision.Revision{}, true
-			fl.Rollouts[service] = progress
-		}
-	}
-}
-
-// carryOrder moves the progress of a rollout to its order, if that is the known one that the
-// operator has written again in a later era.
-func (fl *Fleet) carryOrder(o RolloutOrder) {
-	known, progress := fl.Orders[o.Service], fl.Rollouts[o.Service]
-	isSame := known.Target == o.Target && known.Duration == o.Duration && known.Revision.Era < o.Revision.Era
-	if isSame && known.Revision.Number != o.Revision.Number && progress.Order == known.Revision.Number {
-		progress.Order, progress.Lost = o.Revision.Number, true
-		fl.Rollouts[o.Service] = progress
-	}
-}
-
-// carryProgress returns what holds of a rollout whose record in the store, of a later era, may
-// be older than the known one: what had been decided stands.
-func (fl *Fleet) carryProgress(p RolloutProgress) RolloutProgress {
-	known, ok := fl.Rollouts[p.Service]
-	isCurrent := ok && known.Order == fl.Orders[p.Service].Revision.Number && known.Revision.Era < p.Revision.Era
-	if !isCurrent || known.Order == p.Order && !known.isAheadOf(p) {
-		return p
-	}
-	known.Revision, known.Lost = p.Revision, true
-	return known
-}
-
-// isAheadOf reports whether the progress is later than another one of the same order.
-func (p *RolloutProgress) isAheadOf(other RolloutProgress) bool {
-	if other.State != RolloutActive {
-		return false
-	}
-	return p.State != RolloutActive || p.Elapsed > other.Elapsed
-}
-
-// restore adds entries that operators write, and returns their ends.
-func (fl *Fleet) restore(entries []any) (ends []any) {
-	for _, entry := range entries {
-		fl.apply(entry)
-		switch s := entry.(type) {
-		case DataCentreClosure:
-			s.Ended = true
-			ends = append(ends, s)
-		case RolloutOrder:
-			s.Ended = true
-			ends = append(ends, s)
-		}
-	}
-	return ends
-}
-
-// withoutEntryOf returns the ends but for that of the entry that a subject is of.
-func withoutEntryOf(ends []any, subject any) []any {
-	return slices.DeleteFunc(ends, func(end any) bool {
-		switch e := end.(type) {
-		case DataCentreClosure:
-			s, ok := subject.(DataCentreClosure)
-			return ok && s.DataCentre == e.DataCentre
-		case RolloutOrder:
-			s, ok := subject.(RolloutOrder)
-			return ok && s.Service == e.Service
-		}
-		return false
-	})
-}
-
 // putOrDelete deletes the key if ended is set and sets it to value otherwise. It
 // reports whether the map changed.
 func putOrDelete[V comparable](m map[string]V, key string, value V, ended bool) bool {
--- a/internal/fleet/gateway/era_test.go
+++ b/internal/fleet/gateway/era_test.go
@@ -111,3 +111,23 @@
 	ticks()
 	is.Equal(store.parts, []string{"bad", "bad"})
 }
+
+// Evidence stays with an order that is written again after the store came back from a copy. A
+// later order for the same version is another one.
+func TestEvidenceStaysWithOrder(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(clockwork.NewFakeClock())
+	sync := func(era, number int64, state follower.RolloutState) *localRollout {
+		fleet := fleetWithRollout(state, 0.1)
+		order, progress := fleet.Orders["assistant"], fleet.Rollouts["assistant"]
+		order.Revision, progress.Order = revision.Revision{Era: era, Number: number}, number
+		fleet.Orders["assistant"], fleet.Rollouts["assistant"] = order, progress
+		g.rollouts.syncOrders(fleet)
+		return g.rollouts.local["assistant"]
+	}
+	first := sync(1, 200, follower.RolloutActive)
+	is.Equal(sync(2, 190, follower.RolloutActive), first)   // written again
+	is.Equal(sync(3, 190, follower.RolloutReverted), first) // the copy has it
+	is.True(first.ended)
+	is.True(sync(3, 195, follower.RolloutActive) != first)
+}
--- a/internal/fleet/gateway/feedanswer.go
+++ b/internal/fleet/gateway/feedanswer.go
@@ -8,9 +8,9 @@
 	"github.com/kingcupyard/kingcupyard/internal/fleet/revision"
 )
 
-// feedAnswer is an answer of an instance's feed, a follower.Batch. Its revisions are the
-// numbers of those that instances of earlier versions know. Era is the era of Revision;
-// that of another revision is higher by its EraOffset.
+// feedAnswer is an answer of an instance's feed: a follower.Batch, with the numbers of its
+// revisions where instances of earlier versions look for them. Era is the era of Revision,
+// and the era of another revision is higher by its EraOffset.
 type feedAnswer struct {
 	Items    []feedItem
 	Revision int64
--- a/internal/fleet/gateway/releases.go
+++ b/internal/fleet/gateway/releases.go
@@ -431,6 +431,9 @@
 	for service, order := range fleet.Orders {
 		progress := fleet.Rollouts[service]
 		ro := r.local[service]
+		if ro != nil && ro.isFor(order) {
+			ro.order = order.Revision
+		}
 		if progress.Order == order.Revision.Number && progress.State != follower.RolloutActive {
 			if ro != nil {
 				ro.ended = true
@@ -442,12 +445,11 @@
 		}
 		orders = append(orders, order)
 		now := r.gateway.Clock.Now()
-		if ro == nil || !ro.isFor(order) {
+		if ro == nil || ro.order != order.Revision {
 			ro = &localRollout{order: order.Revision, target: order.Target, duration: order.Duration, firstSeenAt: now, startedAt: now, evidence: verdict.Evidence{}, servers: map[string]verdict.Counts{}}
 			r.local[service] = ro
 			delete(r.peerEvidence, service)
 		}
-		ro.order = order.Revision
 		if progress.Order == order.Revision.Number {
 			ro.applyProgress(progress, now)
 		}
